Set down the shape: folders, core types, declared objects

Cause: the users ask for a code base in one stated shape, laid down first. Excluded: a flat pkg/ row that mixes reads and writes (commands and queries have to stand apart), mutable objects with setters, maps as collections. Conclusion: the request path can be built on these types.

--- /dev/null
+++ b/pkg/declarer/team.go
@@ -0,0 +1,32 @@
+package declarer
+
+// Team is a tenant: the party that a caller's key belongs to.
+type Team struct {
+	// Name is unique among teams.
+	Name string
+	// RatePerSecond is how many requests a second all of the team's callers
+	// together may make over the whole fleet; above 0.
+	RatePerSecond float64
+	// Burst is how many requests may come at once; at least 1.
+	Burst int
+	// Services are the services that the team may use. Empty means all.
+	Services []string `toml:",omitempty"`
+}
+
+// ObjectName returns the team's name.
+func (t Team) ObjectName() string {
+	return t.Name
+}
+
+// WithRate returns a copy with another rate and burst.
+func (t Team) WithRate(perSecond float64, burst int) Team {
+	t.RatePerSecond = perSecond
+	t.Burst = burst
+	return t
+}
+
+// WithServices returns a copy that may use the named services only.
+func (t Team) WithServices(services ...string) Team {
+	t.Services = services
+	return t
+}
--- /dev/null
+++ b/pkg/declarer/version.go
@@ -0,0 +1,54 @@
+package declarer
+
+// DefaultConnections is the bound on open connections to an upstream when none
+// is declared.
+const DefaultConnections = 400
+
+// Version is one build of a service and the upstreams that run it.
+type Version struct {
+	// Name is unique among versions of all services.
+	Name string
+	// Service is the service that this is a version of.
+	Service string
+	// Upstreams run this version; at least one.
+	Upstreams []Upstream
+}
+
+// Upstream is one back-end server.
+type Upstream struct {
+	// Name is unique among the upstreams of the version.
+	Name string
+	// Place is the failure domain that the upstream stands in.
+	Place string
+	// Address is an IP number and a port. No two upstreams share one.
+	Address string
+	// Slots is how many requests the upstream works on at once; at least 1.
+	Slots int
+	// Connections bounds the open connections; 0 means DefaultConnections.
+	Connections int `toml:",omitempty"`
+}
+
+// ObjectName returns the version's name.
+func (v Version) ObjectName() string {
+	return v.Name
+}
+
+// WithUpstreams returns a copy with other upstreams.
+func (v Version) WithUpstreams(upstreams ...Upstream) Version {
+	v.Upstreams = upstreams
+	return v
+}
+
+// WithAddress returns a copy that listens elsewhere.
+func (u Upstream) WithAddress(address string) Upstream {
+	u.Address = address
+	return u
+}
+
+// ConnectionLimit returns the bound on open connections.
+func (u Upstream) ConnectionLimit() int {
+	if u.Connections == 0 {
+		return DefaultConnections
+	}
+	return u.Connections
+}
--- /dev/null
+++ b/pkg/query/checker/teams.go
@@ -0,0 +1,48 @@
+package checker
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+)
+
+const (
+	// maxRatePerSecond bounds a team's rate, in requests a second.
+	maxRatePerSecond = 10_000_000
+	// minRatePerSecond is the lowest rate, in requests a second: one in ~3 hours.
+	minRatePerSecond = 0.0001
+	// maxBurst bounds a team's burst, in requests.
+	maxBurst = 10_000_000
+)
+
+func (p *pass) teams() {
+	for team := range p.set.Teams.All() {
+		o := p.object(declarer.KindTeam, team.Name)
+		rate := team.RatePerSecond
+		inRange := !math.IsNaN(rate) && rate >= minRatePerSecond && rate <= maxRatePerSecond
+		o.require(inRange, "RatePerSecond", rate, "0.0001 to 10000000")
+		o.require(team.Burst >= 1 && team.Burst <= maxBurst, "Burst", team.Burst, "1 to 10000000")
+		for i, name := range team.Services {
+			_, found := p.set.Services.Get(name)
+			o.require(found, fmt.Sprintf("Services[%d]", i), name, "the name of a declared Service")
+		}
+	}
+}
+
+func (p *pass) keys() {
+	owners := map[declarer.KeyHash]string{}
+	for key := range p.set.Keys.All() {
+		o := p.object(declarer.KindKey, key.Name)
+		_, found := p.set.Teams.Get(key.Team)
+		o.require(found, "Team", key.Team, "the name of a declared Team")
+		hash, valid := declarer.ParseKeyHash(key.Hash)
+		o.require(valid, "Hash", key.Hash, "sha256: and 64 lower-case hexadecimal digits")
+		if !valid {
+			continue
+		}
+		owner, taken := owners[hash]
+		o.require(!taken, "Hash", key.Hash, "another hash than that of Key "+owner)
+		owners[hash] = key.Name
+	}
+}
