Admit a request on one immutable plan, and speak the object API

Cause: the path of a request needs its decisions in place before any listener. Excluded: a mutex around the limits (the path takes none), buckets that start full (a restarted instance would admit a second burst), hashing through a byte slice (1 allocation of 64 B a request). Conclusion: decisions stand without any encoding; listeners come next.

--- /dev/null
+++ b/internal/standin/platformer/server.go
@@ -0,0 +1,185 @@
+// Package platformer is a small stand-in for the platform: the object API over
+// HTTP, with faults by switch, and a lagging list of instances.
+package platformer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/adapter"
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// PathFaults reads (GET) and replaces (PUT) the faults, as keeper.Faults in JSON.
+const PathFaults = "/faults"
+
+// Server answers the object API from a keeper.
+type Server struct {
+	keeper *keeper.Keeper
+	mux    *http.ServeMux
+}
+
+// New returns a server over a keeper.
+func New(kept *keeper.Keeper) *Server {
+	server := &Server{
+		keeper: kept,
+		mux:    http.NewServeMux(),
+	}
+	server.mux.HandleFunc("GET "+adapter.PathObjects, server.list)
+	server.mux.HandleFunc("GET "+adapter.PathObjects+"/{name...}", server.get)
+	server.mux.HandleFunc("PUT "+adapter.PathObjects+"/{name...}", server.put)
+	server.mux.HandleFunc("DELETE "+adapter.PathObjects+"/{name...}", server.remove)
+	server.mux.HandleFunc("GET "+adapter.PathInstances, server.instances)
+	server.mux.HandleFunc("PUT "+PathFaults, server.setFaults)
+	return server
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	object, err := s.keeper.Get(r.Context(), r.PathValue("name"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	setRevision(w, object.Revision)
+	w.Write(object.Value)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if !query.Has(adapter.ParamAfter) {
+		changes, err := s.keeper.List(r.Context(), query.Get(adapter.ParamPrefix))
+		answer(w, changes, err)
+		return
+	}
+	after, err := strconv.ParseUint(query.Get(adapter.ParamAfter), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(query.Get(adapter.ParamWaitMillis))
+	if err != nil || wait < 0 || wait > adapter.WatchMillis {
+		http.Error(w, "waitMillis: want 0 to 20000", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	changes, err := s.keeper.Watch(ctx, query.Get(adapter.ParamPrefix), after)
+	answer(w, changes, err)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	condition, valid := conditionOf(r.Header)
+	if !valid {
+		http.Error(w, "If-Match: want a quoted revision", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, storer.MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	object, err := s.keeper.Put(r.Context(), r.PathValue("name"), value, condition)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	setRevision(w, object.Revision)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	condition, valid := conditionOf(r.Header)
+	if !valid {
+		http.Error(w, "If-Match: want a quoted revision", http.StatusBadRequest)
+		return
+	}
+	if err := s.keeper.Delete(r.Context(), r.PathValue("name"), condition); err != nil {
+		fail(w, err)
+	}
+}
+
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	instances, err := s.keeper.Instances(r.Context())
+	answer(w, instances, err)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, storer.MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	faults, err := encoder.JSON[keeper.Faults]{}.Decode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.keeper.SetFaults(faults)
+}
+
+func conditionOf(header http.Header) (storer.Condition, bool) {
+	if header.Get("If-None-Match") == "*" {
+		return storer.Absent(), true
+	}
+	match := header.Get("If-Match")
+	if match == "" {
+		return storer.Always(), true
+	}
+	text, err := strconv.Unquote(match)
+	if err != nil {
+		return storer.Condition{}, false
+	}
+	revision, err := strconv.ParseUint(text, 10, 64)
+	return storer.At(revision), err == nil && revision > 0
+}
+
+func setRevision(w http.ResponseWriter, revision uint64) {
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(revision, 10)))
+}
+
+func answer[T any](w http.ResponseWriter, value T, err error) {
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	data, err := encoder.JSON[T]{}.Encode(value)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(data)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	if !storer.Settled(err) {
+		// The write took effect and its answer is lost: the connection breaks.
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, err.Error(), statusOf(err))
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, storer.ErrConflict):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, storer.ErrCompacted):
+		return http.StatusGone
+	case errors.Is(err, storer.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/pkg/command/admitter/admitter.go
@@ -0,0 +1,177 @@
+// Package admitter decides whether a request may run, and where. It knows no
+// encoding and no connection: a front end hands it a Request and acts on the
+// Admission.
+package admitter
+
+import (
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+)
+
+const (
+	// NoRoomMillis is after how long a request refused for want of room is worth
+	// another try, in milliseconds.
+	NoRoomMillis = 1000
+	// NoShareMillis is the same for a request refused for want of a share.
+	NoShareMillis = 2000
+)
+
+// Request is what is known of a request before it runs.
+type Request struct {
+	// Host is the host name that the caller asked for, with or without port.
+	Host string
+	// Path is the decoded path; EscapedPath the escaped one if it differs.
+	Path        string
+	EscapedPath string
+	// Method is the HTTP method or its like.
+	Method string
+	// Key is the key that the caller showed, or empty.
+	Key string
+	// Now is the instant of arrival.
+	Now time.Time
+	// Deadline is the caller's own deadline, or zero.
+	Deadline time.Time
+}
+
+// Admission is a request that may run. It holds no slot yet.
+type Admission struct {
+	// Plan admitted the request.
+	Plan *Plan
+	// Service is what the caller asked for.
+	Service *router.Service
+	// Key is the caller's key; nil on a route open to all.
+	Key *router.Key
+	// Idempotent says that the request may be repeated after MayHaveRun.
+	Idempotent bool
+	// Deadline ends the request; never zero.
+	Deadline time.Time
+
+	pool   *Pool
+	bucket *limiter.Bucket
+}
+
+// Admitter admits requests by the plan in force. Safe for many goroutines; its
+// path takes no lock.
+type Admitter struct {
+	plans *holder.Cell[Plan]
+}
+
+// New returns an admitter that follows a cell of plans.
+func New(plans *holder.Cell[Plan]) *Admitter {
+	return &Admitter{
+		plans: plans,
+	}
+}
+
+// Admit decides on one request. Every refusal is NotRun.
+func (a *Admitter) Admit(request Request) (Admission, *arbiter.Refusal) {
+	plan := a.plans.Load()
+	if plan == nil || plan.table.RevisionNumber() == 0 {
+		refusal := arbiter.Refuse(arbiter.NotReady, "no configuration is in force yet")
+		return Admission{}, refusal.WithRetryAt(request.Now.Add(NoShareMillis * time.Millisecond))
+	}
+	service, found := plan.table.Service(request.Host)
+	if !found {
+		return Admission{}, arbiter.Refuse(arbiter.UnknownService, "no service has this host name")
+	}
+	if !router.PlainPath(request.Path, request.EscapedPath) {
+		return Admission{}, arbiter.Refuse(arbiter.RequestMalformed, "the path has dot segments, empty segments or escaped slashes")
+	}
+	route := service.Route(request.Path)
+	admission := Admission{
+		Plan:       plan,
+		Service:    service,
+		Idempotent: router.Idempotent(route, request.Method),
+		Deadline:   deadline(request, service.Declared),
+		pool:       plan.pools[service.Declared.Name],
+	}
+	if !request.Now.Before(admission.Deadline) {
+		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
+	}
+	if route.Open {
+		return admission, nil
+	}
+	return admission.charge(request)
+}
+
+// StillValid says whether the key that admitted a request works under the plan
+// in force. A request on an open route stays valid.
+func (a *Admitter) StillValid(admission Admission) bool {
+	if admission.Key == nil {
+		return true
+	}
+	plan := a.plans.Load()
+	if plan == admission.Plan {
+		return true
+	}
+	key, found := plan.table.Key(admission.Key.Hash())
+	return found && !key.Declared.Withdrawn &&
+		key.Declared.Team == admission.Key.Declared.Team &&
+		key.MayUse(admission.Service.Declared.Name)
+}
+
+// Acquire claims a slot at an upstream. The caller releases it.
+func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
+	upstream, found := a.pool.Acquire(random, avoid)
+	if found {
+		return upstream, nil
+	}
+	refusal := arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot")
+	return nil, refusal.WithRetryAt(now.Add(NoRoomMillis * time.Millisecond))
+}
+
+// Refund gives the team's request back, which must be proved not to have run.
+func (a Admission) Refund() {
+	if a.bucket != nil {
+		a.bucket.Refund()
+	}
+}
+
+// Team returns the name of the team, or "" on an open route.
+func (a Admission) Team() string {
+	if a.Key == nil {
+		return ""
+	}
+	return a.Key.Declared.Team
+}
+
+// charge checks the key and takes one request of the team's rate.
+func (a Admission) charge(request Request) (Admission, *arbiter.Refusal) {
+	if request.Key == "" {
+		return Admission{}, arbiter.Refuse(arbiter.KeyMissing, "show a key as Authorization: Bearer KEY")
+	}
+	key, found := a.Plan.table.Key(declarer.HashKey(request.Key))
+	if !found {
+		return Admission{}, arbiter.Refuse(arbiter.KeyUnknown, "no such key")
+	}
+	if key.Declared.Withdrawn {
+		return Admission{}, arbiter.Refuse(arbiter.KeyWithdrawn, "the key has been withdrawn")
+	}
+	if !key.MayUse(a.Service.Declared.Name) {
+		return Admission{}, arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
+	}
+	a.Key = key
+	a.bucket = a.Plan.buckets[key.Team.Name]
+	if a.bucket.Limit().IsZero() {
+		refusal := arbiter.Refuse(arbiter.NoShare, "this instance holds no part of the team's rate; ask another")
+		return Admission{}, refusal.WithRetryAt(request.Now.Add(NoShareMillis * time.Millisecond))
+	}
+	retryAt, ok := a.bucket.Take(request.Now)
+	if !ok {
+		return Admission{}, arbiter.Refuse(arbiter.TeamOverRate, "the team's rate is used up").WithRetryAt(retryAt)
+	}
+	return a, nil
+}
+
+func deadline(request Request, service declarer.Service) time.Time {
+	limit := request.Now.Add(time.Duration(service.LimitMillis()) * time.Millisecond)
+	if request.Deadline.IsZero() || request.Deadline.After(limit) {
+		return limit
+	}
+	return request.Deadline
+}
--- /dev/null
+++ b/pkg/command/admitter/admitter_test.go
@@ -0,0 +1,356 @@
+package admitter_test
+
+import (
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+	"github.com/hemlockport/hemlockport/pkg/query/splitter"
+)
+
+const secret = "a-key-of-a-length-that-callers-really-show-0123456789"
+
+func declaredSet() declarer.Set {
+	return declarer.Set{}.
+		WithPlace(declarer.Place{
+			Name:   "derby",
+			Region: "east",
+			Seats:  1,
+		}).
+		WithService(declarer.Service{
+			Name:    "shopfront",
+			Version: "shopfront-v1",
+		}.WithRoutes(
+			declarer.Route{
+				Prefix: "/patterns",
+				Open:   true,
+			},
+			declarer.Route{
+				Prefix: "/patterns/private",
+			},
+			declarer.Route{
+				Prefix:      "/report",
+				Idempotence: declarer.Always,
+			},
+		)).
+		WithService(declarer.Service{
+			Name:    "sewingroom",
+			Version: "sewingroom-v1",
+		}).
+		WithVersion(version("shopfront", 1)).
+		WithVersion(version("sewingroom", 2)).
+		WithTeam(declarer.Team{
+			Name:     "quilters",
+			Services: []string{"shopfront"},
+		}.WithRate(10_000_000, 10_000_000)).
+		WithTeam(declarer.Team{
+			Name: "slow",
+		}.WithRate(1, 1)).
+		WithKey(key("quilters", secret)).
+		WithKey(key("slow", "slow-key")).
+		WithKey(key("gone", "gone-key").WithWithdrawn())
+}
+
+func version(service string, host int) declarer.Version {
+	return declarer.Version{
+		Name:    service + "-v1",
+		Service: service,
+	}.WithUpstreams(declarer.Upstream{
+		Name:    "u1",
+		Place:   "derby",
+		Address: "127.0.0." + strconv.Itoa(host) + ":1",
+		Slots:   2,
+	})
+}
+
+func key(name, secret string) declarer.Key {
+	team := name
+	if name == "gone" {
+		team = "quilters"
+	}
+	return declarer.Key{
+		Name: name,
+		Team: team,
+		Hash: declarer.HashKey(secret).String(),
+	}
+}
+
+func inForce(set declarer.Set, now time.Time) (*holder.Cell[admitter.Plan], *admitter.Admitter) {
+	plans := holder.New[admitter.Plan]()
+	seat := splitter.Seat{
+		Index: 0,
+		Of:    1,
+	}
+	plans.Advance(*admitter.First("derby").WithSeat(seat, now).WithTable(router.New(1, set), now))
+	return plans, admitter.New(plans)
+}
+
+func TestAdmit(t *testing.T) {
+	start := time.Now()
+	_, admit := inForce(declaredSet(), start)
+	now := start.Add(time.Hour)
+	cases := []struct {
+		name    string
+		request admitter.Request
+		reason  arbiter.Reason
+	}{
+		{
+			name: "key of a team that may use the service",
+			request: admitter.Request{
+				Host: "shopfront:8080",
+				Path: "/orders",
+				Key:  secret,
+			},
+		},
+		{
+			name: "host in upper case",
+			request: admitter.Request{
+				Host: "SHOPFRONT",
+				Path: "/orders",
+				Key:  secret,
+			},
+		},
+		{
+			name: "open route without key",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patterns/star",
+			},
+		},
+		{
+			name: "longer route inside an open one",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patterns/private/x",
+			},
+			reason: arbiter.KeyMissing,
+		},
+		{
+			name: "prefix ends inside a segment",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patternsx",
+			},
+			reason: arbiter.KeyMissing,
+		},
+		{
+			name: "dot segments out of an open route",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patterns/../orders",
+			},
+			reason: arbiter.RequestMalformed,
+		},
+		{
+			name: "dot segment with a parameter",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patterns/..;x/orders",
+			},
+			reason: arbiter.RequestMalformed,
+		},
+		{
+			name: "empty segment",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/patterns//orders",
+			},
+			reason: arbiter.RequestMalformed,
+		},
+		{
+			name: "escaped slash",
+			request: admitter.Request{
+				Host:        "shopfront",
+				Path:        "/patterns/x",
+				EscapedPath: "/patterns%2fx",
+			},
+			reason: arbiter.RequestMalformed,
+		},
+		{
+			name: "unknown host",
+			request: admitter.Request{
+				Host: "elsewhere",
+				Path: "/",
+			},
+			reason: arbiter.UnknownService,
+		},
+		{
+			name: "unknown key",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/orders",
+				Key:  "guess",
+			},
+			reason: arbiter.KeyUnknown,
+		},
+		{
+			name: "withdrawn key",
+			request: admitter.Request{
+				Host: "shopfront",
+				Path: "/orders",
+				Key:  "gone-key",
+			},
+			reason: arbiter.KeyWithdrawn,
+		},
+		{
+			name: "service of other teams",
+			request: admitter.Request{
+				Host: "sewingroom",
+				Path: "/",
+				Key:  secret,
+			},
+			reason: arbiter.TeamNotAllowed,
+		},
+		{
+			name: "deadline has passed",
+			request: admitter.Request{
+				Host:     "shopfront",
+				Path:     "/orders",
+				Key:      secret,
+				Deadline: now,
+			},
+			reason: arbiter.DeadlineExceeded,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.request.Now = now
+			_, refusal := admit.Admit(c.request)
+			if c.reason == "" {
+				if refusal != nil {
+					t.Fatalf("refused: %v", refusal)
+				}
+				return
+			}
+			if refusal == nil || refusal.Reason != c.reason || refusal.Verdict != arbiter.NotRun {
+				t.Fatalf("got %v, want %s (NotRun)", refusal, c.reason)
+			}
+		})
+	}
+}
+
+func TestOverRateSaysWhen(t *testing.T) {
+	start := time.Now()
+	_, admit := inForce(declaredSet(), start)
+	now := start.Add(time.Hour)
+	request := admitter.Request{
+		Host: "shopfront",
+		Path: "/orders",
+		Key:  "slow-key",
+		Now:  now,
+	}
+	if _, refusal := admit.Admit(request); refusal != nil {
+		t.Fatal(refusal)
+	}
+	_, refusal := admit.Admit(request)
+	if refusal == nil || refusal.Reason != arbiter.TeamOverRate {
+		t.Fatalf("got %v, want TeamOverRate", refusal)
+	}
+	request.Now = refusal.RetryAt
+	if _, refusal = admit.Admit(request); refusal != nil {
+		t.Fatalf("refused at the instant that was named: %v", refusal)
+	}
+}
+
+func TestSlotsAreBounded(t *testing.T) {
+	start := time.Now()
+	_, admit := inForce(declaredSet(), start)
+	admission, refusal := admit.Admit(admitter.Request{
+		Host: "shopfront",
+		Path: "/patterns",
+		Now:  start,
+	})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	for range 2 {
+		if _, refusal = admission.Acquire(start, 7, nil); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	if _, refusal = admission.Acquire(start, 7, nil); refusal == nil || refusal.Reason != arbiter.NoRoom {
+		t.Fatalf("got %v, want NoRoom", refusal)
+	}
+}
+
+func TestWithdrawalEndsValidity(t *testing.T) {
+	start := time.Now()
+	set := declaredSet()
+	plans, admit := inForce(set, start)
+	admission, refusal := admit.Admit(admitter.Request{
+		Host: "shopfront",
+		Path: "/orders",
+		Key:  secret,
+		Now:  start.Add(time.Hour),
+	})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	same := router.New(2, set)
+	plans.Advance(*plans.Load().WithTable(same, start))
+	if !admit.StillValid(admission) {
+		t.Fatal("a change that keeps the key ended its validity")
+	}
+	gone := router.New(3, set.WithKey(key("quilters", secret).WithWithdrawn()))
+	plans.Advance(*plans.Load().WithTable(gone, start))
+	if admit.StillValid(admission) {
+		t.Fatal("a withdrawn key is still valid")
+	}
+}
+
+// admitOne is the decision path of one request: admit, claim a slot, release it.
+func admitOne(admit *admitter.Admitter, now time.Time, random uint64) *arbiter.Refusal {
+	admission, refusal := admit.Admit(admitter.Request{
+		Host:   "shopfront",
+		Path:   "/orders/17",
+		Method: "POST",
+		Key:    secret,
+		Now:    now,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	upstream, refusal := admission.Acquire(now, random, nil)
+	if refusal != nil {
+		return refusal
+	}
+	upstream.Release()
+	return nil
+}
+
+func TestDecisionPathAllocatesNothing(t *testing.T) {
+	start := time.Now()
+	_, admit := inForce(declaredSet(), start)
+	now := start.Add(time.Hour)
+	allocations := testing.AllocsPerRun(1000, func() {
+		if refusal := admitOne(admit, now, 1); refusal != nil {
+			t.Fatal(refusal)
+		}
+	})
+	if allocations != 0 {
+		t.Fatalf("%v allocations, want 0", allocations)
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	start := time.Now()
+	_, admit := inForce(declaredSet(), start)
+	var refused atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		random := uint64(1)
+		for pb.Next() {
+			random += 0x9e3779b97f4a7c15
+			if refusal := admitOne(admit, start.Add(time.Hour), random); refusal != nil {
+				refused.Add(1)
+			}
+		}
+	})
+	b.ReportMetric(float64(refused.Load())/float64(b.N), "refused/op")
+}
--- a/pkg/declarer/key.go
+++ b/pkg/declarer/key.go
@@ -9,6 +9,9 @@
 // hashPrefix names the hash function in a key's stored form.
 const hashPrefix = "sha256:"
 
+// inlineKeyBytes is the length of key, in bytes, that is hashed on the stack.
+const inlineKeyBytes = 256
+
 // Key lets the callers who show it act for a team. Only its hash is kept.
 type Key struct {
 	// Name is unique among keys. It may appear in logs.
@@ -26,9 +29,15 @@
 // KeyHash is the SHA-256 hash of a key.
 type KeyHash [sha256.Size]byte
 
-// HashKey returns the hash of a key as a caller shows it.
+// HashKey returns the hash of a key as a caller shows it. It makes no allocation
+// for a key of at most inlineKeyBytes.
 func HashKey(secret string) KeyHash {
-	return sha256.Sum256([]byte(secret))
+	if len(secret) > inlineKeyBytes {
+		return sha256.Sum256([]byte(secret))
+	}
+	var buffer [inlineKeyBytes]byte
+	length := copy(buffer[:], secret)
+	return sha256.Sum256(buffer[:length])
 }
 
 // String returns the form that Key.Hash holds.
--- a/pkg/query/router/table.go
+++ b/pkg/query/router/table.go
@@ -85,6 +85,11 @@
 	return key, true
 }
 
+// Hash returns the hash of the key.
+func (k *Key) Hash() declarer.KeyHash {
+	return k.hash
+}
+
 // MayUse says whether the key's team may use a service.
 func (k *Key) MayUse(service string) bool {
 	if len(k.Team.Services) == 0 {
