--- /dev/null
+++ b/internal/command/forwarder/forwarder.go
@@ -0,0 +1,248 @@
+// Package forwarder sends a request to an upstream over HTTP and says of each
+// failure whether the request may have run.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+)
+
+const (
+	// DefaultDialMillis bounds the time to connect to an upstream, in milliseconds.
+	DefaultDialMillis = 1000
+	// DefaultConnections bounds the open connections of one instance to one
+	// upstream.
+	DefaultConnections = 64
+	// idleLimit ends a connection that no request has used for that long.
+	idleLimit = 30 * time.Second
+	// maxHeaderBytes bounds the header of an answer, in bytes.
+	maxHeaderBytes = 64 << 10
+)
+
+// Forwarder sends requests. Safe for many goroutines.
+type Forwarder struct {
+	// reusing keeps connections open. It may send a request again by itself on
+	// another connection, so it is for idempotent requests only.
+	reusing *http.Transport
+	// fresh opens a connection for each request, so that none is sent on a
+	// connection that has gone silent, and none is ever sent twice.
+	fresh *http.Transport
+}
+
+// Option changes a default.
+type Option func(settings *options)
+
+type options struct {
+	dialLimit   time.Duration
+	connections int
+}
+
+// WithDialMillis bounds the time to connect, in milliseconds.
+func WithDialMillis(limit int) Option {
+	return func(settings *options) {
+		settings.dialLimit = time.Duration(limit) * time.Millisecond
+	}
+}
+
+// WithConnections bounds the open connections to one upstream.
+func WithConnections(limit int) Option {
+	return func(settings *options) {
+		settings.connections = limit
+	}
+}
+
+// New returns a forwarder.
+func New(changes ...Option) *Forwarder {
+	settings := options{
+		dialLimit:   DefaultDialMillis * time.Millisecond,
+		connections: DefaultConnections,
+	}
+	for _, change := range changes {
+		change(&settings)
+	}
+	return &Forwarder{
+		reusing: newTransport(settings, true),
+		fresh:   newTransport(settings, false),
+	}
+}
+
+func newTransport(settings options, reuse bool) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: settings.dialLimit,
+	}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      !reuse,
+		DisableCompression:     true,
+		MaxConnsPerHost:        settings.connections,
+		MaxIdleConnsPerHost:    settings.connections,
+		IdleConnTimeout:        idleLimit,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Close ends the idle connections.
+func (f *Forwarder) Close() {
+	f.reusing.CloseIdleConnections()
+	f.fresh.CloseIdleConnections()
+}
+
+// Outbound is a request on its way to an upstream. It is immutable, but for the
+// progress of its body.
+type Outbound struct {
+	method     string
+	target     url.URL
+	host       string
+	header     http.Header
+	body       *Body
+	idempotent bool
+	deadline   time.Time
+}
+
+// NewOutbound prepares a caller's request for sending: without its key, without
+// what concerns the caller's connection only, and with the team named.
+func NewOutbound(request *http.Request, body *Body, team string, idempotent bool, deadline time.Time) Outbound {
+	header := passOn(request.Header)
+	if team != "" {
+		header.Set(HeaderTeam, team)
+	}
+	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
+		header.Add("X-Forwarded-For", host)
+	}
+	if _, found := header["User-Agent"]; !found {
+		// An empty value keeps the transport from adding its own.
+		header["User-Agent"] = nil
+	}
+	return Outbound{
+		method: request.Method,
+		target: url.URL{
+			Scheme:   "http",
+			Path:     request.URL.Path,
+			RawPath:  request.URL.RawPath,
+			RawQuery: request.URL.RawQuery,
+		},
+		host:       request.Host,
+		header:     header,
+		body:       body,
+		idempotent: idempotent,
+		deadline:   deadline,
+	}
+}
+
+// Body returns the body of the request.
+func (o Outbound) Body() *Body {
+	return o.body
+}
+
+// Send sends a request once to the upstream at an address and returns its answer,
+// whose body the caller closes. Each error is an *arbiter.Refusal.
+func (f *Forwarder) Send(ctx context.Context, address string, outbound Outbound) (*http.Response, error) {
+	exchange := &arbiter.Exchange{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { exchange.Connected() },
+	})
+	response, err := f.transport(outbound).RoundTrip(outbound.request(traced, address))
+	if err != nil {
+		return nil, explain(ctx, exchange.Verdict(), err)
+	}
+	if refusal := examine(response); refusal != nil {
+		response.Body.Close()
+		return nil, refusal
+	}
+	exchange.Answered()
+	response.Header = passOn(response.Header)
+	response.Header.Set(HeaderVerdict, exchange.Verdict().String())
+	return response, nil
+}
+
+func (f *Forwarder) transport(outbound Outbound) *http.Transport {
+	if outbound.idempotent {
+		return f.reusing
+	}
+	return f.fresh
+}
+
+func (o Outbound) request(ctx context.Context, address string) *http.Request {
+	target := o.target
+	target.Host = address
+	header := o.header.Clone()
+	left := max(time.Until(o.deadline).Milliseconds(), 0)
+	header.Set(HeaderTimeoutMillis, strconv.FormatInt(left, 10))
+	request := &http.Request{
+		Method:        o.method,
+		URL:           &target,
+		Host:          o.host,
+		Header:        header,
+		Body:          o.body.reader(o.idempotent),
+		ContentLength: o.body.length,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	return request.WithContext(ctx)
+}
+
+// explain turns a transport's error into a refusal.
+func explain(ctx context.Context, verdict arbiter.Verdict, err error) *arbiter.Refusal {
+	reason := arbiter.UpstreamBroken
+	detail := "the upstream broke the connection"
+	switch {
+	case context.Cause(ctx) != nil:
+		return interrupted(context.Cause(ctx)).WithVerdict(verdict)
+	case verdict == arbiter.NotRun:
+		reason = arbiter.UpstreamUnreached
+		detail = "no connection to the upstream"
+	}
+	return arbiter.Doubt(reason, detail).WithVerdict(verdict).WithCause(err)
+}
+
+// interrupted names why a request's context ended.
+func interrupted(cause error) *arbiter.Refusal {
+	var refusal *arbiter.Refusal
+	switch {
+	case errors.As(cause, &refusal):
+		return refusal
+	case errors.Is(cause, context.DeadlineExceeded):
+		return arbiter.Doubt(arbiter.DeadlineExceeded, "the deadline passed before the upstream answered")
+	default:
+		return arbiter.Doubt(arbiter.CallerGone, "the caller went away")
+	}
+}
+
+// examine returns a refusal for an answer that must not be passed on.
+func examine(response *http.Response) *arbiter.Refusal {
+	if response.StatusCode == http.StatusServiceUnavailable &&
+		arbiter.Parse(response.Header.Get(HeaderVerdict)) == arbiter.NotRun {
+		return arbiter.Refuse(arbiter.UpstreamShed, "the upstream has shed the request").
+			WithRetryAt(retryAt(response.Header))
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return arbiter.Doubt(arbiter.UpstreamBroken, "the upstream switched protocols unasked")
+	}
+	if endless(response) {
+		return arbiter.Doubt(arbiter.UpstreamBroken, "the answer has no end mark, so that one cut short would look whole")
+	}
+	return nil
+}
+
+// endless says whether only the end of the connection ends the answer's body.
+func endless(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
+		response.Request.Method != http.MethodHead
+}
+
+func retryAt(header http.Header) time.Time {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(seconds) * time.Second)
+}
--- a/internal/encoder/codec.go
+++ b/internal/encoder/codec.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pelletier/go-toml/v2"
@@ -82,22 +83,45 @@
 	return data, eris.Wrap(err, "encode TOML")
 }
 
-// Decode reads a value in TOML. Its error names line and column and all unknown
-// fields.
-func (TOML[T]) Decode(data []byte) (T, error) {
+// Decode reads a value in TOML.
+func (c TOML[T]) Decode(data []byte) (T, error) {
 	var value T
+	return c.DecodeOver(data, value)
+}
+
+// DecodeOver reads a value in TOML over another, which holds where the data is
+// silent. Its error is an *UnknownFields, with which the value is still good, or
+// names line and column.
+func (TOML[T]) DecodeOver(data []byte, value T) (T, error) {
 	reader := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	err := reader.Decode(&value)
 	return value, describeTOML(err)
 }
 
+// UnknownFields is the error of a document with fields that its type lacks.
+type UnknownFields struct {
+	// Fields are the paths of the fields. It is never empty.
+	Fields []string
+}
+
+// Error lists the fields.
+func (u *UnknownFields) Error() string {
+	return "unknown fields: " + strings.Join(u.Fields, ", ")
+}
+
 func describeTOML(err error) error {
 	if err == nil {
 		return nil
 	}
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) {
-		return eris.New("unknown fields:\n" + unknown.String())
+		fields := make([]string, 0, len(unknown.Errors))
+		for _, missing := range unknown.Errors {
+			fields = append(fields, strings.Join(missing.Key(), "."))
+		}
+		return &UnknownFields{
+			Fields: fields,
+		}
 	}
 	var syntax *toml.DecodeError
 	if errors.As(err, &syntax) {
--- /dev/null
+++ b/internal/receiver/receiver.go
@@ -0,0 +1,270 @@
+// Package receiver is the callers' front end over HTTP. It translates between
+// messages and decisions and makes none of its own.
+package receiver
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/command/tracker"
+)
+
+// Flight is one request that is being served.
+type Flight struct {
+	admission admitter.Admission
+	cancel    context.CancelCauseFunc
+}
+
+// Receiver serves callers. Safe for many goroutines.
+type Receiver struct {
+	admitter  *admitter.Admitter
+	forwarder *forwarder.Forwarder
+	flights   *tracker.Tracker[Flight]
+	budget    *retrier.Budget
+	attempts  int
+	metrics   *exporter.Requests
+	lookups   http.Handler
+	// suspected is told of an upstream that has just failed.
+	suspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
+}
+
+// Parts are what a receiver works with.
+type Parts struct {
+	Admitter  *admitter.Admitter
+	Forwarder *forwarder.Forwarder
+	Flights   *tracker.Tracker[Flight]
+	Budget    *retrier.Budget
+	// Attempts is how often one request is sent at most; at least 1.
+	Attempts int
+	Metrics  *exporter.Requests
+	// Lookups answers PathLookup.
+	Lookups http.Handler
+	// Suspected is told of an upstream that has just failed.
+	Suspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
+}
+
+// New returns a receiver made of parts.
+func New(parts Parts) *Receiver {
+	return &Receiver{
+		admitter:  parts.Admitter,
+		forwarder: parts.Forwarder,
+		flights:   parts.Flights,
+		budget:    parts.Budget,
+		attempts:  parts.Attempts,
+		metrics:   parts.Metrics,
+		lookups:   parts.Lookups,
+		suspected: parts.Suspected,
+	}
+}
+
+// Sweep ends the requests in flight whose key no longer works. It is called
+// after each change of the plan.
+func (r *Receiver) Sweep() {
+	r.flights.Each(func(flight *Flight) {
+		if !r.admitter.StillValid(flight.admission) {
+			flight.cancel(withdrawn())
+		}
+	})
+}
+
+// ServeHTTP serves one request of a caller.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == PathLookup {
+		r.lookups.ServeHTTP(w, request)
+		return
+	}
+	arrived := time.Now()
+	refusal := r.serve(w, request, arrived)
+	r.metrics.Count(refusal, arrived)
+	if refusal != nil {
+		writeRefusal(w, refusal, time.Now())
+	}
+}
+
+// serve carries a request through. It returns a refusal as long as nothing has
+// been answered, and breaks the connection after that.
+func (r *Receiver) serve(w http.ResponseWriter, request *http.Request, now time.Time) *arbiter.Refusal {
+	decision, refusal := describe(request, now)
+	if refusal != nil {
+		return refusal
+	}
+	admission, refusal := r.admitter.Admit(decision)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	ctx, stop := context.WithDeadline(ctx, admission.Deadline)
+	defer stop()
+	flight := &Flight{
+		admission: admission,
+		cancel:    cancel,
+	}
+	ticket, added := r.flights.Add(flight, rand.Uint64())
+	if !added {
+		admission.Refund()
+		return arbiter.Refuse(arbiter.InstanceFull, "too many requests in flight").WithRetryAt(now.Add(time.Second))
+	}
+	defer r.flights.Remove(ticket)
+	// The key may have been withdrawn after Admit and before Add, when no sweep
+	// could find the request.
+	if !r.admitter.StillValid(admission) {
+		return withdrawn()
+	}
+	return r.exchange(ctx, w, request, admission)
+}
+
+// exchange sends an admitted request and passes the answer on.
+func (r *Receiver) exchange(
+	ctx context.Context,
+	w http.ResponseWriter,
+	request *http.Request,
+	admission admitter.Admission,
+) *arbiter.Refusal {
+	connection := http.NewResponseController(w)
+	// Errors here mean a writer without deadlines, which only tests use.
+	_ = connection.SetReadDeadline(admission.Deadline)
+	_ = connection.SetWriteDeadline(admission.Deadline)
+	body, refusal := forwarder.ReadBody(request.Body, request.ContentLength)
+	if refusal != nil {
+		admission.Refund()
+		return refusal
+	}
+	outbound := forwarder.NewOutbound(request, body, admission.Team(), admission.Idempotent, admission.Deadline)
+	answer, err := r.send(ctx, outbound, admission)
+	if err != nil {
+		return r.failed(admission, err)
+	}
+	defer answer.upstream.Release()
+	defer answer.response.Body.Close()
+	relay(w, answer.response)
+	return nil
+}
+
+// answered is an answer and the upstream whose slot it still holds.
+type answered struct {
+	response *http.Response
+	upstream *admitter.Upstream
+}
+
+// send sends a request to one upstream after another as far as verdicts allow.
+func (r *Receiver) send(ctx context.Context, outbound forwarder.Outbound, admission admitter.Admission) (answered, error) {
+	policy := retrier.Policy{
+		Idempotent: admission.Idempotent,
+		Replayable: outbound.Body().Replayable,
+		Attempts:   r.attempts,
+		Deadline:   admission.Deadline,
+	}
+	var failed *admitter.Upstream
+	return retrier.Run(ctx, r.budget, policy, func(number int) (answered, error) {
+		if number > 1 {
+			r.metrics.CountRetry()
+		}
+		upstream, refusal := admission.Acquire(time.Now(), rand.Uint64(), failed)
+		if refusal != nil {
+			return answered{}, refusal
+		}
+		response, err := r.forwarder.Send(ctx, upstream.Address(), outbound)
+		if err != nil {
+			upstream.Release()
+			failed = upstream
+			r.blame(upstream, err)
+			return answered{}, err
+		}
+		upstream.Succeeded()
+		return answered{
+			response: response,
+			upstream: upstream,
+		}, nil
+	})
+}
+
+// blame marks an upstream that broke a request by its own fault.
+func (r *Receiver) blame(upstream *admitter.Upstream, err error) {
+	var refusal *arbiter.Refusal
+	if !errors.As(err, &refusal) {
+		return
+	}
+	switch refusal.Reason {
+	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken, arbiter.DeadlineExceeded:
+		if upstream.Suspect(time.Now()) {
+			r.suspected(upstream, refusal)
+		}
+	}
+}
+
+// failed ends a request that got no answer, and gives the team its request back
+// where it is proved not to have run.
+func (r *Receiver) failed(admission admitter.Admission, err error) *arbiter.Refusal {
+	var refusal *arbiter.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = arbiter.Doubt(arbiter.UpstreamBroken, "the request failed").WithCause(err)
+	}
+	if refusal.Verdict == arbiter.NotRun {
+		admission.Refund()
+	}
+	return refusal
+}
+
+// describe reads from a message what the decision needs.
+func describe(request *http.Request, now time.Time) (admitter.Request, *arbiter.Refusal) {
+	decision := admitter.Request{
+		Host:        request.Host,
+		Path:        request.URL.Path,
+		EscapedPath: request.URL.RawPath,
+		Method:      request.Method,
+		Now:         now,
+	}
+	if request.Method == http.MethodConnect || request.Header.Get("Upgrade") != "" {
+		return decision, arbiter.Refuse(arbiter.RequestMalformed, "CONNECT and Upgrade are not served")
+	}
+	key, refusal := keyOf(request)
+	if refusal != nil {
+		return decision, refusal
+	}
+	decision.Key = key
+	if text := request.Header.Get(forwarder.HeaderTimeoutMillis); text != "" {
+		left, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			detail := forwarder.HeaderTimeoutMillis + ": want whole milliseconds"
+			return decision, arbiter.Refuse(arbiter.RequestMalformed, detail)
+		}
+		decision.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return decision, nil
+}
+
+// keyOf returns the key that a caller shows, or "".
+func keyOf(request *http.Request) (string, *arbiter.Refusal) {
+	lines := request.Header["Authorization"]
+	if len(lines) == 0 {
+		return "", nil
+	}
+	const scheme = "bearer "
+	line := lines[0]
+	if len(lines) > 1 || len(line) <= len(scheme) || !strings.EqualFold(line[:len(scheme)], scheme) {
+		return "", arbiter.Refuse(arbiter.KeyMissing, "show one key as Authorization: Bearer KEY")
+	}
+	key := strings.TrimSpace(line[len(scheme):])
+	if key == "" {
+		return "", arbiter.Refuse(arbiter.KeyMissing, "show a key as Authorization: Bearer KEY")
+	}
+	if forwarder.CarriesKey(request, key) {
+		return "", arbiter.Refuse(arbiter.KeyExposed, "the key also stands where an upstream would see it")
+	}
+	return key, nil
+}
+
+func withdrawn() *arbiter.Refusal {
+	return arbiter.Refuse(arbiter.KeyWithdrawn, "the key has been withdrawn")
+}
--- /dev/null
+++ b/internal/server/follow.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/query/reporter"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/query/watcher"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// topicBundle is the name under which peers are asked for their configuration.
+const topicBundle = "Bundle"
+
+// fetchLimit bounds the reading of a configuration.
+const fetchLimit = 5 * time.Second
+
+var (
+	nothings = encoder.CBOR[reporter.Nothing]{}
+	bundles  = encoder.CBOR[publisher.Bundle]{}
+)
+
+// handlePeers lets peers ask for the configuration in force here.
+func (s *Server) handlePeers() {
+	own := handler.QueryFunc[reporter.Nothing, publisher.Bundle](
+		func(context.Context, reporter.Nothing) (publisher.Bundle, error) {
+			return s.adopter.Bundle(), nil
+		},
+	)
+	linker.Handle(s.hub, topicBundle, own, nothings, bundles)
+}
+
+// followConfig follows the head in the store.
+func (s *Server) followConfig(ctx context.Context) error {
+	heads := storer.NewTyped(s.store, encoder.CBOR[publisher.Head]{})
+	return watcher.New[publisher.Head](heads, publisher.HeadName).Run(ctx, func(view watcher.View[publisher.Head]) {
+		s.storeAnswered()
+		for _, object := range view.Objects {
+			s.fetchHead(ctx, object.Value)
+		}
+	}, s.storeFailed)
+}
+
+// followRoster follows the seats in the store.
+func (s *Server) followRoster(ctx context.Context) error {
+	members := storer.NewTyped(s.store, encoder.CBOR[registrar.Member]{})
+	return watcher.New[registrar.Member](members, registrar.SeatPrefix).Run(ctx, func(view watcher.View[registrar.Member]) {
+		s.storeAnswered()
+		seated := make([]registrar.Member, 0, len(view.Objects))
+		for _, object := range view.Objects {
+			seated = append(seated, object.Value)
+		}
+		roster := registrar.NewRoster(view.Revision, seated...)
+		s.roster.Store(&roster)
+		s.linkPeers()
+		s.relocate()
+	}, s.storeFailed)
+}
+
+// fetchFromStore reads the head once, without waiting for the watch.
+func (s *Server) fetchFromStore(ctx context.Context) {
+	heads := storer.NewTyped(s.store, encoder.CBOR[publisher.Head]{})
+	object, err := heads.Get(ctx, publisher.HeadName)
+	if err == nil {
+		s.fetchHead(ctx, object.Value)
+	}
+}
+
+// fetchHead reads the configuration that a head names and puts it in force.
+func (s *Server) fetchHead(ctx context.Context, head publisher.Head) {
+	if head.Revision <= s.adopter.Revision() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	bundle, err := s.publisher.Ask(ctx, head)
+	if err != nil {
+		// The chunks of an old head may be gone; its successor is on the way.
+		s.gauges.fetchFaults.Inc(1)
+		return
+	}
+	s.adopt(bundle, "from the store")
+}
+
+// fetchFromPeer reads the configuration of a peer that has a newer one.
+func (s *Server) fetchFromPeer(peer registrar.Member) {
+	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	defer cancel()
+	bundle, err := linker.Ask(ctx, s.hub, peer.Incarnation, topicBundle, reporter.Nothing{}, nothings, bundles)
+	if err != nil {
+		s.gauges.fetchFaults.Inc(1)
+		return
+	}
+	s.adopt(bundle, "from "+peer.Name)
+}
+
+// adopt puts a configuration in force, ends what it forbids, and tells the peers.
+func (s *Server) adopt(bundle publisher.Bundle, source string) {
+	now := time.Now()
+	if !s.adopter.Adopt(bundle, now) {
+		return
+	}
+	s.adoptedNanos.Store(now.UnixNano())
+	s.receiver.Sweep()
+	s.hub.Nudge()
+	s.relocate()
+	s.announce("ConfigInForce", revisionName(bundle.Head.Revision), source)
+}
+
+func (s *Server) storeAnswered() {
+	if s.storeLostNanos.Swap(0) != 0 {
+		s.announce("StoreBack", "Platform", "")
+	}
+}
+
+func (s *Server) storeFailed(err error) {
+	s.gauges.storeFaults.Inc(1)
+	if s.work.Err() == nil && s.storeLostNanos.CompareAndSwap(0, time.Now().UnixNano()) {
+		s.announce("StoreLost", "Platform", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/server/gauges.go
@@ -0,0 +1,30 @@
+package server
+
+import "github.com/rcrowley/go-metrics"
+
+// gauges are the counts of an instance beside those of its requests.
+type gauges struct {
+	revision       metrics.Gauge
+	inFlight       metrics.Gauge
+	peers          metrics.Gauge
+	storeLost      metrics.Gauge
+	lookups        metrics.Counter
+	storeFaults    metrics.Counter
+	fetchFaults    metrics.Counter
+	refusedChanges metrics.Counter
+	suspicions     metrics.Counter
+}
+
+func newGauges(registry metrics.Registry) gauges {
+	return gauges{
+		revision:       metrics.GetOrRegisterGauge("hemlockport_config_revision", registry),
+		inFlight:       metrics.GetOrRegisterGauge("hemlockport_requests_in_flight", registry),
+		peers:          metrics.GetOrRegisterGauge("hemlockport_peers_linked", registry),
+		storeLost:      metrics.GetOrRegisterGauge("hemlockport_store_lost_since_seconds", registry),
+		lookups:        metrics.GetOrRegisterCounter("hemlockport_lookups_total", registry),
+		storeFaults:    metrics.GetOrRegisterCounter("hemlockport_store_faults_total", registry),
+		fetchFaults:    metrics.GetOrRegisterCounter("hemlockport_config_fetch_faults_total", registry),
+		refusedChanges: metrics.GetOrRegisterCounter("hemlockport_changes_refused_total", registry),
+		suspicions:     metrics.GetOrRegisterCounter("hemlockport_upstream_suspicions_total", registry),
+	}
+}
--- /dev/null
+++ b/internal/server/operate.go
@@ -0,0 +1,117 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/query/reporter"
+	"github.com/hemlockport/hemlockport/internal/responder"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+// operatorParts returns what operators can command and ask.
+func (s *Server) operatorParts(hash declarer.KeyHash) responder.Parts {
+	return responder.Parts{
+		KeyHash:  hash,
+		Health:   handler.QueryFunc[reporter.Nothing, responder.Health](s.health),
+		Change:   handler.CommandFunc[publisher.Change, publisher.Accepted](s.change),
+		Objects:  reporter.NewObjectReader(s.adopter),
+		Status:   handler.QueryFunc[reporter.Nothing, reporter.Status](s.status),
+		TimeLine: s.timeliner,
+		Registry: s.registry,
+	}
+}
+
+// change publishes an operator's change and puts it in force here at once.
+func (s *Server) change(ctx context.Context, change publisher.Change) (publisher.Accepted, error) {
+	change.AtMillis = time.Now().UnixMilli()
+	accepted, err := s.publisher.Do(ctx, change)
+	if err != nil {
+		s.gauges.refusedChanges.Inc(1)
+		return accepted, err
+	}
+	if !accepted.Unchanged {
+		s.announce("ChangeAccepted", revisionName(accepted.Revision), "by "+change.By)
+	}
+	s.fetchFromStore(ctx)
+	return accepted, nil
+}
+
+func (s *Server) health(context.Context, reporter.Nothing) (responder.Health, error) {
+	return responder.Health{
+		Incarnation: s.self.Incarnation,
+		Leaving:     s.leaving.Load(),
+	}, nil
+}
+
+func (s *Server) status(context.Context, reporter.Nothing) (reporter.Status, error) {
+	status := reporter.Status{
+		Name:           s.self.Name,
+		Incarnation:    s.self.Incarnation,
+		Place:          s.self.Place,
+		Seat:           -1,
+		Leaving:        s.leaving.Load(),
+		Revision:       s.adopter.Revision(),
+		InForceSince:   instant(s.adoptedNanos.Load()),
+		StoreLostSince: instant(s.storeLostNanos.Load()),
+		InFlight:       s.flights.Count(),
+	}
+	if held := s.held.Load(); held != nil {
+		status.Seat = held.Member.Seat
+	}
+	for _, member := range s.roster.Load().Members() {
+		if member.Incarnation != s.self.Incarnation {
+			status.Peers = append(status.Peers, s.peerStatus(member))
+		}
+	}
+	for _, upstream := range s.plans.Load().Upstreams() {
+		status.Upstreams = append(status.Upstreams, upstreamStatus(upstream))
+	}
+	return status, nil
+}
+
+func (s *Server) peerStatus(member registrar.Member) reporter.PeerStatus {
+	status := reporter.PeerStatus{
+		Name:          member.Name,
+		Place:         member.Place,
+		CallerAddress: member.CallerAddress,
+		Leaving:       member.Leaving,
+	}
+	for _, peer := range s.hub.Peers() {
+		if peer.Member.Incarnation == member.Incarnation {
+			status.Linked = true
+			status.Leaving = status.Leaving || peer.Beat.Leaving
+			status.Revision = peer.Beat.Revision
+		}
+	}
+	return status
+}
+
+func upstreamStatus(upstream *admitter.Upstream) reporter.UpstreamStatus {
+	declared := upstream.Declared()
+	return reporter.UpstreamStatus{
+		Name:    declared.Name,
+		Place:   declared.Place,
+		Address: declared.Address,
+		Health:  upstream.Health().String(),
+		InUse:   upstream.InUse(),
+		Slots:   declared.Slots,
+	}
+}
+
+func revisionName(revision uint64) string {
+	return fmt.Sprintf("Revision %d", revision)
+}
+
+// instant turns nanoseconds since the Unix epoch into a time; 0 is the zero time.
+func instant(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos).UTC()
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,114 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+// refreshInterval is the time between two looks at what no event tells.
+const refreshInterval = time.Second
+
+// beat returns what to tell the peers.
+func (s *Server) beat() linker.Beat {
+	return linker.Beat{
+		Revision: s.adopter.Revision(),
+		Leaving:  s.leaving.Load(),
+	}
+}
+
+// peerChanged takes in a peer's beat that differs from its last. It is called on
+// the link's reading goroutine, which must go on reading for a fetch to succeed.
+func (s *Server) peerChanged(peer registrar.Member, beat linker.Beat) {
+	if beat.Leaving {
+		s.announce("PeerLeaving", peer.Name, "")
+	}
+	s.relocate()
+	if beat.Revision > s.adopter.Revision() {
+		s.hub.Go(func() { s.fetchFromPeer(peer) })
+	}
+}
+
+func (s *Server) peerLost(peer registrar.Member) {
+	if s.work.Err() == nil {
+		s.announce("PeerLost", peer.Name, "")
+	}
+	s.relocate()
+}
+
+// linkPeers keeps links to all seated instances and to the seeds.
+func (s *Server) linkPeers() {
+	addresses := append([]string{}, s.settings.Peers.Seeds...)
+	for _, member := range s.roster.Load().Members() {
+		addresses = append(addresses, member.PeerAddress)
+	}
+	s.hub.SetPeers(addresses)
+}
+
+// relocate makes look-ups follow what is known now.
+func (s *Server) relocate() {
+	s.locating.Lock()
+	defer s.locating.Unlock()
+	bundle := s.adopter.Bundle()
+	if bundle.Head.Revision == 0 {
+		return
+	}
+	s.generation++
+	s.locators.Advance(*locator.New(locator.Source{
+		Generation:  s.generation,
+		Revision:    bundle.Head.Revision,
+		Set:         bundle.Document.Set(),
+		Members:     s.present(),
+		Home:        s.settings.Place,
+		ValidMillis: s.settings.Lookups.ValidMillis,
+	}))
+}
+
+// present returns the instances that look-ups may name: this one and the linked
+// ones, without those that are leaving.
+func (s *Server) present() []registrar.Member {
+	var members []registrar.Member
+	if !s.leaving.Load() {
+		members = append(members, s.self)
+	}
+	for _, peer := range s.hub.Peers() {
+		if !peer.Beat.Leaving {
+			members = append(members, peer.Member)
+		}
+	}
+	return members
+}
+
+// refresh keeps the gauges and the links up to date.
+func (s *Server) refresh(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	s.linkPeers()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.linkPeers()
+			s.catchUp()
+			s.gauges.revision.Update(int64(s.adopter.Revision()))
+			s.gauges.inFlight.Update(int64(s.flights.Count()))
+			s.gauges.peers.Update(int64(len(s.hub.Peers())))
+			s.gauges.storeLost.Update(s.storeLostNanos.Load() / int64(time.Second))
+		}
+	}
+}
+
+// catchUp fetches the newest configuration of the peers, should the fetch that
+// followed a beat have failed.
+func (s *Server) catchUp() {
+	for _, peer := range s.hub.Peers() {
+		if peer.Beat.Revision > s.adopter.Revision() {
+			s.fetchFromPeer(peer.Member)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,245 @@
+// Package server puts the parts of an entry instance together and runs them.
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/adapter"
+	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/internal/query/prober"
+	"github.com/hemlockport/hemlockport/internal/query/timeliner"
+	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/adopter"
+	"github.com/hemlockport/hemlockport/pkg/command/claimer"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/command/recorder"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/command/tracker"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/stamper"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// ErrHalted means that the instance was ended before its drain was done.
+var ErrHalted = errors.New("halted before the drain was done; requests were broken off")
+
+// Server is one entry instance.
+type Server struct {
+	settings configurer.Settings
+	log      zerolog.Logger
+	clock    *stamper.Clock
+	recorder *recorder.Recorder
+	registry metrics.Registry
+	gauges   gauges
+
+	// self is this instance; its seat is known from the roster.
+	self      registrar.Member
+	listeners listeners
+	store     storer.Store
+	plans     *holder.Cell[admitter.Plan]
+	locators  *holder.Cell[locator.Locator]
+	adopter   *adopter.Adopter
+	publisher *publisher.Publisher
+	claimer   *claimer.Claimer
+	hub       *linker.Hub
+	timeliner *timeliner.Timeliner
+	forwarder *forwarder.Forwarder
+	receiver  *receiver.Receiver
+	flights   *tracker.Tracker[receiver.Flight]
+	prober    *prober.Prober
+
+	// roster is the newest list of seats; never nil.
+	roster atomic.Pointer[registrar.Roster]
+	// held is the seat held, or nil.
+	held atomic.Pointer[claimer.Held]
+	// leaving is set once the drain has begun.
+	leaving atomic.Bool
+	// adoptedNanos is when the configuration came into force, in nanoseconds since
+	// the Unix epoch, or 0.
+	adoptedNanos atomic.Int64
+	// storeLostNanos is when the platform stopped answering, in nanoseconds since
+	// the Unix epoch, or 0 while it answers.
+	storeLostNanos atomic.Int64
+
+	// locating orders the writers of locators. No request takes it.
+	locating   sync.Mutex
+	generation uint64
+
+	// work is the life of all tasks; halt ends it.
+	work context.Context
+	halt context.CancelCauseFunc
+}
+
+// New returns an instance with checked settings, and opens its listeners.
+func New(settings configurer.Settings, log zerolog.Logger) (*Server, error) {
+	opened, err := listen(settings)
+	if err != nil {
+		return nil, err
+	}
+	return NewOn(settings, log, opened)
+}
+
+// NewOn returns an instance on listeners that are already open.
+func NewOn(settings configurer.Settings, log zerolog.Logger, opened Listeners) (*Server, error) {
+	secured, err := secure(settings, opened)
+	if err != nil {
+		opened.close()
+		return nil, err
+	}
+	platform, err := adapter.New(settings.Platform.Address, settings.Platform.Token)
+	if err != nil {
+		opened.close()
+		return nil, eris.Wrap(err, "platform")
+	}
+	self := registrar.Member{
+		Incarnation:   settings.Name + "-" + rand.Text(),
+		Name:          settings.Name,
+		Place:         settings.Place,
+		CallerAddress: opened.Callers.Addr().String(),
+		PeerAddress:   opened.Peers.Addr().String(),
+	}
+	clock := stamper.New(time.Now)
+	s := &Server{
+		settings:  settings,
+		log:       log.With().Str("instance", settings.Name).Logger(),
+		clock:     clock,
+		recorder:  recorder.New(settings.Name, clock, recorder.DefaultCapacity),
+		registry:  metrics.NewRegistry(),
+		self:      self,
+		listeners: secured,
+		store:     platform,
+		plans:     holder.New[admitter.Plan](),
+		locators:  holder.New[locator.Locator](),
+		publisher: publisher.New(platform, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
+		claimer:   claimer.New(platform, platform, encoder.CBOR[registrar.Member]{}),
+		prober:    prober.New(),
+		flights:   tracker.New[receiver.Flight](settings.Callers.MaxInFlight),
+	}
+	s.work, s.halt = context.WithCancelCause(context.Background())
+	s.roster.Store(&registrar.Roster{})
+	s.adopter = adopter.New(settings.Place, s.plans)
+	s.gauges = newGauges(s.registry)
+	s.assemble()
+	return s, nil
+}
+
+// assemble makes the parts that call back into the server.
+func (s *Server) assemble() {
+	s.hub = linker.New(linker.Parts{
+		Self:    s.self,
+		Secret:  s.settings.Peers.Secret,
+		Clock:   s.clock,
+		TLS:     s.listeners.dialing,
+		Beat:    s.beat,
+		Changed: s.peerChanged,
+		Lost:    s.peerLost,
+	})
+	s.handlePeers()
+	s.timeliner = timeliner.New(s.hub, s.recorder)
+	s.forwarder = forwarder.New(
+		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
+		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
+	)
+	s.receiver = receiver.New(receiver.Parts{
+		Admitter:  admitter.New(s.plans),
+		Forwarder: s.forwarder,
+		Flights:   s.flights,
+		Budget:    retrier.NewBudget(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Attempts:  s.settings.Retries.Attempts,
+		Metrics:   exporter.NewRequests(s.registry),
+		Lookups:   receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
+		Suspected: s.suspected,
+	})
+}
+
+// Name returns the instance's name.
+func (s *Server) Name() string {
+	return s.settings.Name
+}
+
+// CallerAddress returns where callers reach the instance.
+func (s *Server) CallerAddress() string {
+	return s.self.CallerAddress
+}
+
+// OperatorAddress returns where operators reach the instance.
+func (s *Server) OperatorAddress() string {
+	return s.listeners.operators.Addr().String()
+}
+
+// Halt ends the instance at once; Run returns ErrHalted.
+func (s *Server) Halt() {
+	s.halt(ErrHalted)
+}
+
+// Run serves until ctx ends, then drains and returns nil, or ErrHalted if Halt
+// came first.
+func (s *Server) Run(ctx context.Context) error {
+	group, work := errgroup.WithContext(s.work)
+	stopServing := s.startListeners(group, work)
+	s.startTasks(group, work)
+	s.announce("Started", s.self.Incarnation, "callers at "+s.self.CallerAddress)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			s.drain(work, stopServing)
+			s.halt(nil)
+		case <-work.Done():
+			stopServing(work)
+		}
+		return nil
+	})
+	err := group.Wait()
+	s.forwarder.Close()
+	if errors.Is(context.Cause(s.work), ErrHalted) {
+		return ErrHalted
+	}
+	return err
+}
+
+// startTasks starts what runs beside the listeners.
+func (s *Server) startTasks(group *errgroup.Group, work context.Context) {
+	tasks := []func(context.Context) error{
+		s.hub.Run,
+		s.followConfig,
+		s.followRoster,
+		s.keepSeat,
+		s.probeUpstreams,
+		s.refresh,
+	}
+	for _, task := range tasks {
+		group.Go(func() error { return task(work) })
+	}
+}
+
+// announce records a change of state: on the time line, and as one line of log.
+func (s *Server) announce(kind, object, detail string) {
+	s.recorder.Record(kind, object, detail)
+	s.log.Info().Str("object", object).Str("detail", detail).Msg(kind)
+}
+
+// Listeners are the open listeners of an instance.
+type Listeners struct {
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+}
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -30,6 +30,30 @@
 	UpstreamBroken    Reason = "UpstreamBroken"
 )
 
+// Reasons lists all reasons.
+func Reasons() []Reason {
+	return []Reason{
+		UnknownService,
+		KeyMissing,
+		KeyUnknown,
+		KeyWithdrawn,
+		KeyExposed,
+		TeamNotAllowed,
+		TeamOverRate,
+		NoShare,
+		NoRoom,
+		NotReady,
+		InstanceFull,
+		RequestMalformed,
+		RequestTruncated,
+		DeadlineExceeded,
+		CallerGone,
+		UpstreamUnreached,
+		UpstreamShed,
+		UpstreamBroken,
+	}
+}
+
 // Refusal is the error that ends a request. Treat it as immutable: the With
 // methods return changed copies.
 type Refusal struct {
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -11,6 +12,14 @@
 // Health is what an instance knows of an upstream.
 type Health uint32
 
+const (
+	// firstSuspicion is how long the first failure in a row keeps an upstream from
+	// being cleared by its own report.
+	firstSuspicion = 500 * time.Millisecond
+	// maxDoublings bounds how often that time doubles.
+	maxDoublings = 6
+)
+
 // The states of health.
 const (
 	// Live upstreams get work.
@@ -40,6 +49,11 @@
 	// slots bounds the requests of this instance at the upstream.
 	slots  *limiter.Slots
 	health atomic.Uint32
+	// failures counts the failed requests since the last answered one.
+	failures atomic.Int32
+	// suspectUntil is the instant before which no report clears a suspicion, in
+	// nanoseconds since the Unix epoch.
+	suspectUntil atomic.Int64
 }
 
 var _ picker.Candidate = (*Upstream)(nil)
@@ -82,15 +96,34 @@
 	return Health(u.health.Load())
 }
 
-// SetHealth changes the state of health and returns the one before.
-func (u *Upstream) SetHealth(health Health) Health {
-	return Health(u.health.Swap(uint32(health)))
+// Suspect records that the upstream has failed a request, and says whether it
+// was live until now. What was seen here outweighs what the upstream reports, so
+// each failure in a row doubles the time before a report can clear it.
+func (u *Upstream) Suspect(now time.Time) bool {
+	failures := u.failures.Add(1)
+	wait := firstSuspicion << min(failures-1, maxDoublings)
+	u.suspectUntil.Store(now.Add(wait).UnixNano())
+	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
 }
 
-// Suspect marks a live upstream that has failed a request, and says whether it
-// was live until now.
-func (u *Upstream) Suspect() bool {
-	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
+// Succeeded records that the upstream has answered a request.
+func (u *Upstream) Succeeded() {
+	if u.failures.Load() != 0 {
+		u.failures.Store(0)
+	}
+}
+
+// Report takes over what the upstream's health endpoint says, or Suspect if it
+// says nothing, and returns the state before and after. A report of Live does not
+// clear a suspicion before its time.
+func (u *Upstream) Report(reported Health, now time.Time) (before, after Health) {
+	before = u.Health()
+	suspicious := before == Suspect && now.UnixNano() < u.suspectUntil.Load()
+	if reported == Live && suspicious {
+		return before, before
+	}
+	u.health.Store(uint32(reported))
+	return before, reported
 }
 
 // Release ends one request at the upstream.
--- /dev/null
+++ b/pkg/query/locator/locator.go
@@ -0,0 +1,205 @@
+// Package locator answers look-ups: which entry instances a caller is to use.
+package locator
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+const (
+	// MaxEntries is how many entry instances an answer names.
+	MaxEntries = 4
+	// maxRotations bounds the prepared orders of one site. Callers are spread over
+	// them.
+	maxRotations = 16
+	// farLatencyMillis orders regions to which no link is declared, in milliseconds.
+	farLatencyMillis = 1 << 20
+)
+
+// Entry is an entry instance that a caller may use.
+type Entry struct {
+	// Address is an IP number and a port.
+	Address string
+	// Place is the failure domain of the instance.
+	Place string
+	// Incarnation names the home that the caller gets.
+	Incarnation string
+}
+
+// Question is one look-up.
+type Question struct {
+	// Service is the service's name.
+	Service string
+	// Client is the caller's address.
+	Client netip.Addr
+	// Now is the instant of the look-up.
+	Now time.Time
+	// Random spreads callers over instances that are equally near.
+	Random uint64
+}
+
+// Answer names entry instances, the best first.
+type Answer struct {
+	// Entries holds at most MaxEntries and is shared: readers do not change it.
+	Entries []Entry
+	// ValidUntil is the instant after which the caller asks again.
+	ValidUntil time.Time
+	// Revision is the revision of the configuration.
+	Revision uint64
+}
+
+// Locator answers look-ups from one immutable snapshot, without allocation.
+type Locator struct {
+	generation uint64
+	revision   uint64
+	valid      time.Duration
+	services   map[string]bool
+	blocks     *Blocks
+	// sites holds the prepared orders of each place, in the order of names.
+	sites []site
+	// fallback serves clients that no block is declared for.
+	fallback int
+}
+
+// site holds the orders of instances as seen from one place.
+//
+// Invariant: no order is longer than MaxEntries.
+type site struct {
+	orders [][]Entry
+}
+
+// Source is what a locator is made from.
+type Source struct {
+	// Generation grows with each locator of a process.
+	Generation uint64
+	// Revision is the revision of the configuration.
+	Revision uint64
+	// Set is the declaration in force.
+	Set declarer.Set
+	// Members are the instances that may be named: present, and not leaving.
+	Members []registrar.Member
+	// Home is the place that answers for clients of no declared block.
+	Home string
+	// ValidMillis is how long an answer is valid, in milliseconds.
+	ValidMillis int
+}
+
+// New returns the locator of a source.
+func New(source Source) *Locator {
+	places := source.Set.Places.Rows()
+	locator := &Locator{
+		generation: source.Generation,
+		revision:   source.Revision,
+		valid:      time.Duration(source.ValidMillis) * time.Millisecond,
+		services:   map[string]bool{},
+		blocks:     NewBlocks(declaredBlocks(places)),
+	}
+	for service := range source.Set.Services.All() {
+		locator.services[service.Name] = true
+	}
+	for i, place := range places {
+		locator.sites = append(locator.sites, newSite(place, places, source.Members))
+		if place.Name == source.Home {
+			locator.fallback = i
+		}
+	}
+	return locator
+}
+
+// RevisionNumber returns the generation.
+func (l Locator) RevisionNumber() uint64 {
+	return l.generation
+}
+
+// Locate answers a look-up, and returns false if there is no such service.
+func (l *Locator) Locate(question Question) (Answer, bool) {
+	if !l.services[question.Service] {
+		return Answer{}, false
+	}
+	answer := Answer{
+		ValidUntil: question.Now.Add(l.valid),
+		Revision:   l.revision,
+	}
+	at := int(l.blocks.Site(question.Client))
+	if at >= len(l.sites) {
+		at = l.fallback
+	}
+	orders := l.sites[at].orders
+	if len(orders) > 0 {
+		answer.Entries = orders[question.Random%uint64(len(orders))]
+	}
+	return answer, true
+}
+
+func declaredBlocks(places []declarer.Place) []Block {
+	var blocks []Block
+	for i, place := range places {
+		for _, text := range place.ClientBlocks {
+			prefix, err := netip.ParsePrefix(text)
+			if err != nil {
+				continue
+			}
+			blocks = append(blocks, Block{
+				Prefix: prefix,
+				Site:   uint16(i),
+			})
+		}
+	}
+	return blocks
+}
+
+// newSite prepares the orders as seen from a place: own place first, then own
+// region, then by latency. Instances that are equally near take turns at the
+// front.
+func newSite(from declarer.Place, places []declarer.Place, members []registrar.Member) site {
+	distances := map[string]int{}
+	for _, place := range places {
+		distances[place.Name] = distance(from, place)
+	}
+	sorted := slices.Clone(members)
+	slices.SortStableFunc(sorted, func(a, b registrar.Member) int {
+		return cmp.Compare(distances[a.Place], distances[b.Place])
+	})
+	nearest := 0
+	for nearest < len(sorted) && distances[sorted[nearest].Place] == distances[sorted[0].Place] {
+		nearest++
+	}
+	prepared := site{}
+	for turn := range min(nearest, maxRotations) {
+		prepared.orders = append(prepared.orders, order(sorted, nearest, turn))
+	}
+	return prepared
+}
+
+// order returns the first entries, in which the nearest are turned.
+func order(sorted []registrar.Member, nearest, turn int) []Entry {
+	entries := make([]Entry, 0, MaxEntries)
+	for i := range min(len(sorted), MaxEntries) {
+		at := i
+		if i < nearest {
+			at = (i + turn) % nearest
+		}
+		entries = append(entries, Entry{
+			Address:     sorted[at].CallerAddress,
+			Place:       sorted[at].Place,
+			Incarnation: sorted[at].Incarnation,
+		})
+	}
+	return entries
+}
+
+func distance(from, to declarer.Place) int {
+	if from.Name == to.Name {
+		return 0
+	}
+	latency, linked := from.LatencyMillisTo(to.Region)
+	if !linked {
+		return farLatencyMillis
+	}
+	return 1 + latency
+}
--- /dev/null
+++ b/pkg/query/watcher/watcher.go
@@ -0,0 +1,110 @@
+// Package watcher follows what is stored below a prefix.
+package watcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+const (
+	// firstWaitMillis and longestWaitMillis space the tries while the store fails.
+	firstWaitMillis   = 50
+	longestWaitMillis = 1000
+)
+
+// View is all that is stored below a prefix.
+type View[T any] struct {
+	// Revision is the store's revision that the view is complete up to.
+	Revision uint64
+	// Objects are in the order of their names.
+	Objects []storer.Object[T]
+}
+
+// Watcher follows one prefix. Used by one goroutine.
+type Watcher[T any] struct {
+	reader storer.Reader[T]
+	prefix string
+	// objects holds the objects of the view under their names.
+	objects  map[string]storer.Object[T]
+	revision uint64
+	// listed says that the view is complete.
+	listed bool
+}
+
+// New returns a watcher of a prefix.
+func New[T any](reader storer.Reader[T], prefix string) *Watcher[T] {
+	return &Watcher[T]{
+		reader:  reader,
+		prefix:  prefix,
+		objects: map[string]storer.Object[T]{},
+	}
+}
+
+// Run calls update with each new view until ctx ends, and failed with each error
+// of the store. It lists anew when changes were lost.
+func (w *Watcher[T]) Run(ctx context.Context, update func(View[T]), failed func(error)) error {
+	backoff := retrier.NewBackoff(firstWaitMillis, longestWaitMillis)
+	for ctx.Err() == nil {
+		changed, err := w.step(ctx)
+		if err != nil {
+			w.listed = false
+			failed(err)
+			if backoff.Wait(ctx) != nil {
+				break
+			}
+			continue
+		}
+		backoff.Reset()
+		if changed {
+			update(w.view())
+		}
+	}
+	return nil
+}
+
+// step lists if the view is not complete, else waits for changes.
+func (w *Watcher[T]) step(ctx context.Context) (bool, error) {
+	if !w.listed {
+		return true, w.list(ctx)
+	}
+	changes, err := w.reader.Watch(ctx, w.prefix, w.revision)
+	if err != nil {
+		return false, err
+	}
+	w.revision = max(w.revision, changes.Revision)
+	for _, object := range changes.Objects {
+		w.objects[object.Name] = object
+	}
+	for _, name := range changes.Removed {
+		delete(w.objects, name)
+	}
+	return len(changes.Objects)+len(changes.Removed) > 0, nil
+}
+
+func (w *Watcher[T]) list(ctx context.Context) error {
+	changes, err := w.reader.List(ctx, w.prefix)
+	if err != nil {
+		return err
+	}
+	clear(w.objects)
+	for _, object := range changes.Objects {
+		w.objects[object.Name] = object
+	}
+	w.revision = changes.Revision
+	w.listed = true
+	return nil
+}
+
+func (w *Watcher[T]) view() View[T] {
+	view := View[T]{
+		Revision: w.revision,
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.objects)) {
+		view.Objects = append(view.Objects, w.objects[name])
+	}
+	return view
+}
--- /dev/null
+++ b/pkg/registrar/member.go
@@ -0,0 +1,112 @@
+// Package registrar describes the entry instances that hold seats.
+package registrar
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// SeatPrefix starts the names of all seats in the store.
+const SeatPrefix = "Seats/"
+
+// Member is an entry instance that holds a seat. It is the seat's value in the
+// store.
+type Member struct {
+	// Incarnation is unique to one start of the process.
+	Incarnation string
+	// Name is the instance's name in its settings.
+	Name string
+	// Place is the failure domain.
+	Place string
+	// Seat is the number of the seat in the place, from 0.
+	Seat int
+	// CallerAddress is where callers reach the instance.
+	CallerAddress string
+	// PeerAddress is where other instances reach it.
+	PeerAddress string
+	// Listed says that the platform's list has shown the instance. From then on the
+	// instance is dead once the list drops it.
+	Listed bool
+	// Leaving says that the instance has begun its stop.
+	Leaving bool
+}
+
+// WithSeat returns a copy that holds another seat.
+func (m Member) WithSeat(seat int) Member {
+	m.Seat = seat
+	return m
+}
+
+// WithListed returns a copy that the platform's list has shown.
+func (m Member) WithListed() Member {
+	m.Listed = true
+	return m
+}
+
+// WithLeaving returns a copy that has begun its stop.
+func (m Member) WithLeaving() Member {
+	m.Leaving = true
+	return m
+}
+
+// SeatName returns the name of a seat in the store.
+func SeatName(place string, seat int) string {
+	return fmt.Sprintf("%s%s/%d", SeatPrefix, place, seat)
+}
+
+// ParseSeatName returns the place and number of a seat, and false for the name of
+// something else.
+func ParseSeatName(name string) (place string, seat int, ok bool) {
+	rest, found := strings.CutPrefix(name, SeatPrefix)
+	if !found {
+		return "", 0, false
+	}
+	place, digits, found := strings.Cut(rest, "/")
+	if !found {
+		return "", 0, false
+	}
+	seat, err := strconv.Atoi(digits)
+	return place, seat, err == nil && seat >= 0
+}
+
+// Roster is an immutable list of members, in the order of place and seat.
+type Roster struct {
+	// revision is the store's revision that the list is complete up to.
+	revision uint64
+	members  []Member
+}
+
+// NewRoster returns a roster of members.
+func NewRoster(revision uint64, members ...Member) Roster {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Or(strings.Compare(a.Place, b.Place), cmp.Compare(a.Seat, b.Seat))
+	})
+	return Roster{
+		revision: revision,
+		members:  sorted,
+	}
+}
+
+// Revision returns the store's revision that the roster is complete up to.
+func (r Roster) Revision() uint64 {
+	return r.revision
+}
+
+// Members returns a copy of the members.
+func (r Roster) Members() []Member {
+	return slices.Clone(r.members)
+}
+
+// Get returns the member of an incarnation.
+func (r Roster) Get(incarnation string) (Member, bool) {
+	for _, member := range r.members {
+		if member.Incarnation == incarnation {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
