--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# make run: build, and try a whole small deployment in one process.
+# make test: all checks and tests.
+
+GO ?= go
+RACED = ./pkg/... ./internal/... ./cmd/...
+
+.PHONY: build run test check unit known-red bench fuzz clean
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+run: build
+	bin/hemlockport try $(ARGS)
+
+test: build check unit known-red
+
+check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(GO) mod verify
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	bin/hemlockport check examples/thimblegate/objects
+	bin/hemlockport check examples/esmaltes/objects
+
+unit:
+	$(GO) test -race -count=1 -skip "$$(scripts/known-red pattern)" $(RACED)
+
+known-red:
+	@GO=$(GO) scripts/known-red run
+
+# Counts and ratios; the times are of this machine.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Each fuzz target for a while.
+FUZZTIME ?= 10s
+fuzz:
+	@$(GO) list ./... | while read -r package; do \
+		for target in $$($(GO) test -list '^Fuzz' "$$package" | grep '^Fuzz'); do \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) "$$package" || exit 1; \
+		done; \
+	done
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/commander/commands.go
@@ -0,0 +1,143 @@
+package commander
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os/user"
+
+	"github.com/hemlockport/hemlockport/internal/loader"
+	"github.com/hemlockport/hemlockport/internal/operator"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/checker"
+)
+
+type applyCommand struct {
+	Remote
+	Output
+	Path       string `arg:"" help:"File, or folder of files that end in .toml."`
+	Prune      bool   `help:"Also remove every object that the files do not hold."`
+	IfRevision uint64 `help:"Refuse unless this revision is in force."`
+}
+
+// Run applies the objects of files.
+func (c *applyCommand) Run(s *session) error {
+	document, err := loader.Load(c.Path)
+	if err != nil {
+		return err
+	}
+	return change(s, c.Remote, c.Output, publisher.Change{
+		Document:   document,
+		Prune:      c.Prune,
+		IfRevision: c.IfRevision,
+	})
+}
+
+type deleteCommand struct {
+	Remote
+	Output
+	Kind       string `arg:"" help:"Place, Service, Team, Key, Version or Move."`
+	Name       string `arg:"" help:"The object's name."`
+	IfRevision uint64 `help:"Refuse unless this revision is in force."`
+}
+
+// Run removes an object.
+func (c *deleteCommand) Run(s *session) error {
+	kind, err := declarer.ParseKind(c.Kind)
+	if err != nil {
+		return &misuse{
+			message: err.Error(),
+		}
+	}
+	return change(s, c.Remote, c.Output, publisher.Change{
+		Remove: []declarer.Reference{
+			{
+				Kind: kind,
+				Name: c.Name,
+			},
+		},
+		IfRevision: c.IfRevision,
+	})
+}
+
+type withdrawCommand struct {
+	Remote
+	Output
+	Name string `arg:"" help:"Name of the Key."`
+}
+
+// Run withdraws a key.
+func (c *withdrawCommand) Run(s *session) error {
+	return change(s, c.Remote, c.Output, publisher.Change{
+		Withdraw: []string{c.Name},
+	})
+}
+
+// change sends a change to an instance and prints what came of it.
+func change(s *session, remote Remote, output Output, change publisher.Change) error {
+	client, err := remote.client()
+	if err != nil {
+		return err
+	}
+	change.By = operatorName()
+	accepted, err := client.Change(s.ctx, change)
+	var failure *operator.Failure
+	if errors.As(err, &failure) && len(failure.Faults) > 0 {
+		return refuse(s, output, failure.Faults)
+	}
+	if err != nil {
+		return err
+	}
+	return print(s, output, accepted, printAccepted)
+}
+
+func printAccepted(w io.Writer, accepted publisher.Accepted) {
+	if accepted.Unchanged {
+		fmt.Fprintf(w, "unchanged: revision %d, %d objects\n", accepted.Revision, accepted.Objects)
+		return
+	}
+	fmt.Fprintf(w, "accepted: revision %d, %d objects\n", accepted.Revision, accepted.Objects)
+}
+
+// refuse prints every fault and returns the refusal.
+func refuse(s *session, output Output, faults []checker.Fault) error {
+	if err := print(s, output, faults, printFaults); err != nil {
+		return err
+	}
+	noun := "faults"
+	if len(faults) == 1 {
+		noun = "fault"
+	}
+	return &refusal{
+		message: fmt.Sprintf("refused: %d %s; nothing has changed", len(faults), noun),
+	}
+}
+
+func printFaults(w io.Writer, faults []checker.Fault) {
+	for _, fault := range faults {
+		fmt.Fprintln(w, fault)
+	}
+}
+
+func operatorName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+type keyCommand struct {
+	Name string `arg:"" optional:"" default:"new-key" help:"Name of the Key object to print."`
+	Team string `default:"team" help:"Team of the Key object to print."`
+}
+
+// Run makes a key. It is printed once and kept nowhere.
+func (c *keyCommand) Run(s *session) error {
+	secret := rand.Text()
+	fmt.Fprintf(s.out, "# The key, to be handed to its user and kept nowhere else: %s\n", secret)
+	fmt.Fprintf(s.out, "[[Key]]\nName = %q\nTeam = %q\nHash = %q\n", c.Name, c.Team, declarer.HashKey(secret))
+	return nil
+}
--- /dev/null
+++ b/internal/commander/try.go
@@ -0,0 +1,84 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/loader"
+	"github.com/hemlockport/hemlockport/internal/trier"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+)
+
+type tryCommand struct {
+	Output
+	Once    bool   `help:"Run a scripted session, print it and end."`
+	Objects string `type:"path" placeholder:"PATH" help:"Objects to try, scaled down, in place of the built-in ones."`
+	Verbose bool   `help:"Also print the instances' logs."`
+}
+
+// Run runs a trial.
+func (c *tryCommand) Run(s *session) error {
+	document, err := c.document()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(s.ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, running := errgroup.WithContext(ctx)
+	cluster, err := trier.Start(running, group, document, c.log(s.errors))
+	var refused *publisher.Refused
+	if errors.As(err, &refused) {
+		return refuse(s, c.Output, refused.Faults)
+	}
+	if err == nil {
+		err = c.show(ctx, s.out, cluster)
+	}
+	cancel()
+	return errors.Join(err, group.Wait())
+}
+
+// show runs the session, and then waits for a signal unless only the session was
+// asked for.
+func (c *tryCommand) show(ctx context.Context, out io.Writer, cluster *trier.Cluster) error {
+	if c.Once {
+		return trier.NewSession(cluster, out).Run(ctx)
+	}
+	accepted, err := cluster.Publish(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "revision %d is in force on %d instances\n\n", accepted.Revision, len(cluster.Instances))
+	cluster.Explain(out)
+	<-ctx.Done()
+	fmt.Fprintln(out, "\nstopping: every instance drains")
+	return nil
+}
+
+func (c *tryCommand) document() (declarer.Document, error) {
+	if c.Objects == "" {
+		return trier.BuiltIn()
+	}
+	return loader.Load(c.Objects)
+}
+
+func (c *tryCommand) log(w io.Writer) zerolog.Logger {
+	if !c.Verbose {
+		return zerolog.Nop()
+	}
+	return newLog(w, configurer.Log{
+		Level: "info",
+		Form:  "text",
+	})
+}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -169,6 +169,18 @@
 	}
 }
 
+// WithoutSecrets returns a copy that can be shown to anybody.
+func (s Settings) WithoutSecrets() Settings {
+	const hidden = "(not shown)"
+	if s.Peers.Secret != "" {
+		s.Peers.Secret = hidden
+	}
+	if s.Platform.Token != "" {
+		s.Platform.Token = hidden
+	}
+	return s
+}
+
 // Invalid is the error of settings that do not fit.
 type Invalid struct {
 	// Faults is never empty.
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -112,12 +112,26 @@
 
 // Handle lets a query answer the questions on a topic. It is called before Run.
 func Handle[Q, R any](hub *Hub, name string, query handler.Query[Q, R], questions handler.Codec[Q], answers handler.Codec[R]) {
-	hub.topics[name] = func(ctx context.Context, body []byte) ([]byte, error) {
+	hub.topics[name] = decoded(query.Ask, questions, answers)
+}
+
+// HandleCommand lets a command carry out what is asked on a topic. It is called
+// before Run.
+func HandleCommand[C, R any](hub *Hub, name string, command handler.Command[C, R], commands handler.Codec[C], answers handler.Codec[R]) {
+	hub.topics[name] = decoded(command.Do, commands, answers)
+}
+
+func decoded[Q, R any](
+	handle func(context.Context, Q) (R, error),
+	questions handler.Codec[Q],
+	answers handler.Codec[R],
+) topic {
+	return func(ctx context.Context, body []byte) ([]byte, error) {
 		question, err := questions.Decode(body)
 		if err != nil {
 			return nil, err
 		}
-		answer, err := query.Ask(ctx, question)
+		answer, err := handle(ctx, question)
 		if err != nil {
 			return nil, err
 		}
@@ -233,6 +247,16 @@
 	return peers
 }
 
+// Successors returns the linked peers in the order of their incarnations,
+// beginning after this instance, so that each instance begins with another.
+func (h *Hub) Successors() []Peer {
+	peers := h.Peers()
+	after, _ := slices.BinarySearchFunc(peers, h.self.Incarnation, func(peer Peer, own string) int {
+		return strings.Compare(peer.Member.Incarnation, own)
+	})
+	return append(slices.Clone(peers[after:]), peers[:after]...)
+}
+
 // ServeHTTP accepts a link.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	conn, err := websocket.Accept(w, request, nil)
--- /dev/null
+++ b/internal/receiver/hop_test.go
@@ -0,0 +1,192 @@
+package receiver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/command/tracker"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+	"github.com/hemlockport/hemlockport/pkg/query/splitter"
+)
+
+const callerKey = "caller-key-0123456789"
+
+// entry is a receiver in front of upstreams, without the rest of an instance.
+type entry struct {
+	receiver *receiver.Receiver
+	plans    *holder.Cell[admitter.Plan]
+	address  string
+}
+
+// newEntry serves a service whose upstreams listen at the addresses.
+func newEntry(t testing.TB, addresses ...string) *entry {
+	t.Helper()
+	plans := holder.New[admitter.Plan]()
+	// The bucket starts empty; by now it is full.
+	start := time.Now().Add(-time.Hour)
+	seat := splitter.Seat{
+		Index: 0,
+		Of:    1,
+	}
+	set := serviceSet(addresses)
+	plans.Advance(*admitter.First("derby").WithSeat(seat, start).WithTable(router.New(1, set), start))
+	send := forwarder.New()
+	t.Cleanup(send.Close)
+	receive := receiver.New(receiver.Parts{
+		Admitter:  admitter.New(plans),
+		Forwarder: send,
+		Flights:   tracker.New[receiver.Flight](1024),
+		Budget:    retrier.NewBudget(retrier.DefaultRatio, retrier.DefaultReserve),
+		Attempts:  retrier.DefaultAttempts,
+		Metrics:   exporter.NewRequests(metrics.NewRegistry()),
+		Suspected: func(*admitter.Upstream, *arbiter.Refusal) {},
+	})
+	server := httptest.NewServer(receive)
+	t.Cleanup(server.Close)
+	return &entry{
+		receiver: receive,
+		plans:    plans,
+		address:  server.Listener.Addr().String(),
+	}
+}
+
+func serviceSet(addresses []string) declarer.Set {
+	upstreams := make([]declarer.Upstream, 0, len(addresses))
+	for _, address := range addresses {
+		upstreams = append(upstreams, declarer.Upstream{
+			Name:    "upstream",
+			Place:   "derby",
+			Address: address,
+			Slots:   64,
+		})
+	}
+	return declarer.Set{}.
+		WithPlace(declarer.Place{
+			Name:   "derby",
+			Region: "east",
+			Seats:  1,
+		}).
+		WithService(declarer.Service{
+			Name:          "shopfront",
+			Version:       "v1",
+			TimeoutMillis: 2000,
+		}).
+		WithVersion(declarer.Version{
+			Name:      "v1",
+			Service:   "shopfront",
+			Upstreams: upstreams,
+		}).
+		WithTeam(declarer.Team{
+			Name: "quilters",
+		}.WithRate(1_000_000, 1_000_000)).
+		WithKey(declarer.Key{
+			Name: "quilters-1",
+			Team: "quilters",
+			Hash: declarer.HashKey(callerKey).String(),
+		})
+}
+
+func (e *entry) request(t testing.TB, method, path string, body io.Reader) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+e.address+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "shopfront"
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	return request
+}
+
+// hop is the least that a hop through net/http can be: no key, no limit, no
+// choice, no verdict.
+type hop struct {
+	transport *http.Transport
+	target    string
+}
+
+func (h *hop) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	outbound := request.Clone(request.Context())
+	outbound.URL.Scheme = "http"
+	outbound.URL.Host = h.target
+	outbound.RequestURI = ""
+	response, err := h.transport.RoundTrip(outbound)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(response.StatusCode)
+	_, _ = io.Copy(w, response.Body)
+}
+
+func answering(t testing.TB) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "one quilt, in progress\n")
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func fetch(t testing.TB, client *http.Client, request *http.Request) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err = io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, %v", response.StatusCode, err)
+	}
+	return time.Since(begun)
+}
+
+// BenchmarkForward measures a forwarded request beside the minimal hop, in turns
+// so that both meet the same machine. The target is a ratio of medians of at most
+// 1.15.
+func BenchmarkForward(b *testing.B) {
+	upstream := answering(b)
+	ours := newEntry(b, upstream)
+	server := httptest.NewServer(&hop{
+		transport: &http.Transport{},
+		target:    upstream,
+	})
+	b.Cleanup(server.Close)
+	client := &http.Client{
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{}).DialContext,
+		},
+	}
+	var through, minimal []time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		through = append(through, fetch(b, client, ours.request(b, http.MethodGet, "/orders/1", nil)))
+		request := ours.request(b, http.MethodGet, "/orders/1", nil)
+		request.URL.Host = server.Listener.Addr().String()
+		minimal = append(minimal, fetch(b, client, request))
+	}
+	slices.Sort(through)
+	slices.Sort(minimal)
+	b.ReportMetric(float64(through[len(through)/2].Microseconds()), "median-us")
+	b.ReportMetric(float64(minimal[len(minimal)/2].Microseconds()), "minimal-us")
+	b.ReportMetric(float64(through[len(through)/2])/float64(minimal[len(minimal)/2]), "ratio")
+}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -7,8 +7,8 @@
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 )
 
-// storeLimit bounds the calls to the platform during a drain.
-const storeLimit = 2 * time.Second
+// callLimit bounds each call to the platform and to peers during a drain.
+const callLimit = 2 * time.Second
 
 // drain is the graceful stop: leave the look-ups, take requests of callers with
 // older answers for a while, finish what runs, give the seat back.
@@ -17,7 +17,7 @@
 	s.announce("DrainBegun", s.self.Incarnation, "")
 	s.relocate()
 	s.hub.Nudge()
-	s.callStore(work, s.leaveSeat)
+	within(work, s.leaveSeat)
 	grace := time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond
 	if retrier.Sleep(work, grace) != nil {
 		stopServing(work)
@@ -27,12 +27,15 @@
 	ctx, cancel := context.WithTimeout(work, limit)
 	defer cancel()
 	stopServing(ctx)
-	s.callStore(work, s.releaseSeat)
 	s.announce("DrainEnded", s.self.Incarnation, "")
+	// The peers end their links once the seat is gone, so the copies go first.
+	within(work, s.copier.Flush)
+	within(work, s.releaseSeat)
 }
 
-func (s *Server) callStore(work context.Context, call func(context.Context)) {
-	ctx, cancel := context.WithTimeout(work, storeLimit)
+// within makes a call with a bounded time.
+func within(work context.Context, call func(context.Context)) {
+	ctx, cancel := context.WithTimeout(work, callLimit)
 	defer cancel()
 	call(ctx)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/adapter"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/command/replicator"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
@@ -62,6 +63,7 @@
 	claimer   *claimer.Claimer
 	hub       *linker.Hub
 	timeliner *timeliner.Timeliner
+	copier    *replicator.Replicator
 	forwarder *forwarder.Forwarder
 	receiver  *receiver.Receiver
 	flights   *tracker.Tracker[receiver.Flight]
@@ -155,6 +157,7 @@
 	})
 	s.handlePeers()
 	s.timeliner = timeliner.New(s.hub, s.recorder)
+	s.copier = replicator.New(s.hub, s.recorder)
 	s.forwarder = forwarder.New(
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
@@ -225,6 +228,7 @@
 		s.keepSeat,
 		s.probeUpstreams,
 		s.refresh,
+		s.copier.Run,
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(work) })
--- a/internal/trier/caller.go
+++ b/internal/trier/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -113,5 +114,8 @@
 	if err != nil {
 		return receiver.Located{}, err
 	}
+	if response.StatusCode != http.StatusOK {
+		return receiver.Located{}, fmt.Errorf("look-up: %s", body)
+	}
 	return encoder.JSON[receiver.Located]{}.Decode(body)
 }
--- a/internal/trier/rewrite.go
+++ b/internal/trier/rewrite.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"net/netip"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -51,3 +52,12 @@
 	}
 	return thinned
 }
+
+// firstAddress returns the address after the first of a block.
+func firstAddress(block string) string {
+	prefix, err := netip.ParsePrefix(block)
+	if err != nil {
+		return "127.0.0.1"
+	}
+	return prefix.Addr().Next().String()
+}
--- /dev/null
+++ b/internal/trier/session.go
@@ -0,0 +1,435 @@
+package trier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/operator"
+	"github.com/hemlockport/hemlockport/internal/query/reporter"
+	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/internal/standin/upstreamer"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+)
+
+const (
+	// withdrawalLimit is how soon a withdrawn key stops working, from acceptance.
+	withdrawalLimit = 2 * time.Second
+	// leaveLimit is how soon a leaving upstream gets no new work.
+	leaveLimit = 2 * time.Second
+	// forceLimit is how soon a configuration is in force on all instances.
+	forceLimit = time.Second
+)
+
+// Session is a scripted session, as an operator and a caller see it. What it
+// prints is the same on every run.
+type Session struct {
+	cluster *Cluster
+	out     io.Writer
+	service declarer.Service
+	key     declarer.Key
+	caller  *Caller
+	// slow is the key of the team with the lowest rate, key that of the team with
+	// the highest.
+	slow declarer.Key
+}
+
+// NewSession returns a session on a cluster that has published nothing yet.
+func NewSession(cluster *Cluster, out io.Writer) *Session {
+	session := &Session{
+		cluster: cluster,
+		out:     out,
+	}
+	for service := range cluster.Set.Services.All() {
+		session.service = service
+		break
+	}
+	for key := range cluster.Set.Keys.All() {
+		if !session.mayUse(key) {
+			continue
+		}
+		if session.key.Name == "" || session.rate(key) > session.rate(session.key) {
+			session.key = key
+		}
+		if session.slow.Name == "" || session.rate(key) < session.rate(session.slow) {
+			session.slow = key
+		}
+	}
+	session.caller = NewCaller(session.service.HostNames()[0], KeyOf(session.key.Name))
+	return session
+}
+
+// mayUse says whether a key's team may use the session's service.
+func (s *Session) mayUse(key declarer.Key) bool {
+	team, _ := s.cluster.Set.Teams.Get(key.Team)
+	return len(team.Services) == 0 || slices.Contains(team.Services, s.service.Name)
+}
+
+func (s *Session) rate(key declarer.Key) float64 {
+	team, _ := s.cluster.Set.Teams.Get(key.Team)
+	return team.RatePerSecond
+}
+
+// Run plays the session to its end.
+func (s *Session) Run(ctx context.Context) error {
+	steps := []struct {
+		title string
+		run   func(context.Context) error
+	}{
+		{
+			title: "The operator applies the set; it is in force on every instance.",
+			run:   s.apply,
+		},
+		{
+			title: "A set that does not fit is refused with every fault; nothing changes.",
+			run:   s.refuse,
+		},
+		{
+			title: "A caller looks up which entry instance to use, and orders there.",
+			run:   s.order,
+		},
+		{
+			title: "Requests without a key, with a wrong key, and over the team's rate are refused: not run.",
+			run:   s.refusals,
+		},
+		{
+			title: "An upstream breaks the connection after an order ran: the answer says that it may have run, and it is not sent again.",
+			run:   s.doubt,
+		},
+		{
+			title: "An upstream announces its stop and gets no new work.",
+			run:   s.leave,
+		},
+		{
+			title: "The operator withdraws a key while an answer streams: the stream breaks, the next request is refused.",
+			run:   s.withdraw,
+		},
+		{
+			title: "An instance is stopped: it leaves the look-ups, finishes and ends.",
+			run:   s.stop,
+		},
+		{
+			title: "The time line of all processes tells what happened.",
+			run:   s.timeLine,
+		},
+	}
+	for number, step := range steps {
+		fmt.Fprintf(s.out, "%d. %s\n", number+1, step.title)
+		if err := step.run(ctx); err != nil {
+			return fmt.Errorf("step %d: %w", number+1, err)
+		}
+		fmt.Fprintln(s.out)
+	}
+	return nil
+}
+
+func (s *Session) say(format string, values ...any) {
+	fmt.Fprintf(s.out, "   "+format+"\n", values...)
+}
+
+func (s *Session) apply(ctx context.Context) error {
+	accepted, err := s.cluster.Publish(ctx)
+	if err != nil {
+		return err
+	}
+	s.say("accepted: revision %d, %d objects, in force on %d of %d instances",
+		accepted.Revision, accepted.Objects, s.inForce(ctx, accepted.Revision), len(s.cluster.Instances))
+	return nil
+}
+
+// inForce counts the instances on which at least that revision is in force.
+func (s *Session) inForce(ctx context.Context, revision uint64) int {
+	count := 0
+	for _, instance := range s.cluster.Instances {
+		status, err := instance.Operator.Status(ctx)
+		if err == nil && status.Revision >= revision {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *Session) refuse(ctx context.Context) error {
+	entry := s.cluster.Instances[0]
+	_, err := entry.Operator.Change(ctx, publisher.Change{
+		Document: declarer.Document{
+			Team: []declarer.Team{
+				{
+					Name: "Hasty Team",
+				},
+			},
+			Key: []declarer.Key{
+				{
+					Name: "stray",
+					Team: "nobody",
+					Hash: "plain",
+				},
+			},
+		},
+	})
+	var failure *operator.Failure
+	if !errors.As(err, &failure) {
+		return fmt.Errorf("the set was not refused: %v", err)
+	}
+	for _, fault := range failure.Faults {
+		s.say("%s", fault)
+	}
+	objects, err := entry.Operator.Objects(ctx, reporter.Selection{})
+	if err != nil {
+		return err
+	}
+	s.say("still in force: revision %d", objects.Revision)
+	return nil
+}
+
+func (s *Session) order(ctx context.Context) error {
+	asked := s.cluster.Instances[len(s.cluster.Instances)-1]
+	client := s.clientIn(s.cluster.Instances[0].Place)
+	located, err := s.caller.Lookup(ctx, asked.CallerAddress(), client)
+	if err != nil {
+		return err
+	}
+	s.sayNearest(located)
+	if len(located.Entries) == 0 {
+		return errors.New("the look-up named no instance")
+	}
+	s.report("order", s.caller.Do(ctx, Call{
+		Instance: located.Entries[0].Address,
+		Method:   http.MethodPost,
+		Path:     "/orders/1",
+		Body:     "one quilt",
+		Order:    "order-1",
+	}))
+	return nil
+}
+
+// sayNearest tells the order of a look-up's entries. Entries in one region but the
+// caller's own take turns from look-up to look-up, so only the regions are told.
+func (s *Session) sayNearest(located receiver.Located) {
+	regions := make([]string, 0, len(located.Entries))
+	for _, entry := range located.Entries {
+		place, _ := s.cluster.Set.Places.Get(entry.Place)
+		regions = append(regions, place.Region)
+	}
+	if len(located.Entries) > 0 {
+		s.say("nearest: the instance in %s; the regions in order: %s",
+			located.Entries[0].Place, strings.Join(regions, ", "))
+	}
+}
+
+// clientIn returns an address in a place's first client block, or a loopback one.
+func (s *Session) clientIn(place string) string {
+	declared, _ := s.cluster.Set.Places.Get(place)
+	if len(declared.ClientBlocks) == 0 {
+		return "127.0.0.1"
+	}
+	return firstAddress(declared.ClientBlocks[0])
+}
+
+func (s *Session) report(what string, outcome Outcome) {
+	switch {
+	case outcome.Err != nil:
+		s.say("%s: the connection broke", what)
+	case outcome.Reason != "":
+		s.say("%s: %d %s, %s", what, outcome.Status, outcome.Reason, outcome.Verdict)
+	default:
+		s.say("%s: %d, %s", what, outcome.Status, outcome.Verdict)
+	}
+}
+
+func (s *Session) refusals(ctx context.Context) error {
+	entry := s.cluster.Instances[0].CallerAddress()
+	call := Call{
+		Instance: entry,
+		Method:   http.MethodPost,
+		Path:     "/orders/2",
+		Order:    "order-2",
+	}
+	s.report("without a key", NewCaller(s.caller.Service, "").Do(ctx, call))
+	s.report("with a wrong key", NewCaller(s.caller.Service, "guess").Do(ctx, call))
+	slow := NewCaller(s.caller.Service, KeyOf(s.slow.Name))
+	outcome := s.until(ctx, slow, call, func(outcome Outcome) bool { return outcome.Status == http.StatusTooManyRequests })
+	s.report("over the rate", outcome)
+	return nil
+}
+
+// burstTries is how many requests are enough to use up any team's burst.
+const burstTries = 5000
+
+// until repeats an idempotent form of a call until its outcome is as wanted.
+func (s *Session) until(ctx context.Context, caller *Caller, call Call, wanted func(Outcome) bool) Outcome {
+	call.Method = http.MethodGet
+	var outcome Outcome
+	for range burstTries {
+		outcome = caller.Do(ctx, call)
+		if wanted(outcome) {
+			break
+		}
+	}
+	return outcome
+}
+
+func (s *Session) doubt(ctx context.Context) error {
+	s.setFaults(upstreamer.Faults{
+		DropAfter: true,
+	})
+	s.report("order", s.caller.Do(ctx, Call{
+		Instance: s.cluster.Instances[0].CallerAddress(),
+		Method:   http.MethodPost,
+		Path:     "/orders/3",
+		Order:    "order-3",
+	}))
+	s.setFaults(upstreamer.Faults{})
+	s.say("the order ran %d time(s)", s.runs("order-3"))
+	return nil
+}
+
+func (s *Session) setFaults(faults upstreamer.Faults) {
+	for _, upstream := range s.cluster.Upstreams {
+		upstream.SetFaults(faults)
+	}
+}
+
+func (s *Session) runs(order string) int {
+	runs := 0
+	for _, upstream := range s.cluster.Upstreams {
+		runs += upstream.Runs(order)
+	}
+	return runs
+}
+
+func (s *Session) leave(ctx context.Context) error {
+	place := s.cluster.Instances[0].Place
+	near := s.upstreamsIn(place)
+	for _, upstream := range near {
+		upstream.SetFaults(upstreamer.Faults{
+			Leaving: true,
+		})
+	}
+	idle := Await(ctx, leaveLimit, func() bool { return s.health(ctx, near, "Leaving") })
+	s.say("no new work within %s: %t", leaveLimit, idle)
+	outcome := s.caller.Do(ctx, Call{
+		Instance: s.cluster.Instances[0].CallerAddress(),
+		Method:   http.MethodPost,
+		Path:     "/orders/4",
+		Order:    "order-4",
+	})
+	s.report("order", outcome)
+	there := 0
+	for _, upstream := range near {
+		there += upstream.Runs("order-4")
+	}
+	s.say("it ran %d time(s) in %s and %d time(s) in all", there, place, s.runs("order-4"))
+	s.setFaults(upstreamer.Faults{})
+	return nil
+}
+
+// upstreamsIn returns the service's upstreams in a place.
+func (s *Session) upstreamsIn(place string) []*Upstream {
+	var found []*Upstream
+	version, _ := s.cluster.Set.Versions.Get(s.service.Version)
+	for _, declared := range version.Upstreams {
+		if declared.Place == place {
+			found = append(found, s.cluster.Upstreams[declared.Name])
+		}
+	}
+	return found
+}
+
+// health says whether the first instance sees all upstreams in a state.
+func (s *Session) health(ctx context.Context, upstreams []*Upstream, state string) bool {
+	status, err := s.cluster.Instances[0].Operator.Status(ctx)
+	if err != nil {
+		return false
+	}
+	seen := 0
+	for _, known := range status.Upstreams {
+		for _, upstream := range upstreams {
+			if known.Address == upstream.Address && known.Health == state {
+				seen++
+			}
+		}
+	}
+	return seen == len(upstreams)
+}
+
+// streamParts is how many parts a streamed answer has: enough for 20 s.
+const streamParts = 1000
+
+func (s *Session) withdraw(ctx context.Context) error {
+	entry := s.cluster.Instances[0]
+	stream, err := s.caller.Open(ctx, Call{
+		Instance: entry.CallerAddress(),
+		Method:   http.MethodGet,
+		Path:     fmt.Sprintf("/orders/1?stream=%d", streamParts),
+	})
+	if err != nil {
+		return err
+	}
+	defer stream.Body.Close()
+	other := s.cluster.Instances[len(s.cluster.Instances)-1]
+	accepted, err := other.Operator.Change(ctx, publisher.Change{
+		Withdraw: []string{s.key.Name},
+		By:       "try",
+	})
+	if err != nil {
+		return err
+	}
+	acceptedAt := time.Now()
+	_, err = io.Copy(io.Discard, stream.Body)
+	s.say("accepted by the instance in %s: revision %d", other.Place, accepted.Revision)
+	s.say("the stream through the instance in %s broke within %s: %t",
+		entry.Place, withdrawalLimit, err != nil && time.Since(acceptedAt) < withdrawalLimit)
+	all := Await(ctx, forceLimit, func() bool {
+		return s.inForce(ctx, accepted.Revision) == len(s.cluster.Instances)
+	})
+	s.say("in force on all instances within %s: %t", forceLimit, all)
+	s.report("next request on the same connection", s.caller.Do(ctx, Call{
+		Instance: entry.CallerAddress(),
+		Method:   http.MethodGet,
+		Path:     "/orders/1",
+	}))
+	return nil
+}
+
+func (s *Session) stop(ctx context.Context) error {
+	first := s.cluster.Instances[0]
+	other := s.cluster.Instances[len(s.cluster.Instances)-1]
+	if err := first.Stop(); err != nil {
+		return err
+	}
+	s.say("the instance in %s ended without error", first.Place)
+	located, err := s.caller.Lookup(ctx, other.CallerAddress(), s.clientIn(first.Place))
+	if err != nil {
+		return err
+	}
+	s.sayNearest(located)
+	return nil
+}
+
+// told are the kinds of events whose order is the same on every run.
+var told = []string{"ChangeAccepted", "DrainBegun", "PeerLeaving"}
+
+func (s *Session) timeLine(ctx context.Context) error {
+	other := s.cluster.Instances[len(s.cluster.Instances)-1]
+	line, err := other.Operator.TimeLine(ctx, operator.Selection{})
+	if err != nil {
+		return err
+	}
+	for _, kind := range told {
+		count := 0
+		for _, event := range line.Events {
+			if event.Kind == kind {
+				count++
+			}
+		}
+		s.say("%s: %d", kind, count)
+	}
+	return nil
+}
--- a/pkg/command/publisher/publisher.go
+++ b/pkg/command/publisher/publisher.go
@@ -121,27 +121,25 @@
 // Do applies a change to the set in force, checks the whole, and publishes it.
 // Its error is a *Refused, ErrRaced, ErrInDoubt or a *storer.Error.
 func (p *Publisher) Do(ctx context.Context, change Change) (Accepted, error) {
-	doubt := false
+	// unsure is the last head whose write may have taken effect, or nil.
+	var unsure *Head
 	for range attempts {
-		accepted, err := p.try(ctx, change)
+		accepted, err := p.try(ctx, change, unsure)
+		var lost *lostAnswer
 		switch {
 		case err == nil:
 			return accepted, nil
 		case errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrNotFound):
 			// Another change came between. Begin with what it left.
-			continue
-		case !storer.Settled(err):
-			// The answer is lost. To begin anew is harmless: a change that is already
-			// in force changes nothing.
-			doubt = true
-			continue
-		case doubt:
+		case errors.As(err, &lost):
+			unsure = &lost.head
+		case unsure != nil:
 			return Accepted{}, errors.Join(ErrInDoubt, err)
 		default:
 			return Accepted{}, err
 		}
 	}
-	if doubt {
+	if unsure != nil {
 		return Accepted{}, ErrInDoubt
 	}
 	return Accepted{}, ErrRaced
@@ -167,12 +165,19 @@
 	}, err
 }
 
-// try runs a change once, from the head as it stands.
-func (p *Publisher) try(ctx context.Context, change Change) (Accepted, error) {
+// try runs a change once, from the head as it stands. If that is the head of an
+// earlier try whose answer was lost, the change is in force already.
+func (p *Publisher) try(ctx context.Context, change Change, unsure *Head) (Accepted, error) {
 	object, before, err := p.inForce(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
+	if unsure != nil && unsure.is(object.Value) {
+		return Accepted{
+			Revision: unsure.Revision,
+			Objects:  before.Document.Set().Len(),
+		}, nil
+	}
 	if change.IfRevision != 0 && change.IfRevision != object.Value.Revision {
 		return Accepted{}, staleRevision(change.IfRevision, object.Value.Revision)
 	}
@@ -221,9 +226,8 @@
 // the new nor the old head names.
 func (p *Publisher) move(ctx context.Context, from storer.Object[Head], head Head, data [][]byte) error {
 	for i, chunk := range head.Chunks {
-		_, err := p.store.Put(ctx, chunkPrefix+chunk, data[i], storer.Always())
-		if err != nil {
-			return err
+		if _, err := p.store.Put(ctx, chunkPrefix+chunk, data[i], storer.Always()); err != nil {
+			return outcome(err, head)
 		}
 	}
 	condition := storer.Absent()
@@ -231,12 +235,46 @@
 		condition = storer.At(from.Revision)
 	}
 	if _, err := p.heads.Put(ctx, HeadName, head, condition); err != nil {
-		return err
+		return outcome(err, head)
 	}
 	p.clean(ctx, from.Value, head)
 	return nil
 }
 
+// lostAnswer is the error of a write that may have taken effect.
+type lostAnswer struct {
+	// head is the head that was, or was about to be, written.
+	head Head
+	err  error
+}
+
+// Error returns the store's error.
+func (l *lostAnswer) Error() string {
+	return l.err.Error()
+}
+
+// Unwrap returns the store's error.
+func (l *lostAnswer) Unwrap() error {
+	return l.err
+}
+
+// outcome tells a write that may have taken effect from one that has not.
+func outcome(err error, head Head) error {
+	if storer.Settled(err) {
+		return err
+	}
+	return &lostAnswer{
+		head: head,
+		err:  err,
+	}
+}
+
+// is says whether two heads are of the same publication.
+func (h Head) is(other Head) bool {
+	return h.Revision == other.Revision && h.By == other.By &&
+		h.AcceptedMillis == other.AcceptedMillis && slices.Equal(h.Chunks, other.Chunks)
+}
+
 // clean removes chunks that are no longer named. A chunk that it fails to remove
 // is removed after a later change.
 func (p *Publisher) clean(ctx context.Context, heads ...Head) {
--- a/pkg/command/recorder/recorder.go
+++ b/pkg/command/recorder/recorder.go
@@ -60,9 +60,27 @@
 		Object:  object,
 		Detail:  detail,
 	}
+	r.store(event)
+	return event
+}
+
+// Keep adds copies of other processes' events.
+func (r *Recorder) Keep(copied []Event) {
+	for _, event := range copied {
+		r.store(event)
+	}
+}
+
+// Own returns the events of this process that are kept, in order.
+func (r *Recorder) Own() []Event {
+	return slices.DeleteFunc(r.Events(), func(event Event) bool {
+		return event.Process != r.process
+	})
+}
+
+func (r *Recorder) store(event Event) {
 	number := r.next.Add(1) - 1
 	r.slots[number%uint64(len(r.slots))].Store(&event)
-	return event
 }
 
 // Events returns the events kept, in order.
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -33,7 +34,7 @@
 
 // Question is one look-up.
 type Question struct {
-	// Service is the service's name.
+	// Service is the service's name or one of its host names.
 	Service string
 	// Client is the caller's address.
 	Client netip.Addr
@@ -58,8 +59,9 @@
 	generation uint64
 	revision   uint64
 	valid      time.Duration
-	services   map[string]bool
-	blocks     *Blocks
+	// services holds the names and host names of all services.
+	services map[string]bool
+	blocks   *Blocks
 	// sites holds the prepared orders of each place, in the order of names.
 	sites []site
 	// fallback serves clients that no block is declared for.
@@ -101,6 +103,9 @@
 	}
 	for service := range source.Set.Services.All() {
 		locator.services[service.Name] = true
+		for _, host := range service.HostNames() {
+			locator.services[host] = true
+		}
 	}
 	for i, place := range places {
 		locator.sites = append(locator.sites, newSite(place, places, source.Members))
@@ -154,41 +159,60 @@
 }
 
 // newSite prepares the orders as seen from a place: own place first, then own
-// region, then by latency. Instances that are equally near take turns at the
-// front.
+// region, then by latency. Instances that are equally near take turns.
 func newSite(from declarer.Place, places []declarer.Place, members []registrar.Member) site {
 	distances := map[string]int{}
 	for _, place := range places {
 		distances[place.Name] = distance(from, place)
 	}
 	sorted := slices.Clone(members)
-	slices.SortStableFunc(sorted, func(a, b registrar.Member) int {
-		return cmp.Compare(distances[a.Place], distances[b.Place])
+	slices.SortFunc(sorted, func(a, b registrar.Member) int {
+		return cmp.Or(
+			cmp.Compare(distances[a.Place], distances[b.Place]),
+			strings.Compare(a.Place, b.Place),
+			strings.Compare(a.Incarnation, b.Incarnation),
+		)
 	})
-	nearest := 0
-	for nearest < len(sorted) && distances[sorted[nearest].Place] == distances[sorted[0].Place] {
-		nearest++
+	groups := groupBy(sorted, func(member registrar.Member) int { return distances[member.Place] })
+	turns := 0
+	for _, group := range groups {
+		turns = max(turns, min(len(group), maxRotations))
 	}
 	prepared := site{}
-	for turn := range min(nearest, maxRotations) {
-		prepared.orders = append(prepared.orders, order(sorted, nearest, turn))
+	for turn := range turns {
+		prepared.orders = append(prepared.orders, order(groups, turn))
 	}
 	return prepared
 }
 
-// order returns the first entries, in which the nearest are turned.
-func order(sorted []registrar.Member, nearest, turn int) []Entry {
+// groupBy cuts sorted members into runs of equal distance.
+func groupBy(sorted []registrar.Member, distance func(registrar.Member) int) [][]registrar.Member {
+	var groups [][]registrar.Member
+	start := 0
+	for at := range sorted {
+		if at+1 == len(sorted) || distance(sorted[at+1]) != distance(sorted[start]) {
+			groups = append(groups, sorted[start:at+1])
+			start = at + 1
+		}
+	}
+	return groups
+}
+
+// order returns the first entries, with the members of each group turned.
+func order(groups [][]registrar.Member, turn int) []Entry {
 	entries := make([]Entry, 0, MaxEntries)
-	for i := range min(len(sorted), MaxEntries) {
-		at := i
-		if i < nearest {
-			at = (i + turn) % nearest
+	for _, group := range groups {
+		for i := range group {
+			if len(entries) == MaxEntries {
+				return entries
+			}
+			member := group[(i+turn)%len(group)]
+			entries = append(entries, Entry{
+				Address:     member.CallerAddress,
+				Place:       member.Place,
+				Incarnation: member.Incarnation,
+			})
 		}
-		entries = append(entries, Entry{
-			Address:     sorted[at].CallerAddress,
-			Place:       sorted[at].Place,
-			Incarnation: sorted[at].Incarnation,
-		})
 	}
 	return entries
 }
