--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -110,7 +110,8 @@
 // NewOutbound prepares a caller's request for sending: without its key, without
 // what concerns the caller's connection only, and with the team named.
 func NewOutbound(request *http.Request, body *Body, team string, idempotent bool, deadline time.Time) Outbound {
-	header := passOn(request.Header)
+	header := request.Header.Clone()
+	strip(header)
 	if team != "" {
 		header.Set(HeaderTeam, team)
 	}
@@ -158,7 +159,7 @@
 		return nil, refusal
 	}
 	exchange.Answered()
-	response.Header = passOn(response.Header)
+	strip(response.Header)
 	response.Header.Set(HeaderVerdict, exchange.Verdict().String())
 	return response, nil
 }
@@ -196,7 +197,7 @@
 	detail := "the upstream broke the connection"
 	switch {
 	case context.Cause(ctx) != nil:
-		return interrupted(context.Cause(ctx)).WithVerdict(verdict)
+		return Interrupted(ctx).WithVerdict(verdict)
 	case verdict == arbiter.NotRun:
 		reason = arbiter.UpstreamUnreached
 		detail = "no connection to the upstream"
@@ -204,12 +205,13 @@
 	return arbiter.Doubt(reason, detail).WithVerdict(verdict).WithCause(err)
 }
 
-// interrupted names why a request's context ended.
-func interrupted(cause error) *arbiter.Refusal {
+// Interrupted names why a request's context has ended. The request may have run.
+func Interrupted(ctx context.Context) *arbiter.Refusal {
 	var refusal *arbiter.Refusal
+	cause := context.Cause(ctx)
 	switch {
 	case errors.As(cause, &refusal):
-		return refusal
+		return refusal.WithVerdict(arbiter.MayHaveRun)
 	case errors.Is(cause, context.DeadlineExceeded):
 		return arbiter.Doubt(arbiter.DeadlineExceeded, "the deadline passed before the upstream answered")
 	default:
--- a/internal/command/forwarder/header.go
+++ b/internal/command/forwarder/header.go
@@ -38,10 +38,9 @@
 	"Upgrade",
 }
 
-// passOn returns the headers of a message that go on beyond this hop.
-func passOn(source http.Header) http.Header {
-	header := source.Clone()
-	for _, line := range source["Connection"] {
+// strip removes the headers of a message that do not go on beyond this hop.
+func strip(header http.Header) {
+	for _, line := range header["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			header.Del(strings.TrimSpace(name))
 		}
@@ -54,7 +53,6 @@
 			delete(header, name)
 		}
 	}
-	return header
 }
 
 // CarriesKey says whether a key stands anywhere but in the Authorization header,
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -86,13 +86,18 @@
 	arrived := time.Now()
 	refusal := r.serve(w, request, arrived)
 	r.metrics.Count(refusal, arrived)
-	if refusal != nil {
+	switch {
+	case refusal == nil:
+	case refusal.Reason == arbiter.AnswerBroken:
+		// The server's way to break one connection or stream.
+		panic(http.ErrAbortHandler)
+	default:
 		writeRefusal(w, refusal, time.Now())
 	}
 }
 
-// serve carries a request through. It returns a refusal as long as nothing has
-// been answered, and breaks the connection after that.
+// serve carries a request through. It returns why it failed: an AnswerBroken if
+// the answer has begun, anything else as long as nothing has been answered.
 func (r *Receiver) serve(w http.ResponseWriter, request *http.Request, now time.Time) *arbiter.Refusal {
 	decision, refusal := describe(request, now)
 	if refusal != nil {
@@ -104,8 +109,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	ctx, stop := context.WithDeadline(ctx, admission.Deadline)
-	defer stop()
+	// One timer a request: a context with a deadline of its own would be another
+	// context to set up and take down.
+	timer := time.AfterFunc(time.Until(admission.Deadline), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	flight := &Flight{
 		admission: admission,
 		cancel:    cancel,
@@ -131,10 +138,10 @@
 	request *http.Request,
 	admission admitter.Admission,
 ) *arbiter.Refusal {
-	connection := http.NewResponseController(w)
-	// Errors here mean a writer without deadlines, which only tests use.
-	_ = connection.SetReadDeadline(admission.Deadline)
-	_ = connection.SetWriteDeadline(admission.Deadline)
+	// A caller that stops sending or reading must not hold a slot beyond the end of
+	// its request.
+	stop := context.AfterFunc(ctx, func() { unblock(w) })
+	defer stop()
 	body, refusal := forwarder.ReadBody(request.Body, request.ContentLength)
 	if refusal != nil {
 		admission.Refund()
@@ -147,8 +154,23 @@
 	}
 	defer answer.upstream.Release()
 	defer answer.response.Body.Close()
-	relay(w, answer.response)
-	return nil
+	refusal = relay(w, answer.response)
+	if refusal != nil {
+		r.blame(answer.upstream, refusal)
+	}
+	return refusal
+}
+
+// lastWords is how long a caller gets to read why its request has ended.
+const lastWords = time.Second
+
+// unblock ends the reading of a caller's connection now and the writing soon.
+func unblock(w http.ResponseWriter) {
+	connection := http.NewResponseController(w)
+	now := time.Now()
+	// Errors here mean a connection that has gone already.
+	_ = connection.SetReadDeadline(now)
+	_ = connection.SetWriteDeadline(now.Add(lastWords))
 }
 
 // answered is an answer and the upstream whose slot it still holds.
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -28,6 +28,7 @@
 	UpstreamUnreached Reason = "UpstreamUnreached"
 	UpstreamShed      Reason = "UpstreamShed"
 	UpstreamBroken    Reason = "UpstreamBroken"
+	AnswerBroken      Reason = "AnswerBroken"
 )
 
 // Reasons lists all reasons.
@@ -51,6 +52,7 @@
 		UpstreamUnreached,
 		UpstreamShed,
 		UpstreamBroken,
+		AnswerBroken,
 	}
 }
 
