--- a/internal/command/replicator/replicator.go
+++ b/internal/command/replicator/replicator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
@@ -35,10 +36,12 @@
 	takens = encoder.CBOR[Taken]{}
 )
 
-// Replicator copies the events of a recorder. Used by one goroutine at a time.
+// Replicator copies the events of a recorder. Safe for many goroutines.
 type Replicator struct {
 	hub      *linker.Hub
 	recorder *recorder.Recorder
+	// flushing orders the copies and guards sent.
+	flushing sync.Mutex
 	// sent is the last event copied.
 	sent stamper.Stamp
 }
@@ -70,6 +73,8 @@
 
 // Flush copies the events that have come since the last copy that arrived.
 func (r *Replicator) Flush(ctx context.Context) {
+	r.flushing.Lock()
+	defer r.flushing.Unlock()
 	var fresh []recorder.Event
 	for _, event := range r.recorder.Own() {
 		if event.At > r.sent {
--- /dev/null
+++ b/internal/configurer/settings_test.go
@@ -0,0 +1,131 @@
+package configurer_test
+
+import (
+	"errors"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+)
+
+var fitting = `Name = "derby-1"
+Place = "derby"
+[Peers]
+Secret = "0123456789abcdef"
+[Operators]
+KeyHash = "` + declarer.HashKey("key").String() + `"
+`
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		// fields are the fields at fault, in order.
+		fields []string
+	}{
+		{
+			name: "fits",
+			text: fitting,
+		},
+		{
+			name:   "empty",
+			fields: []string{"Name", "Place", "Peers.Secret", "Operators.KeyHash"},
+		},
+		{
+			name: "unknown fields and wrong values in one run",
+			text: `Nam = "x"
+[Callers]
+Listen = "localhost:80"
+Colour = "red"
+MaxInFlight = 0
+CertificateFile = "only-one"
+` + fitting[strings.Index(fitting, "[Peers]"):],
+			fields: []string{
+				"Nam", "Callers.Colour", "Name", "Place", "Callers.Listen", "Callers", "Callers", "Callers.MaxInFlight",
+			},
+		},
+		{
+			name: "out of range",
+			text: fitting + `
+[Platform]
+Address = "somewhere"
+[Upstreams]
+ProbeMillis = 1
+[Retries]
+Ratio = 2.0
+[Drain]
+LimitMillis = 0
+[Log]
+Level = "loud"
+Form = "xml"
+`,
+			fields: []string{
+				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Log.Level", "Log.Form",
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := configurer.Read([]byte(c.text))
+			var invalid *configurer.Invalid
+			if !errors.As(err, &invalid) {
+				if err != nil || c.fields != nil {
+					t.Fatalf("got %v, want faults %v", err, c.fields)
+				}
+				return
+			}
+			var fields []string
+			for _, fault := range invalid.Faults {
+				fields = append(fields, fault.Field)
+			}
+			if !slices.Equal(fields, c.fields) {
+				t.Fatalf("got %v, want %v", fields, c.fields)
+			}
+		})
+	}
+}
+
+func TestSyntaxNamesTheLine(t *testing.T) {
+	_, err := configurer.Read([]byte("Name = \"a\"\nPlace = \n"))
+	if err == nil || !strings.Contains(err.Error(), "line 2") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestSecretsAreNotShown(t *testing.T) {
+	settings, err := configurer.Read([]byte(fitting))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if shown := settings.WithoutSecrets().Peers.Secret; strings.Contains(shown, "0123") {
+		t.Fatalf("shown: %s", shown)
+	}
+}
+
+// TestExamples asks that the settings of both deployments fit.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "*", "settings", "*.toml"))
+	if err != nil || len(files) != 23 {
+		t.Fatalf("%d files, %v", len(files), err)
+	}
+	for _, file := range files {
+		if _, err := configurer.ReadFile(file); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(fitting))
+	f.Add([]byte("[Callers]\nListen = 1\n"))
+	f.Add([]byte("Name = \"\\"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, err := configurer.Read(data)
+		if err == nil && (settings.Name == "" || len(settings.Peers.Secret) < 16) {
+			t.Fatalf("settings that do not fit were taken: %+v", settings)
+		}
+	})
+}
--- a/internal/trier/caller.go
+++ b/internal/trier/caller.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// Order makes a call again and again as long as the team's rate refuses it, which
+// proves that it has not run.
+func (c *Caller) Order(ctx context.Context, call Call) Outcome {
+	var outcome Outcome
+	Await(ctx, startLimit, func() bool {
+		outcome = c.Do(ctx, call)
+		return outcome.Verdict != arbiter.NotRun || outcome.Reason != string(arbiter.TeamOverRate)
+	})
+	return outcome
+}
+
 // Open makes a call and returns the answer, whose body the caller closes.
 func (c *Caller) Open(ctx context.Context, call Call) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Instance+call.Path, strings.NewReader(call.Body))
--- a/internal/trier/session.go
+++ b/internal/trier/session.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/operator"
@@ -199,7 +198,7 @@
 	if len(located.Entries) == 0 {
 		return errors.New("the look-up named no instance")
 	}
-	s.report("order", s.caller.Do(ctx, Call{
+	s.report("order", s.caller.Order(ctx, Call{
 		Instance: located.Entries[0].Address,
 		Method:   http.MethodPost,
 		Path:     "/orders/1",
@@ -209,17 +208,11 @@
 	return nil
 }
 
-// sayNearest tells the order of a look-up's entries. Entries in one region but the
-// caller's own take turns from look-up to look-up, so only the regions are told.
+// sayNearest tells the best entry of a look-up. Those that are equally far take
+// turns from look-up to look-up, so the others are only counted.
 func (s *Session) sayNearest(located receiver.Located) {
-	regions := make([]string, 0, len(located.Entries))
-	for _, entry := range located.Entries {
-		place, _ := s.cluster.Set.Places.Get(entry.Place)
-		regions = append(regions, place.Region)
-	}
 	if len(located.Entries) > 0 {
-		s.say("nearest: the instance in %s; the regions in order: %s",
-			located.Entries[0].Place, strings.Join(regions, ", "))
+		s.say("nearest: the instance in %s; %d more are named", located.Entries[0].Place, len(located.Entries)-1)
 	}
 }
 
@@ -254,7 +247,7 @@
 	s.report("without a key", NewCaller(s.caller.Service, "").Do(ctx, call))
 	s.report("with a wrong key", NewCaller(s.caller.Service, "guess").Do(ctx, call))
 	slow := NewCaller(s.caller.Service, KeyOf(s.slow.Name))
-	outcome := s.until(ctx, slow, call, func(outcome Outcome) bool { return outcome.Status == http.StatusTooManyRequests })
+	outcome := s.until(ctx, slow, call, func(outcome Outcome) bool { return outcome.Reason != "" })
 	s.report("over the rate", outcome)
 	return nil
 }
@@ -279,7 +272,7 @@
 	s.setFaults(upstreamer.Faults{
 		DropAfter: true,
 	})
-	s.report("order", s.caller.Do(ctx, Call{
+	s.report("order", s.caller.Order(ctx, Call{
 		Instance: s.cluster.Instances[0].CallerAddress(),
 		Method:   http.MethodPost,
 		Path:     "/orders/3",
@@ -314,7 +307,7 @@
 	}
 	idle := Await(ctx, leaveLimit, func() bool { return s.health(ctx, near, "Leaving") })
 	s.say("no new work within %s: %t", leaveLimit, idle)
-	outcome := s.caller.Do(ctx, Call{
+	outcome := s.caller.Order(ctx, Call{
 		Instance: s.cluster.Instances[0].CallerAddress(),
 		Method:   http.MethodPost,
 		Path:     "/orders/4",
