--- /dev/null
+++ b/internal/server/tls_test.go
@@ -0,0 +1,193 @@
+package server_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/internal/operator"
+	"github.com/hemlockport/hemlockport/internal/server"
+	"github.com/hemlockport/hemlockport/internal/standin/platformer"
+	"github.com/hemlockport/hemlockport/internal/trier"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+)
+
+const (
+	operatorKey = "the-operators-key"
+	patience    = 20 * time.Second
+)
+
+// certificate writes a self-signed certificate for the loopback address.
+func certificate(t *testing.T) (certificateFile, keyFile string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	signed, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	certificateFile = filepath.Join(folder, "certificate.pem")
+	keyFile = filepath.Join(folder, "key.pem")
+	write(t, certificateFile, "CERTIFICATE", signed)
+	write(t, keyFile, "PRIVATE KEY", private)
+	return certificateFile, keyFile
+}
+
+func write(t *testing.T, name, kind string, data []byte) {
+	t.Helper()
+	block := &pem.Block{
+		Type:  kind,
+		Bytes: data,
+	}
+	if err := os.WriteFile(name, pem.EncodeToMemory(block), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func serve(t *testing.T, group *errgroup.Group, ctx context.Context, settings configurer.Settings) *server.Server {
+	t.Helper()
+	instance, err := server.New(settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	group.Go(func() error { return instance.Run(ctx) })
+	return instance
+}
+
+// TestTLS runs two instances whose callers' and peers' listeners have
+// certificates. They link with each other, and callers need TLS.
+func TestTLS(t *testing.T) {
+	certificateFile, keyFile := certificate(t)
+	platform := httptest.NewServer(platformer.New(keeper.New()))
+	t.Cleanup(platform.Close)
+	settings := configurer.Defaults()
+	settings.Place = "derby"
+	settings.Callers.Listen = "127.0.0.1:0"
+	settings.Callers.CertificateFile = certificateFile
+	settings.Callers.KeyFile = keyFile
+	settings.Peers.Listen = "127.0.0.1:0"
+	settings.Peers.Secret = "0123456789abcdef"
+	settings.Peers.CertificateFile = certificateFile
+	settings.Peers.KeyFile = keyFile
+	settings.Peers.AuthorityFile = certificateFile
+	settings.Operators.Listen = "127.0.0.1:0"
+	settings.Operators.KeyHash = declarer.HashKey(operatorKey).String()
+	settings.Platform.Address = platform.URL
+	settings.Drain.GraceMillis = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	settings.Name = "first"
+	first := serve(t, group, ctx, settings)
+	settings.Name = "second"
+	serve(t, group, ctx, settings)
+	client := operator.New(first.OperatorAddress(), operatorKey)
+	_, err := client.Change(ctx, publisher.Change{
+		Document: declarer.Document{
+			Place: []declarer.Place{
+				{
+					Name:   "derby",
+					Region: "east",
+					Seats:  2,
+				},
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	linked := trier.Await(ctx, patience, func() bool {
+		status, err := client.Status(ctx)
+		return err == nil && len(status.Peers) == 1 && status.Peers[0].Linked
+	})
+	if !linked {
+		t.Fatal("the instances did not link")
+	}
+	askCallers(t, certificateFile, first.CallerAddress())
+}
+
+func askCallers(t *testing.T, certificateFile, address string) {
+	t.Helper()
+	trusted, err := os.ReadFile(certificateFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(trusted)
+	secured := &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: &tls.Config{
+				RootCAs: pool,
+			},
+		},
+	}
+	cases := []struct {
+		name   string
+		client *http.Client
+		scheme string
+		status int
+	}{
+		{
+			name:   "with TLS",
+			client: secured,
+			scheme: "https",
+			status: http.StatusNotFound,
+		},
+		{
+			name:   "without TLS",
+			client: http.DefaultClient,
+			scheme: "http",
+			status: http.StatusBadRequest,
+		},
+	}
+	for _, c := range cases {
+		response, err := c.client.Get(c.scheme + "://" + address + "/")
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, response.StatusCode, c.status)
+		}
+	}
+}
