Keep client blocks in 4 bytes a range, made once for each revision

Cause: a table of 4 million scattered blocks held 50,045,024 bytes, over the 48 MB of the target, and was made anew at each change of membership. Excluded: joining neighbours (done already; the dearest case has none), a hash of /24 blocks (it can't hold other lengths). Change: IPv4 ranges are cut into pages of 65,536 addresses and keep the lower half of their start only; look-ups share one table for each revision.

--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -56,11 +56,17 @@
 	if bundle.Head.Revision == 0 {
 		return
 	}
+	set := bundle.Document.Set()
+	if s.blocks == nil || s.blocksRevision != bundle.Head.Revision {
+		s.blocks = locator.DeclaredBlocks(set)
+		s.blocksRevision = bundle.Head.Revision
+	}
 	s.generation++
 	s.locators.Advance(*locator.New(locator.Source{
 		Generation:  s.generation,
 		Revision:    bundle.Head.Revision,
-		Set:         bundle.Document.Set(),
+		Set:         set,
+		Blocks:      s.blocks,
 		Members:     s.present(),
 		Home:        s.settings.Place,
 		ValidMillis: s.settings.Lookups.ValidMillis,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,9 +82,13 @@
 	// the Unix epoch, or 0 while it answers.
 	storeLostNanos atomic.Int64
 
-	// locating orders the writers of locators. No request takes it.
+	// locating orders the writers of locators and guards what they are made from.
+	// No request takes it.
 	locating   sync.Mutex
 	generation uint64
+	// blocks are the client blocks of blocksRevision.
+	blocks         *locator.Blocks
+	blocksRevision uint64
 
 	// work is the life of all tasks; halt ends it.
 	work context.Context
--- a/pkg/query/locator/blocks.go
+++ b/pkg/query/locator/blocks.go
@@ -19,7 +19,7 @@
 // Blocks maps client addresses to the site of the longest prefix that holds
 // them. It is immutable. IPv6 addresses count by their upper 64 bits.
 type Blocks struct {
-	four ranges[uint32]
+	four paged
 	six  ranges[uint64]
 }
 
@@ -45,7 +45,7 @@
 		}
 	}
 	return &Blocks{
-		four: flatten(four),
+		four: newPaged(flatten(four)),
 		six:  flatten(six),
 	}
 }
@@ -66,7 +66,7 @@
 
 // Len returns how many ranges the table holds.
 func (b *Blocks) Len() int {
-	return len(b.four.starts) + len(b.six.starts)
+	return len(b.four.lows) + len(b.six.starts)
 }
 
 func (r ranges[N]) find(number N) uint16 {
@@ -129,9 +129,10 @@
 		open = append(open, next)
 	}
 	out.closeAll(open)
-	out.starts = slices.Clip(out.starts)
-	out.sites = slices.Clip(out.sites)
-	return out
+	return ranges[N]{
+		starts: slices.Clone(out.starts),
+		sites:  slices.Clone(out.sites),
+	}
 }
 
 // close ends the open spans that lie wholly below a number.
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -83,6 +83,9 @@
 	Revision uint64
 	// Set is the declaration in force.
 	Set declarer.Set
+	// Blocks are the client blocks of the set, from DeclaredBlocks. They are made
+	// once for each revision, because they may be millions.
+	Blocks *Blocks
 	// Members are the instances that may be named: present, and not leaving.
 	Members []registrar.Member
 	// Home is the place that answers for clients of no declared block.
@@ -99,7 +102,7 @@
 		revision:   source.Revision,
 		valid:      time.Duration(source.ValidMillis) * time.Millisecond,
 		services:   map[string]bool{},
-		blocks:     NewBlocks(declaredBlocks(places)),
+		blocks:     source.Blocks,
 	}
 	for service := range source.Set.Services.All() {
 		locator.services[service.Name] = true
@@ -141,9 +144,11 @@
 	return answer, true
 }
 
-func declaredBlocks(places []declarer.Place) []Block {
+// DeclaredBlocks returns the table of the client blocks that a set declares. A
+// site's number is its place's, in the order of names.
+func DeclaredBlocks(set declarer.Set) *Blocks {
 	var blocks []Block
-	for i, place := range places {
+	for i, place := range set.Places.Rows() {
 		for _, text := range place.ClientBlocks {
 			prefix, err := netip.ParsePrefix(text)
 			if err != nil {
@@ -155,7 +160,7 @@
 			})
 		}
 	}
-	return blocks
+	return NewBlocks(blocks)
 }
 
 // newSite prepares the orders as seen from a place: own place first, then own
--- a/pkg/query/locator/locator_test.go
+++ b/pkg/query/locator/locator_test.go
@@ -179,6 +179,7 @@
 		Generation:  1,
 		Revision:    7,
 		Set:         set,
+		Blocks:      locator.DeclaredBlocks(set),
 		Members:     members,
 		Home:        "worcester",
 		ValidMillis: 5000,
