--- a/pkg/query/locator/locator_test.go
+++ b/pkg/query/locator/locator_test.go
@@ -235,7 +235,7 @@
 			if !found || names(answer.Entries) != c.entries {
 				t.Fatalf("got %q, want %q", names(answer.Entries), c.entries)
 			}
-			if !answer.ValidUntil.Equal(now.Add(5 * time.Second)) || answer.Revision != 7 {
+			if !answer.ValidUntil.Equal(now.Add(5*time.Second)) || answer.Revision != 7 {
 				t.Fatalf("got %+v", answer)
 			}
 		})
