Weigh ways to share a team's limit: split, parts, units

Cause: with a static even split, a team at 90% of its rate whose callers come to two of twelve instances is refused most of its requests. Change: a bucket whose limit can change in place, accounts that lend, a desk that lets requests wait and asks for them, and the schedules.

--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -111,7 +111,8 @@
 	case before.Limit() == part:
 		return before
 	default:
-		return before.Succeed(part, now)
+		before.SetLimit(part, time.Time{}, now)
+		return before
 	}
 }
 
--- a/pkg/command/limiter/bucket.go
+++ b/pkg/command/limiter/bucket.go
@@ -4,72 +4,108 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// retired marks a bucket that a successor has replaced.
+// retired marks a window that another has replaced.
 const retired = math.MinInt64
 
-// Bucket admits requests by the generic cell rate algorithm (ITU-T I.371).
+// Bucket admits requests by the generic cell rate algorithm (ITU-T I.371). Its
+// limit can change while requests are being admitted.
 //
-// Invariant: over any interval of length t it admits at most
-// RatePerSecond·t + Burst requests, together with all its successors as long as
-// the limit is the same.
+// Invariant: while the limit stays, over any interval of length t it admits at
+// most RatePerSecond·t + Burst requests. What it has in stock never exceeds
+// Burst, and a change of limit adds nothing to it.
 type Bucket struct {
+	current atomic.Pointer[window]
+	// changing orders the changes of limit and stock. No request takes it.
+	changing sync.Mutex
+}
+
+// window is the bucket under one limit.
+type window struct {
 	limit Limit
+	// until is the instant from which the window admits nothing, because a part of
+	// its limit was borrowed; zero means none.
+	until time.Time
 	// origin is the start of the time scale. Instants are measured from it by the
 	// monotonic clock, so that a jump of the wall clock admits nothing.
 	origin time.Time
 	// arrival is the theoretical arrival time of the next request, in nanoseconds
 	// after origin, or retired.
 	arrival atomic.Int64
-	// successor is set before the bucket is retired.
-	successor atomic.Pointer[Bucket]
 }
 
 // NewBucket returns an empty bucket: it admits the first request after one
 // interval of its rate. An instance that starts cannot know what its
 // predecessor has used, so a bucket never starts full.
 func NewBucket(limit Limit, now time.Time) *Bucket {
-	bucket := &Bucket{
+	bucket := &Bucket{}
+	bucket.current.Store(newWindow(limit, time.Time{}, now))
+	return bucket
+}
+
+func newWindow(limit Limit, until, now time.Time) *window {
+	w := &window{
 		limit:  limit,
+		until:  until,
 		origin: now,
 	}
 	if !limit.IsZero() {
-		bucket.arrival.Store(limit.tolerance())
+		w.arrival.Store(limit.tolerance())
 	}
-	return bucket
+	return w
 }
 
-// Limit returns the limit of the bucket.
+// Limit returns the limit in force.
 func (b *Bucket) Limit() Limit {
-	return b.limit
+	return b.current.Load().limit
 }
 
 // Take admits one request or says when the next may be admitted. The zero time
-// says never.
+// says that it is not known.
 func (b *Bucket) Take(now time.Time) (time.Time, bool) {
-	if next := b.successor.Load(); next != nil {
-		return next.Take(now)
+	for {
+		retryAt, outcome := b.current.Load().take(now)
+		switch outcome {
+		case taken:
+			return time.Time{}, true
+		case empty:
+			return retryAt, false
+		}
+		// The window was replaced, and its successor is in place already.
 	}
-	if b.limit.IsZero() {
-		return time.Time{}, false
+}
+
+// outcome is what came of one try to take from a window.
+type outcome int
+
+const (
+	taken outcome = iota
+	empty
+	replaced
+)
+
+func (w *window) take(now time.Time) (time.Time, outcome) {
+	if w.limit.IsZero() || (!w.until.IsZero() && !now.Before(w.until)) {
+		return time.Time{}, empty
 	}
-	interval := b.limit.interval()
-	tolerance := b.limit.tolerance()
-	at := now.Sub(b.origin).Nanoseconds()
+	interval := w.limit.interval()
+	tolerance := w.limit.tolerance()
+	at := now.Sub(w.origin).Nanoseconds()
 	for {
-		arrival := b.arrival.Load()
+		arrival := w.arrival.Load()
 		if arrival == retired {
-			return b.successor.Load().Take(now)
+			return time.Time{}, replaced
 		}
 		following := max(arrival, at) + interval
 		if wait := following - at - tolerance; wait > 0 {
-			return now.Add(time.Duration(wait)), false
+			return now.Add(time.Duration(wait)), empty
 		}
-		if b.arrival.CompareAndSwap(arrival, following) {
-			return time.Time{}, true
+		if w.arrival.CompareAndSwap(arrival, following) {
+			return time.Time{}, taken
 		}
 	}
 }
@@ -77,55 +113,96 @@
 // Refund gives back the last request taken, which must be proved not to have
 // run.
 func (b *Bucket) Refund() {
-	if next := b.successor.Load(); next != nil {
-		next.Refund()
-		return
+	for !b.current.Load().add(1) {
+		// The window was replaced, and its successor is in place already.
 	}
-	if b.limit.IsZero() {
-		return
-	}
-	interval := b.limit.interval()
-	for {
-		arrival := b.arrival.Load()
-		if arrival == retired {
-			b.successor.Load().Refund()
-			return
-		}
-		if b.arrival.CompareAndSwap(arrival, arrival-interval) {
-			return
+}
+
+// SetLimit changes the limit. What the bucket has in stock is carried over, up to
+// the new burst. From until on, unless that is zero, the bucket admits nothing
+// until the next change.
+func (b *Bucket) SetLimit(limit Limit, until, now time.Time) {
+	b.changing.Lock()
+	defer b.changing.Unlock()
+	before := b.current.Load()
+	next := newWindow(limit, until, now)
+	b.current.Store(next)
+	next.add(min(before.retire(now), float64(limit.Burst)))
+}
+
+// Draw takes up to that many whole requests out of the stock and returns how
+// many.
+func (b *Bucket) Draw(most int, now time.Time) int {
+	drawn := 0
+	for drawn < most {
+		if _, outcome := b.current.Load().take(now); outcome != taken {
+			break
 		}
+		drawn++
+	}
+	return drawn
+}
+
+// Deposit adds requests to the stock. It never exceeds the burst.
+func (b *Bucket) Deposit(requests int, now time.Time) {
+	b.changing.Lock()
+	defer b.changing.Unlock()
+	w := b.current.Load()
+	room := float64(w.limit.Burst) - w.stock(now)
+	w.add(min(float64(requests), max(room, 0)))
+}
+
+// Next returns the instant at which a request would be admitted, or zero if it is
+// not known.
+func (b *Bucket) Next(now time.Time) time.Time {
+	w := b.current.Load()
+	if w.limit.IsZero() {
+		return time.Time{}
+	}
+	missing := 1 - w.stock(now)
+	if missing <= 0 {
+		return now
 	}
+	return now.Add(time.Duration(missing * float64(w.limit.interval())))
 }
 
-// Succeed replaces the bucket by one with another limit and returns that. What
-// the bucket had left is carried over, up to the new burst. Requests that still
-// hold the old bucket are passed on. Called by one goroutine at a time.
-func (b *Bucket) Succeed(limit Limit, now time.Time) *Bucket {
-	next := NewBucket(limit, now)
-	b.successor.Store(next)
-	left := b.retire(now)
-	next.credit(left)
-	return next
+// Stock returns how many requests the bucket would admit at once.
+func (b *Bucket) Stock(now time.Time) float64 {
+	return b.current.Load().stock(now)
 }
 
-// retire ends the bucket and returns how many requests it would still have
-// admitted at once.
-func (b *Bucket) retire(now time.Time) float64 {
-	arrival := b.arrival.Swap(retired)
-	if b.limit.IsZero() {
+func (w *window) stock(now time.Time) float64 {
+	return w.stockAt(w.arrival.Load(), now)
+}
+
+func (w *window) stockAt(arrival int64, now time.Time) float64 {
+	if w.limit.IsZero() || arrival == retired {
 		return 0
 	}
-	at := now.Sub(b.origin).Nanoseconds()
-	ahead := max(arrival-at, 0)
-	left := float64(b.limit.tolerance()-ahead) / float64(b.limit.interval())
-	return min(max(left, 0), float64(b.limit.Burst))
+	ahead := max(arrival-now.Sub(w.origin).Nanoseconds(), 0)
+	left := float64(w.limit.tolerance()-ahead) / float64(w.limit.interval())
+	return min(max(left, 0), float64(w.limit.Burst))
 }
 
-// credit lets an empty bucket admit that many requests at once, up to its burst.
-func (b *Bucket) credit(requests float64) {
-	if b.limit.IsZero() {
-		return
+// retire ends a window and returns what it had in stock.
+func (w *window) retire(now time.Time) float64 {
+	return w.stockAt(w.arrival.Swap(retired), now)
+}
+
+// add puts requests, which may be fractions, into the stock. It returns false if
+// the window was replaced.
+func (w *window) add(requests float64) bool {
+	if w.limit.IsZero() {
+		return w.arrival.Load() != retired
+	}
+	nanoseconds := int64(requests * float64(w.limit.interval()))
+	for {
+		arrival := w.arrival.Load()
+		if arrival == retired {
+			return false
+		}
+		if w.arrival.CompareAndSwap(arrival, arrival-nanoseconds) {
+			return true
+		}
 	}
-	requests = math.Floor(min(requests, float64(b.limit.Burst)))
-	b.arrival.Add(-int64(requests) * b.limit.interval())
 }
--- a/pkg/command/limiter/limit.go
+++ b/pkg/command/limiter/limit.go
@@ -49,3 +49,40 @@
 	}
 	return interval * int64(l.Burst)
 }
+
+// Plus returns the sum of two limits.
+func (l Limit) Plus(other Limit) Limit {
+	return Limit{
+		RatePerSecond: l.RatePerSecond + other.RatePerSecond,
+		Burst:         l.Burst + other.Burst,
+	}
+}
+
+// Minus returns what is left after another limit is taken away. It is never
+// below zero.
+func (l Limit) Minus(other Limit) Limit {
+	return Limit{
+		RatePerSecond: max(l.RatePerSecond-other.RatePerSecond, 0),
+		Burst:         max(l.Burst-other.Burst, 0),
+	}
+}
+
+// Least returns the lower of both rates and of both bursts.
+func (l Limit) Least(other Limit) Limit {
+	return Limit{
+		RatePerSecond: min(l.RatePerSecond, other.RatePerSecond),
+		Burst:         min(l.Burst, other.Burst),
+	}
+}
+
+// Units returns a limit with room for that many requests and no rate.
+func (l Limit) Units(requests int) Limit {
+	return Limit{
+		Burst: requests,
+	}
+}
+
+// Count returns how many requests the limit has room for.
+func (l Limit) Count() int {
+	return l.Burst
+}
--- /dev/null
+++ b/pkg/command/sharer/fleet_test.go
@@ -0,0 +1,396 @@
+package sharer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
+	"github.com/hemlockport/hemlockport/pkg/query/splitter"
+)
+
+const (
+	// seats are the entry instances of these tests, two in each of six failure
+	// domains, two of which make a region.
+	seats = 12
+	// tickEvery is the time between two looks at the demand.
+	tickEvery = 100 * time.Millisecond
+	// moveEvery is how often the place of the skewed callers changes.
+	moveEvery = 30 * time.Second
+	// hotShare is the part of the requests that two instances get.
+	hotShare = 0.8
+)
+
+// way is one way to share a limit.
+type way struct {
+	name string
+	// units and parts say what is lent.
+	units bool
+	parts bool
+	// perHolder is the least burst of one holder.
+	perHolder int
+	// wait is how long a request waits for its team's rate at most.
+	wait time.Duration
+}
+
+// faults are what goes wrong in a schedule.
+type faults struct {
+	// lose and double are the fractions of messages that are lost and doubled.
+	lose   float64
+	double float64
+	// pauses stops instances for up to seconds; restarts replaces them.
+	pauses   bool
+	restarts bool
+}
+
+// event is something that happens at a true instant.
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type queue []event
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// instance is one entry instance of a schedule.
+type instance struct {
+	number int
+	clock  float64
+	desk   *sharer.Desk
+	part   limiter.Limit
+	// pumping says that a pump is planned.
+	pumping bool
+	// pausedUntil is the true instant until which it does nothing.
+	pausedUntil time.Duration
+	// generation tells its starts apart.
+	generation int
+}
+
+// fleet plays one schedule in virtual time.
+type fleet struct {
+	random  *rand.Rand
+	way     way
+	faults  faults
+	whole   limiter.Limit
+	start   time.Time
+	now     time.Duration
+	events  queue
+	nodes   [seats]*instance
+	central *limiter.Bucket
+	// admitted holds the true instants of admission.
+	admitted []time.Duration
+	// rightful counts the requests that one bucket for all would admit, and refused
+	// those of them that were refused; messages counts what was sent.
+	rightful int
+	refused  int
+	messages int
+	waits    []time.Duration
+}
+
+func newFleet(seed uint64, how way, wrong faults, whole limiter.Limit) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 6)),
+		way:    how,
+		faults: wrong,
+		whole:  whole,
+		start:  time.Now(),
+	}
+	f.central = limiter.NewBucket(whole, f.start)
+	for number := range seats {
+		f.nodes[number] = &instance{
+			number: number,
+			clock:  1 + 200e-6*(2*f.random.Float64()-1),
+			part:   splitter.Part(whole, "team", splitter.Seat{Index: number, Of: seats}.Spread(how.perHolder)),
+		}
+		f.after(time.Duration(f.random.Int64N(int64(tickEvery))), func() { f.tick(number) })
+	}
+	for _, node := range f.nodes {
+		f.begin(node)
+	}
+	return f
+}
+
+// begin starts an instance with an empty bucket.
+func (f *fleet) begin(node *instance) {
+	node.generation++
+	node.pumping = false
+	node.desk = sharer.NewDesk("team", f.name(node), f.local(node))
+	node.desk.Account.SetOwned(node.part, f.local(node))
+	node.desk.Account.Confirm(f.local(node))
+	var holders []string
+	if f.way.units || f.way.parts {
+		for _, other := range f.holders(node) {
+			holders = append(holders, strconv.Itoa(other.number))
+		}
+	}
+	node.desk.SetWhole(f.whole, holders)
+}
+
+func (f *fleet) name(node *instance) string {
+	return fmt.Sprintf("%d/%d", node.number, node.generation)
+}
+
+func (f *fleet) local(node *instance) time.Time {
+	return f.start.Add(time.Duration(float64(f.now) * node.clock))
+}
+
+func (f *fleet) after(wait time.Duration, run func()) {
+	heap.Push(&f.events, event{
+		at:  f.now + wait,
+		run: run,
+	})
+}
+
+// play runs the schedule to its end.
+func (f *fleet) play(length time.Duration, load float64) {
+	f.arrive(length, load)
+	if f.faults.pauses || f.faults.restarts {
+		f.disturb()
+	}
+	for f.events.Len() > 0 && f.now < length {
+		next := heap.Pop(&f.events).(event)
+		f.now = next.at
+		next.run()
+	}
+}
+
+// arrive brings one request and plans the next.
+func (f *fleet) arrive(length time.Duration, load float64) {
+	gap := f.random.ExpFloat64() / (f.whole.RatePerSecond * load)
+	f.after(time.Duration(gap*float64(time.Second)), func() {
+		f.request(f.nodes[f.target()])
+		f.arrive(length, load)
+	})
+}
+
+// target chooses the instance of a request: mostly one of two, which change.
+func (f *fleet) target() int {
+	hot := int(f.now/moveEvery) * 5 % seats
+	if f.random.Float64() < hotShare {
+		return (hot + f.random.IntN(2)) % seats
+	}
+	return f.random.IntN(seats)
+}
+
+func (f *fleet) request(node *instance) {
+	_, rightful := f.central.Take(f.start.Add(f.now))
+	if rightful {
+		f.rightful++
+	}
+	if f.now < node.pausedUntil {
+		// A paused instance takes no request; this one goes to the next.
+		node = f.nodes[(node.number+1)%seats]
+	}
+	if _, ok := node.desk.Take(f.local(node)); ok {
+		f.admit(0)
+		return
+	}
+	if f.way.wait == 0 {
+		f.refuse(rightful)
+		return
+	}
+	since := f.now
+	joined := node.desk.Join(f.local(node).Add(f.way.wait), func(admitted bool) {
+		if admitted {
+			f.admit(f.now - since)
+		} else {
+			f.refuse(rightful)
+		}
+	})
+	if !joined {
+		f.refuse(rightful)
+		return
+	}
+	f.pump(node)
+}
+
+// pump serves those who wait at an instance and plans the next pump.
+func (f *fleet) pump(node *instance) {
+	if f.now < node.pausedUntil {
+		f.pumpLater(node, node.pausedUntil-f.now)
+		return
+	}
+	now := f.local(node)
+	asks, next := node.desk.Pump(now)
+	if f.way.units {
+		f.sendAsks(node, asks)
+	}
+	if !next.IsZero() {
+		f.pumpLater(node, max(next.Sub(now), 100*time.Microsecond))
+	}
+}
+
+func (f *fleet) pumpLater(node *instance, wait time.Duration) {
+	if node.pumping {
+		return
+	}
+	node.pumping = true
+	generation := node.generation
+	f.after(wait, func() {
+		if node.generation == generation {
+			node.pumping = false
+			f.pump(node)
+		}
+	})
+}
+
+func (f *fleet) admit(wait time.Duration) {
+	f.admitted = append(f.admitted, f.now)
+	f.waits = append(f.waits, wait)
+}
+
+func (f *fleet) refuse(rightful bool) {
+	if rightful {
+		f.refused++
+	}
+}
+
+// holders returns the instances that own a part, the nearest first.
+func (f *fleet) holders(node *instance) []*instance {
+	var near, far []*instance
+	for _, other := range f.nodes {
+		switch {
+		case other == node || other.part.Burst == 0:
+		case other.number/4 == node.number/4:
+			near = append(near, other)
+		default:
+			far = append(far, other)
+		}
+	}
+	f.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	f.random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
+// askLimit is how long an answer is waited for.
+const askLimit = 150 * time.Millisecond
+
+// sendAsks sends asks and takes in their answers, or their want.
+func (f *fleet) sendAsks(node *instance, asks []sharer.Directed) {
+	generation := node.generation
+	for _, directed := range asks {
+		number, _ := strconv.Atoi(directed.Holder)
+		lender := f.nodes[number]
+		f.send(node, lender, func() {
+			grant := lender.desk.Lend(directed.Ask, f.local(lender))
+			f.send(lender, node, func() { f.receive(node, lender, grant) })
+		})
+		f.after(askLimit, func() {
+			if node.generation == generation {
+				node.desk.Miss(directed.Ask.Serial.Number, f.local(node))
+			}
+		})
+	}
+}
+
+func (f *fleet) receive(node, lender *instance, grant sharer.Grant[limiter.Limit]) {
+	settlement := node.desk.Receive(grant, f.local(node))
+	if settlement != nil {
+		f.send(node, lender, func() {
+			lender.desk.Account.Settle(settlement.Serial, settlement.Unused, f.local(lender))
+		})
+	}
+	f.pump(node)
+}
+
+// send delivers a message after the way's latency, unless it is lost. A message
+// to a paused instance waits for the end of the pause.
+func (f *fleet) send(from, to *instance, deliver func()) {
+	copies := 1
+	switch draw := f.random.Float64(); {
+	case draw < f.faults.lose:
+		copies = 0
+	case draw < f.faults.lose+f.faults.double:
+		copies = 2
+	}
+	for range copies {
+		f.messages++
+		wait := f.latency(from, to)
+		generation := to.generation
+		f.after(max(wait, to.pausedUntil-f.now), func() {
+			if to.generation == generation {
+				deliver()
+			}
+		})
+	}
+}
+
+func (f *fleet) latency(from, to *instance) time.Duration {
+	jitter := time.Duration(f.random.Int64N(int64(time.Millisecond)))
+	switch {
+	case from.number/2 == to.number/2:
+		return jitter / 4
+	case from.number/4 == to.number/4:
+		return time.Millisecond + jitter
+	default:
+		return 55*time.Millisecond + jitter
+	}
+}
+
+// tick lets an instance look at its demand and borrow ahead.
+func (f *fleet) tick(number int) {
+	node := f.nodes[number]
+	f.after(tickEvery, func() { f.tick(number) })
+	if f.now < node.pausedUntil {
+		return
+	}
+	asks := node.desk.Tick(f.local(node))
+	if f.way.parts {
+		f.sendAsks(node, asks)
+	}
+}
+
+// disturb pauses or restarts an instance now and then. One that restarts waits
+// until what it has lent has ended.
+func (f *fleet) disturb() {
+	f.after(time.Duration(f.random.ExpFloat64()*float64(5*time.Second)), func() {
+		node := f.nodes[f.random.IntN(seats)]
+		if f.faults.pauses && f.random.IntN(2) == 0 {
+			node.pausedUntil = f.now + time.Duration(f.random.Int64N(int64(6*time.Second)))
+		} else if f.faults.restarts {
+			f.restart(node)
+		}
+		f.disturb()
+	})
+}
+
+// quarantine is how long a part is left alone after its holder has died.
+const quarantine = sharer.PartTerm + sharer.PartTerm/100
+
+func (f *fleet) restart(node *instance) {
+	node.generation++
+	node.pausedUntil = f.now + quarantine
+	generation := node.generation
+	node.desk = sharer.NewDesk("team", f.name(node), f.local(node))
+	f.after(quarantine, func() {
+		if node.generation == generation {
+			f.begin(node)
+		}
+	})
+}
+
+// excess says by how many requests some interval exceeds rate·t + burst, by one
+// pass of a bucket for all that is filled at the start.
+func (f *fleet) excess() float64 {
+	worst, level := 0.0, float64(f.whole.Burst)
+	last := time.Duration(0)
+	for _, at := range f.admitted {
+		level = min(level+f.whole.RatePerSecond*(at-last).Seconds(), float64(f.whole.Burst))
+		last = at
+		level--
+		worst = max(worst, -level)
+	}
+	return worst
+}
--- /dev/null
+++ b/pkg/command/sharer/ways_test.go
@@ -0,0 +1,117 @@
+package sharer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+)
+
+// ways are the ways that were weighed; the first is the simplest.
+var ways = []way{
+	{
+		name:      "static even split",
+		perHolder: 1,
+	},
+	{
+		name:      "static even split, waiting",
+		perHolder: 1,
+		wait:      longest,
+	},
+	{
+		name:      "units, spread",
+		units:     true,
+		perHolder: 1,
+		wait:      longest,
+	},
+	{
+		name:      "units, concentrated",
+		units:     true,
+		perHolder: 8,
+		wait:      longest,
+	},
+	{
+		name:      "units, on one",
+		units:     true,
+		perHolder: 1 << 20,
+		wait:      longest,
+	},
+	{
+		name:      "parts, spread",
+		parts:     true,
+		perHolder: 1,
+		wait:      longest,
+	},
+	{
+		name:      "units and parts, spread",
+		units:     true,
+		parts:     true,
+		perHolder: 1,
+		wait:      longest,
+	},
+	{
+		name:      "units and parts, concentrated",
+		units:     true,
+		parts:     true,
+		perHolder: 8,
+		wait:      longest,
+	},
+}
+
+// longest is how long a request waits for its team's rate at most.
+const longest = 400 * time.Millisecond
+
+var teams = []struct {
+	name  string
+	whole limiter.Limit
+}{
+	{
+		name: "5/s, burst 3",
+		whole: limiter.Limit{
+			RatePerSecond: 5,
+			Burst:         3,
+		},
+	},
+	{
+		name: "60/s, burst 24",
+		whole: limiter.Limit{
+			RatePerSecond: 60,
+			Burst:         24,
+		},
+	},
+	{
+		name: "900/s, burst 180",
+		whole: limiter.Limit{
+			RatePerSecond: 900,
+			Burst:         180,
+		},
+	},
+}
+
+// BenchmarkWays measures each way for each team at 90% of its rate with skewed
+// callers: rightful requests refused, messages a second, and the wait for
+// admission.
+func BenchmarkWays(b *testing.B) {
+	for _, team := range teams {
+		for _, how := range ways {
+			b.Run(team.name+"/"+how.name, func(b *testing.B) {
+				rightful, refused, messages := 0, 0, 0
+				var waits []time.Duration
+				const length = 120 * time.Second
+				for seed := range uint64(b.N) {
+					f := newFleet(seed, how, faults{}, team.whole)
+					f.play(length, 0.9)
+					rightful += f.rightful
+					refused += f.refused
+					messages += f.messages
+					waits = append(waits, f.waits...)
+				}
+				slices.Sort(waits)
+				b.ReportMetric(100*float64(refused)/float64(rightful), "%refused")
+				b.ReportMetric(float64(messages)/length.Seconds()/float64(b.N)/seats, "messages/s/instance")
+				b.ReportMetric(float64(waits[len(waits)*99/100].Milliseconds()), "p99-wait-ms")
+			})
+		}
+	}
+}
--- a/pkg/query/splitter/split.go
+++ b/pkg/query/splitter/split.go
@@ -18,12 +18,21 @@
 	Index int
 	// Of is the number of seats; 0 means that there is no seat, and no part.
 	Of int
+	// PerHolder is the least burst that a seat's part has, if it has any; 0 means 1.
+	PerHolder int
 }
 
-// Part returns the part of a limit that belongs to a seat. A burst smaller than
-// the number of seats goes to some of them only, as whole requests; resource
-// decides which, so that small bursts do not all fall to the same seats. The
-// rate follows the burst.
+// Spread returns the seat with another least burst. A large one concentrates
+// small limits on few seats.
+func (s Seat) Spread(perHolder int) Seat {
+	s.PerHolder = perHolder
+	return s
+}
+
+// Part returns the part of a limit that belongs to a seat. A burst too small for
+// all seats goes to some of them only, as whole requests; resource decides which,
+// so that small bursts do not all fall to the same seats. The rate follows the
+// burst.
 func Part(whole limiter.Limit, resource string, seat Seat) limiter.Limit {
 	if seat.Of <= 0 || whole.IsZero() {
 		return limiter.Limit{}
@@ -34,13 +43,15 @@
 }
 
 func partOfBurst(burst int, resource string, seat Seat) int {
-	even := burst / seat.Of
-	left := burst % seat.Of
+	holders := min(max(burst/max(seat.PerHolder, 1), 1), seat.Of)
 	turn := (seat.Index + offset(resource, seat.Of)) % seat.Of
-	if turn < left {
-		return even + 1
+	if turn >= holders {
+		return 0
+	}
+	if turn < burst%holders {
+		return burst/holders + 1
 	}
-	return even
+	return burst / holders
 }
 
 // offset turns the seats, so that each resource favours others.
