Borrow between instances while requests wait

Cause: an instance that owned no part of a small team's rate refused all of its requests (Esmaltes' slowest team: 503 NoShare at the nearest instance). Excluded: a separate connection for loans (the peers' links carry them); a ticker that pumps every desk (only those in use are pumped). Change: plans share desks; larger parts come into force once every seated instance is known to have the configuration that gives them, and, where others may have lent from them, after the longest loan; a request over its team's rate waits up to a second while its instance borrows; seats that are given back stay in the store, so that the next holder knows that they were used.

--- /dev/null
+++ b/internal/command/borrower/borrower.go
@@ -0,0 +1,167 @@
+// Package borrower carries the asks and answers of sharer desks between
+// instances.
+package borrower
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+)
+
+// The names under which peers take asks and settlements.
+const (
+	topicLend   = "Lend"
+	topicSettle = "Settle"
+)
+
+// settleLimit bounds the sending of settlements.
+const settleLimit = time.Second
+
+// Settled is the answer to settlements.
+type Settled struct {
+	Loans int
+}
+
+var (
+	asks        = encoder.CBOR[sharer.Ask]{}
+	grants      = encoder.CBOR[sharer.Grant]{}
+	settlements = encoder.CBOR[[]sharer.Settlement]{}
+	settleds    = encoder.CBOR[Settled]{}
+)
+
+// Borrower pumps the desks of the plan in force. Safe for many goroutines.
+type Borrower struct {
+	hub   *linker.Hub
+	plans *holder.Cell[admitter.Plan]
+	// wakes asks for a pump at once.
+	wakes  chan struct{}
+	asked  metrics.Counter
+	missed metrics.Counter
+	lent   metrics.Counter
+}
+
+// New returns a borrower and lets peers borrow from this instance.
+func New(hub *linker.Hub, plans *holder.Cell[admitter.Plan], registry metrics.Registry) *Borrower {
+	borrower := &Borrower{
+		hub:    hub,
+		plans:  plans,
+		wakes:  make(chan struct{}, 1),
+		asked:  metrics.GetOrRegisterCounter("hemlockport_share_asks_total", registry),
+		missed: metrics.GetOrRegisterCounter("hemlockport_share_asks_missed_total", registry),
+		lent:   metrics.GetOrRegisterCounter("hemlockport_share_units_lent_total", registry),
+	}
+	lend := handler.CommandFunc[sharer.Ask, sharer.Grant](borrower.lend)
+	settle := handler.CommandFunc[[]sharer.Settlement, Settled](borrower.settle)
+	linker.HandleCommand(hub, topicLend, lend, asks, grants)
+	linker.HandleCommand(hub, topicSettle, settle, settlements, settleds)
+	return borrower
+}
+
+// Run pumps the desks that are in use until ctx ends.
+func (b *Borrower) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sharer.PumpEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-b.wakes:
+		}
+		for _, desk := range b.plans.Load().Desks() {
+			if desk.InUse() {
+				b.do(ctx, desk, desk.Pump(time.Now()))
+			}
+		}
+	}
+}
+
+// Wake pumps the desks at once.
+func (b *Borrower) Wake() {
+	select {
+	case b.wakes <- struct{}{}:
+	default:
+		// A pump is asked for already.
+	}
+}
+
+// do sends what a desk wants sent.
+func (b *Borrower) do(ctx context.Context, desk *sharer.Desk, work sharer.Work) {
+	for _, directed := range work.Asks {
+		b.hub.Go(func() { b.ask(ctx, desk, directed) })
+	}
+	b.sendSettlements(ctx, work.Settlements)
+}
+
+func (b *Borrower) ask(ctx context.Context, desk *sharer.Desk, directed sharer.Directed) {
+	b.asked.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, sharer.AnswerLimit)
+	defer cancel()
+	grant, err := linker.Ask(ctx, b.hub, directed.Holder, topicLend, directed.Ask, asks, grants)
+	if err != nil {
+		b.missed.Inc(1)
+		desk.Miss(directed.Ask.Serial.Number, time.Now())
+		return
+	}
+	b.sendSettlements(ctx, desk.Receive(directed.Holder, grant, time.Now()))
+	b.Wake()
+}
+
+// sendSettlements sends each lender its settlements in one message. One that is
+// lost costs the lender the room until the loan's end.
+func (b *Borrower) sendSettlements(ctx context.Context, all []sharer.Settlement) {
+	byHolder := map[string][]sharer.Settlement{}
+	for _, settlement := range all {
+		byHolder[settlement.Holder] = append(byHolder[settlement.Holder], settlement)
+	}
+	ctx = context.WithoutCancel(ctx)
+	for lender, theirs := range byHolder {
+		b.hub.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, settleLimit)
+			defer cancel()
+			_, _ = linker.Ask(ctx, b.hub, lender, topicSettle, theirs, settlements, settleds)
+		})
+	}
+}
+
+// lend answers a peer's ask, when its turn comes.
+func (b *Borrower) lend(ctx context.Context, ask sharer.Ask) (sharer.Grant, error) {
+	nothing := sharer.Grant{
+		Serial: ask.Serial,
+	}
+	desk, found := b.plans.Load().Desk(ask.Resource)
+	if !found {
+		return nothing, nil
+	}
+	answer := make(chan sharer.Grant, 1)
+	desk.Lend(ask, time.Now(), func(grant sharer.Grant) { answer <- grant })
+	b.Wake()
+	select {
+	case grant := <-answer:
+		b.lent.Inc(int64(grant.Units))
+		return grant, nil
+	case <-ctx.Done():
+		return nothing, ctx.Err()
+	}
+}
+
+func (b *Borrower) settle(_ context.Context, theirs []sharer.Settlement) (Settled, error) {
+	now := time.Now()
+	for _, settlement := range theirs {
+		if desk, found := b.plans.Load().Desk(settlement.Resource); found {
+			desk.Account.Settle(settlement.Serial, settlement.Unused, now)
+		}
+	}
+	b.Wake()
+	return Settled{
+		Loans: len(theirs),
+	}, nil
+}
--- a/internal/receiver/hop_test.go
+++ b/internal/receiver/hop_test.go
@@ -44,7 +44,9 @@
 		Of:    1,
 	}
 	set := serviceSet(addresses)
-	plans.Advance(*admitter.First("derby").WithSeat(seat, start).WithTable(router.New(1, set), start))
+	plan := admitter.First("derby", "derby-1").WithSeat(seat, start).WithTable(router.New(1, set), start)
+	plan.Confirm(start)
+	plans.Advance(*plan)
 	send := forwarder.New()
 	t.Cleanup(send.Close)
 	receive := receiver.New(receiver.Parts{
@@ -54,6 +56,7 @@
 		Budget:    retrier.NewBudget(retrier.DefaultRatio, retrier.DefaultReserve),
 		Attempts:  retrier.DefaultAttempts,
 		Metrics:   exporter.NewRequests(metrics.NewRegistry()),
+		Waiting:   func() {},
 		Suspected: func(*admitter.Upstream, *arbiter.Refusal) {},
 	})
 	server := httptest.NewServer(receive)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -34,6 +34,8 @@
 	attempts  int
 	metrics   *exporter.Requests
 	lookups   http.Handler
+	// waiting is told of each request that waits for its team's rate.
+	waiting func()
 	// suspected is told of an upstream that has just failed.
 	suspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
 }
@@ -49,6 +51,8 @@
 	Metrics  *exporter.Requests
 	// Lookups answers PathLookup.
 	Lookups http.Handler
+	// Waiting is told of each request that waits for its team's rate.
+	Waiting func()
 	// Suspected is told of an upstream that has just failed.
 	Suspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
 }
@@ -63,6 +67,7 @@
 		attempts:  parts.Attempts,
 		metrics:   parts.Metrics,
 		lookups:   parts.Lookups,
+		waiting:   parts.Waiting,
 		suspected: parts.Suspected,
 	}
 }
@@ -104,7 +109,7 @@
 		return refusal
 	}
 	admission, refusal := r.admitter.Admit(decision)
-	if refusal != nil {
+	if refusal != nil && !r.waitForRate(request.Context(), admission, refusal, now) {
 		return refusal
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
@@ -119,7 +124,7 @@
 	}
 	ticket, added := r.flights.Add(flight, rand.Uint64())
 	if !added {
-		admission.Refund()
+		admission.Refund(time.Now())
 		return arbiter.Refuse(arbiter.InstanceFull, "too many requests in flight").WithRetryAt(now.Add(time.Second))
 	}
 	defer r.flights.Remove(ticket)
@@ -131,6 +136,32 @@
 	return r.exchange(ctx, w, request, admission)
 }
 
+// waitForRate lets a request that was refused for its team's rate wait for it, and
+// says whether it is admitted after all.
+func (r *Receiver) waitForRate(
+	ctx context.Context,
+	admission admitter.Admission,
+	refusal *arbiter.Refusal,
+	now time.Time,
+) bool {
+	if refusal.Reason != arbiter.TeamOverRate {
+		return false
+	}
+	outcome := make(chan bool, 1)
+	if !admission.Wait(now, func(admitted bool) { outcome <- admitted }) {
+		return false
+	}
+	r.waiting()
+	select {
+	case admitted := <-outcome:
+		return admitted
+	case <-ctx.Done():
+		// The caller has gone. Its turn may come all the same; what it takes is lost
+		// to the team for one interval.
+		return false
+	}
+}
+
 // exchange sends an admitted request and passes the answer on.
 func (r *Receiver) exchange(
 	ctx context.Context,
@@ -144,7 +175,7 @@
 	defer stop()
 	body, refusal := forwarder.ReadBody(request.Body, request.ContentLength)
 	if refusal != nil {
-		admission.Refund()
+		admission.Refund(time.Now())
 		return refusal
 	}
 	outbound := forwarder.NewOutbound(request, body, admission.Team(), admission.Idempotent, admission.Deadline)
@@ -233,7 +264,7 @@
 		refusal = arbiter.Doubt(arbiter.UpstreamBroken, "the request failed").WithCause(err)
 	}
 	if refusal.Verdict == arbiter.NotRun {
-		admission.Refund()
+		admission.Refund(time.Now())
 	}
 	return refusal
 }
--- a/internal/receiver/refusal.go
+++ b/internal/receiver/refusal.go
@@ -32,7 +32,6 @@
 	arbiter.KeyExposed:       http.StatusBadRequest,
 	arbiter.TeamNotAllowed:   http.StatusForbidden,
 	arbiter.TeamOverRate:     http.StatusTooManyRequests,
-	arbiter.NoShare:          http.StatusServiceUnavailable,
 	arbiter.NoRoom:           http.StatusServiceUnavailable,
 	arbiter.NotReady:         http.StatusServiceUnavailable,
 	arbiter.InstanceFull:     http.StatusServiceUnavailable,
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -57,6 +57,7 @@
 		}
 		roster := registrar.NewRoster(view.Revision, seated...)
 		s.roster.Store(&roster)
+		s.adopter.SetOthers(s.others())
 		s.linkPeers()
 		s.relocate()
 	}, s.storeFailed)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
@@ -88,6 +90,44 @@
 	return members
 }
 
+// others returns the other seated instances.
+func (s *Server) others() []registrar.Member {
+	return slices.DeleteFunc(s.roster.Load().Members(), func(member registrar.Member) bool {
+		return member.Incarnation == s.self.Incarnation
+	})
+}
+
+// confirmInterval is the time between two looks at whether larger parts of limits
+// can be put in force.
+const confirmInterval = 50 * time.Millisecond
+
+// confirmParts puts larger parts of limits in force once every seated instance has
+// the configuration that gives them, and so has given up what they take over. An
+// instance that cannot be reached holds them up until it can, or until the
+// platform has dropped it.
+func (s *Server) confirmParts(ctx context.Context) error {
+	for retrier.Sleep(ctx, confirmInterval) == nil {
+		if !s.adopter.Confirmed() && s.allHave(s.adopter.Revision()) {
+			s.adopter.Confirm(time.Now())
+		}
+	}
+	return nil
+}
+
+// allHave says whether every other seated instance has at least a revision.
+func (s *Server) allHave(revision uint64) bool {
+	have := map[string]bool{}
+	for _, peer := range s.hub.Peers() {
+		have[peer.Member.Incarnation] = peer.Beat.Revision >= revision
+	}
+	for _, other := range s.others() {
+		if !have[other.Incarnation] {
+			return false
+		}
+	}
+	return true
+}
+
 // refresh keeps the gauges and the links up to date.
 func (s *Server) refresh(ctx context.Context) error {
 	ticker := time.NewTicker(refreshInterval)
--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -16,9 +16,9 @@
 	// firstClaimMillis and longestClaimMillis space the tries to get a seat.
 	firstClaimMillis   = 100
 	longestClaimMillis = 2000
-	// confirmInterval is the time between two looks at the platform's list until it
+	// listedInterval is the time between two looks at the platform's list until it
 	// shows this instance.
-	confirmInterval = 2 * time.Second
+	listedInterval = 2 * time.Second
 )
 
 // keepSeat claims a seat as soon as the configuration has one, and sees to it
@@ -32,7 +32,7 @@
 		}
 	}
 	for {
-		if s.confirm(ctx) || retrier.Sleep(ctx, confirmInterval) != nil {
+		if s.confirm(ctx) || retrier.Sleep(ctx, listedInterval) != nil {
 			return nil
 		}
 	}
@@ -50,7 +50,7 @@
 		return
 	}
 	s.held.Store(&held)
-	s.adopter.TakeSeat(held.Member.Seat, time.Now())
+	s.adopter.TakeSeat(held.Member.Seat, held.Used, time.Now())
 	s.announce("SeatClaimed", registrar.SeatName(s.settings.Place, held.Member.Seat), "")
 }
 
@@ -87,7 +87,7 @@
 	if held == nil {
 		return
 	}
-	s.adopter.TakeSeat(-1, time.Now())
+	s.adopter.TakeSeat(-1, true, time.Now())
 	if err := s.claimer.Release(ctx, *held); err != nil {
 		s.announce("SeatNotReleased", registrar.SeatName(s.settings.Place, held.Member.Seat), err.Error())
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/adapter"
+	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/command/replicator"
 	"github.com/hemlockport/hemlockport/internal/configurer"
@@ -64,6 +65,7 @@
 	hub       *linker.Hub
 	timeliner *timeliner.Timeliner
 	copier    *replicator.Replicator
+	borrower  *borrower.Borrower
 	forwarder *forwarder.Forwarder
 	receiver  *receiver.Receiver
 	flights   *tracker.Tracker[receiver.Flight]
@@ -142,7 +144,7 @@
 	}
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
-	s.adopter = adopter.New(settings.Place, s.plans)
+	s.adopter = adopter.New(self, s.plans)
 	s.gauges = newGauges(s.registry)
 	s.assemble()
 	return s, nil
@@ -162,6 +164,7 @@
 	s.handlePeers()
 	s.timeliner = timeliner.New(s.hub, s.recorder)
 	s.copier = replicator.New(s.hub, s.recorder)
+	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
@@ -174,6 +177,7 @@
 		Attempts:  s.settings.Retries.Attempts,
 		Metrics:   exporter.NewRequests(s.registry),
 		Lookups:   receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
+		Waiting:   s.borrower.Wake,
 		Suspected: s.suspected,
 	})
 }
@@ -233,6 +237,8 @@
 		s.probeUpstreams,
 		s.refresh,
 		s.copier.Run,
+		s.borrower.Run,
+		s.confirmParts,
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(work) })
--- a/internal/trier/session.go
+++ b/internal/trier/session.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hemlockport/hemlockport/internal/operator"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/receiver"
@@ -246,26 +248,34 @@
 	}
 	s.report("without a key", NewCaller(s.caller.Service, "").Do(ctx, call))
 	s.report("with a wrong key", NewCaller(s.caller.Service, "guess").Do(ctx, call))
-	slow := NewCaller(s.caller.Service, KeyOf(s.slow.Name))
-	outcome := s.until(ctx, slow, call, func(outcome Outcome) bool { return outcome.Reason != "" })
-	s.report("over the rate", outcome)
+	s.report("over the rate", s.overRate(ctx, call))
 	return nil
 }
 
-// burstTries is how many requests are enough to use up any team's burst.
-const burstTries = 5000
+// flood is how many requests at once are too many for any slow team.
+const flood = 200
 
-// until repeats an idempotent form of a call until its outcome is as wanted.
-func (s *Session) until(ctx context.Context, caller *Caller, call Call, wanted func(Outcome) bool) Outcome {
+// overRate sends more requests at once than a slow team may make, and returns the
+// outcome of one that was refused. Requests wait for their team's rate for a while
+// first.
+func (s *Session) overRate(ctx context.Context, call Call) Outcome {
 	call.Method = http.MethodGet
-	var outcome Outcome
-	for range burstTries {
-		outcome = caller.Do(ctx, call)
-		if wanted(outcome) {
-			break
+	outcomes := make([]Outcome, flood)
+	var group errgroup.Group
+	for i := range outcomes {
+		group.Go(func() error {
+			outcomes[i] = NewCaller(s.caller.Service, KeyOf(s.slow.Name)).Do(ctx, call)
+			return nil
+		})
+	}
+	// The calls return no error.
+	_ = group.Wait()
+	for _, outcome := range outcomes {
+		if outcome.Reason != "" {
+			return outcome
 		}
 	}
-	return outcome
+	return outcomes[0]
 }
 
 func (s *Session) doubt(ctx context.Context) error {
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -17,7 +17,6 @@
 	KeyExposed        Reason = "KeyExposed"
 	TeamNotAllowed    Reason = "TeamNotAllowed"
 	TeamOverRate      Reason = "TeamOverRate"
-	NoShare           Reason = "NoShare"
 	NoRoom            Reason = "NoRoom"
 	NotReady          Reason = "NotReady"
 	InstanceFull      Reason = "InstanceFull"
@@ -41,7 +40,6 @@
 		KeyExposed,
 		TeamNotAllowed,
 		TeamOverRate,
-		NoShare,
 		NoRoom,
 		NotReady,
 		InstanceFull,
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
-	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
@@ -17,8 +17,9 @@
 	// NoRoomMillis is after how long a request refused for want of room is worth
 	// another try, in milliseconds.
 	NoRoomMillis = 1000
-	// NoShareMillis is the same for a request refused for want of a share.
-	NoShareMillis = 2000
+	// NoShareMillis is the same for a request refused by an instance that holds no
+	// part of the team's rate.
+	NoShareMillis = 1000
 )
 
 // Request is what is known of a request before it runs.
@@ -51,8 +52,8 @@
 	// Deadline ends the request; never zero.
 	Deadline time.Time
 
-	pool   *Pool
-	bucket *limiter.Bucket
+	pool *Pool
+	desk *sharer.Desk
 }
 
 // Admitter admits requests by the plan in force. Safe for many goroutines; its
@@ -68,7 +69,8 @@
 	}
 }
 
-// Admit decides on one request. Every refusal is NotRun.
+// Admit decides on one request. Every refusal is NotRun. After a refusal for the
+// team's rate, the admission can still Wait for it.
 func (a *Admitter) Admit(request Request) (Admission, *arbiter.Refusal) {
 	plan := a.plans.Load()
 	if plan == nil || plan.table.RevisionNumber() == 0 {
@@ -126,12 +128,27 @@
 }
 
 // Refund gives the team's request back, which must be proved not to have run.
-func (a Admission) Refund() {
-	if a.bucket != nil {
-		a.bucket.Refund()
+func (a Admission) Refund(now time.Time) {
+	if a.desk != nil {
+		a.desk.Bucket.Deposit(1, now)
 	}
 }
 
+// Wait lets a request that was refused for its team's rate wait for it, until
+// sharer.LongestWait or the request's deadline has passed. It returns false if the
+// request cannot wait; otherwise admitted is called once. Someone pumps the desk
+// meanwhile.
+func (a Admission) Wait(now time.Time, admitted func(bool)) bool {
+	if a.desk == nil {
+		return false
+	}
+	deadline := now.Add(sharer.LongestWait)
+	if a.Deadline.Before(deadline) {
+		deadline = a.Deadline
+	}
+	return a.desk.Join(deadline, admitted)
+}
+
 // Team returns the name of the team, or "" on an open route.
 func (a Admission) Team() string {
 	if a.Key == nil {
@@ -156,16 +173,15 @@
 		return Admission{}, arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
 	}
 	a.Key = key
-	a.bucket = a.Plan.buckets[key.Team.Name]
-	if a.bucket.Limit().IsZero() {
-		refusal := arbiter.Refuse(arbiter.NoShare, "this instance holds no part of the team's rate; ask another")
-		return Admission{}, refusal.WithRetryAt(request.Now.Add(NoShareMillis * time.Millisecond))
+	a.desk = a.Plan.desks[key.Team.Name]
+	retryAt, ok := a.desk.Take(request.Now)
+	if ok {
+		return a, nil
 	}
-	retryAt, ok := a.bucket.Take(request.Now)
-	if !ok {
-		return Admission{}, arbiter.Refuse(arbiter.TeamOverRate, "the team's rate is used up").WithRetryAt(retryAt)
+	if retryAt.IsZero() {
+		retryAt = request.Now.Add(NoShareMillis * time.Millisecond)
 	}
-	return a, nil
+	return a, arbiter.Refuse(arbiter.TeamOverRate, "the team's rate is used up").WithRetryAt(retryAt)
 }
 
 func deadline(request Request, service declarer.Service) time.Time {
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/picker"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
@@ -18,9 +19,12 @@
 	generation uint64
 	table      *router.Table
 	home       string
-	seat       splitter.Seat
-	// buckets holds each team's bucket under its name.
-	buckets map[string]*limiter.Bucket
+	// incarnation names the instance when it borrows.
+	incarnation string
+	seat        splitter.Seat
+	// desks holds each team's desk under its name, and those of teams that are gone
+	// but have lent something.
+	desks map[string]*sharer.Desk
 	// pools holds the pool of each service's version under the service's name.
 	pools map[string]*Pool
 	// upstreams holds each upstream under its address.
@@ -28,16 +32,18 @@
 }
 
 // First returns the plan that precedes all others, in which nothing is declared.
-func First(home string) *Plan {
+func First(home, incarnation string) *Plan {
 	return &Plan{
-		home:  home,
-		table: router.New(0, declarer.Set{}),
+		home:        home,
+		incarnation: incarnation,
+		table:       router.New(0, declarer.Set{}),
 	}
 }
 
 // WithTable returns the plan that follows when another configuration comes into
-// force. The old plan's buckets pass their requests on to the new one's, so this
-// is called by one goroutine at a time and its result is put in force.
+// force. Both plans share their desks: parts that become smaller do so at once,
+// parts that become larger wait for Confirm. So this is called by one goroutine at
+// a time and its result is put in force.
 func (p *Plan) WithTable(table *router.Table, now time.Time) *Plan {
 	return p.follow(table, p.seat, now)
 }
@@ -63,6 +69,38 @@
 	return p.seat
 }
 
+// Confirm puts the larger parts in force. It is called once nobody else can still
+// use what they take over.
+func (p *Plan) Confirm(now time.Time) {
+	for _, desk := range p.desks {
+		desk.Account.Confirm(now)
+	}
+}
+
+// Desk returns the desk of a team.
+func (p *Plan) Desk(team string) (*sharer.Desk, bool) {
+	desk, found := p.desks[team]
+	return desk, found
+}
+
+// Desks returns the desks of all teams in no order.
+func (p *Plan) Desks() []*sharer.Desk {
+	desks := make([]*sharer.Desk, 0, len(p.desks))
+	for _, desk := range p.desks {
+		desks = append(desks, desk)
+	}
+	return desks
+}
+
+// Part returns the part of a team's limit that belongs to a seat.
+func Part(team declarer.Team, seat splitter.Seat) limiter.Limit {
+	whole := limiter.Limit{
+		RatePerSecond: team.RatePerSecond,
+		Burst:         team.Burst,
+	}
+	return splitter.Part(whole, team.Name, seat.Spread(sharer.PerHolder))
+}
+
 // Upstreams returns the upstreams of all versions in no order.
 func (p *Plan) Upstreams() []*Upstream {
 	upstreams := make([]*Upstream, 0, len(p.upstreams))
@@ -75,16 +113,14 @@
 func (p *Plan) follow(table *router.Table, seat splitter.Seat, now time.Time) *Plan {
 	set := table.Set()
 	next := &Plan{
-		generation: p.generation + 1,
-		table:      table,
-		home:       p.home,
-		seat:       seat,
-		buckets:    map[string]*limiter.Bucket{},
-		pools:      map[string]*Pool{},
-		upstreams:  map[string]*Upstream{},
-	}
-	for team := range set.Teams.All() {
-		next.buckets[team.Name] = p.bucket(team, seat, now)
+		generation:  p.generation + 1,
+		table:       table,
+		home:        p.home,
+		incarnation: p.incarnation,
+		seat:        seat,
+		desks:       p.desksFor(set, seat, now),
+		pools:       map[string]*Pool{},
+		upstreams:   map[string]*Upstream{},
 	}
 	for version := range set.Versions.All() {
 		for _, declared := range version.Upstreams {
@@ -97,23 +133,27 @@
 	return next
 }
 
-// bucket returns the bucket of a team, which carries on the one before.
-func (p *Plan) bucket(team declarer.Team, seat splitter.Seat, now time.Time) *limiter.Bucket {
-	whole := limiter.Limit{
-		RatePerSecond: team.RatePerSecond,
-		Burst:         team.Burst,
+// desksFor returns the desks of all teams, which carry on those before.
+func (p *Plan) desksFor(set declarer.Set, seat splitter.Seat, now time.Time) map[string]*sharer.Desk {
+	desks := map[string]*sharer.Desk{}
+	for team := range set.Teams.All() {
+		desk, found := p.desks[team.Name]
+		if !found {
+			desk = sharer.NewDesk(team.Name, p.incarnation, now)
+		}
+		desk.Account.SetOwned(Part(team, seat), now)
+		desks[team.Name] = desk
 	}
-	part := splitter.Part(whole, team.Name, seat)
-	before, found := p.buckets[team.Name]
-	switch {
-	case !found:
-		return limiter.NewBucket(part, now)
-	case before.Limit() == part:
-		return before
-	default:
-		before.SetLimit(part, now)
-		return before
+	for name, desk := range p.desks {
+		if _, kept := desks[name]; kept {
+			continue
+		}
+		desk.Account.SetOwned(limiter.Limit{}, now)
+		if !desk.Account.Idle() {
+			desks[name] = desk
+		}
 	}
+	return desks
 }
 
 func (p *Plan) upstream(declared declarer.Upstream) *Upstream {
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -12,9 +12,6 @@
 // request takes the slot between the choice and the claim.
 const pickTries = 3
 
-// farLatencyMillis orders regions to which no link is declared, in milliseconds.
-const farLatencyMillis = 1 << 20
-
 // Pool is the upstreams of one version, nearest first. It is immutable, but for
 // the state inside its upstreams.
 type Pool struct {
@@ -26,8 +23,9 @@
 
 func newPool(upstreams []*Upstream, places declarer.Table[declarer.Place], home string, policy picker.Policy[*Upstream]) *Pool {
 	byDistance := map[int][]*Upstream{}
+	from, _ := places.Get(home)
 	for _, upstream := range upstreams {
-		distance := distance(places, home, upstream.Declared().Place)
+		distance := from.Distance(places, upstream.Declared().Place)
 		byDistance[distance] = append(byDistance[distance], upstream)
 	}
 	distances := make([]int, 0, len(byDistance))
@@ -81,24 +79,3 @@
 	}
 	return nil, false
 }
-
-// distance orders places as seen from home: 0 for home itself, 1 for its region,
-// then by latency.
-func distance(places declarer.Table[declarer.Place], home, other string) int {
-	if home == other {
-		return 0
-	}
-	from, found := places.Get(home)
-	to, known := places.Get(other)
-	if !found || !known {
-		return farLatencyMillis
-	}
-	if from.Region == to.Region {
-		return 1
-	}
-	latency, linked := from.LatencyMillisTo(to.Region)
-	if !linked {
-		return farLatencyMillis
-	}
-	return 2 + latency
-}
--- a/pkg/command/adopter/adopter.go
+++ b/pkg/command/adopter/adopter.go
@@ -1,16 +1,20 @@
-// Package adopter puts a configuration or a seat in force on this instance.
+// Package adopter puts a configuration, seats and parts of limits in force on
+// this instance.
 package adopter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
 	"github.com/hemlockport/hemlockport/pkg/query/splitter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // Adopter is the one writer of the plan. Requests read the plan without it.
@@ -20,19 +24,24 @@
 	plans   *holder.Cell[admitter.Plan]
 	// bundle is the configuration in force; zero before the first.
 	bundle publisher.Bundle
-	// place and number name the seat held; number is -1 without one.
-	place  string
-	number int
+	// self is this instance; its seat is -1 without one.
+	self registrar.Member
+	// others are the other seated instances.
+	others []registrar.Member
+	// confirmed says that the larger parts of the plan are in force; before that,
+	// they are not before confirmAt.
+	confirmed bool
+	confirmAt time.Time
 }
 
 // New returns an adopter that writes to a cell, in which it puts the first plan.
-func New(home string, plans *holder.Cell[admitter.Plan]) *Adopter {
+func New(self registrar.Member, plans *holder.Cell[admitter.Plan]) *Adopter {
 	adopter := &Adopter{
-		plans:  plans,
-		place:  home,
-		number: -1,
+		plans:     plans,
+		self:      self.WithSeat(-1),
+		confirmed: true,
 	}
-	plans.Advance(*admitter.First(home).WithSeat(splitter.Seat{}, time.Now()))
+	plans.Advance(*admitter.First(self.Place, self.Incarnation).WithSeat(splitter.Seat{}, time.Now()))
 	return adopter
 }
 
@@ -44,21 +53,49 @@
 	if bundle.Head.Revision <= a.bundle.Head.Revision {
 		return false
 	}
+	// Instances may have lent from the parts of the configuration before.
+	a.settleAfter(a.bundle.Head.Revision != 0, now)
 	a.bundle = bundle
-	table := router.New(bundle.Head.Revision, bundle.Document.Set())
-	plan := a.plans.Load().WithTable(table, now)
-	return a.plans.Advance(*a.seated(plan, now))
+	plan := a.plans.Load().WithTable(router.New(bundle.Head.Revision, bundle.Document.Set()), now)
+	a.advance(plan, now)
+	return true
 }
 
 // TakeSeat records the seat that the instance holds in its place; -1 means none.
-func (a *Adopter) TakeSeat(number int, now time.Time) {
+// Used says that another instance has held it before.
+func (a *Adopter) TakeSeat(number int, used bool, now time.Time) {
 	a.writing.Lock()
 	defer a.writing.Unlock()
-	a.number = number
-	plan := a.plans.Load()
-	if next := a.seated(plan, now); next != plan {
-		a.plans.Advance(*next)
+	a.self = a.self.WithSeat(number)
+	a.settleAfter(used, now)
+	a.advance(a.plans.Load(), now)
+}
+
+// SetOthers records which other instances hold seats.
+func (a *Adopter) SetOthers(others []registrar.Member) {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	a.others = slices.Clone(others)
+	a.pointDesks(a.plans.Load())
+}
+
+// Confirm puts larger parts in force, if their time has come. It is called when
+// all other seated instances are known to have at least the revision in force.
+func (a *Adopter) Confirm(now time.Time) {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	if a.confirmed || now.Before(a.confirmAt) {
+		return
 	}
+	a.confirmed = true
+	a.plans.Load().Confirm(now)
+}
+
+// Confirmed says whether the larger parts of the plan are in force.
+func (a *Adopter) Confirmed() bool {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	return a.confirmed
 }
 
 // Bundle returns the configuration in force.
@@ -73,30 +110,69 @@
 	return a.plans.Load().Table().RevisionNumber()
 }
 
-// seated returns the plan with the seat that follows from the configuration.
-func (a *Adopter) seated(plan *admitter.Plan, now time.Time) *admitter.Plan {
-	seat := seatOf(plan.Table().Set(), a.place, a.number)
-	if seat == plan.Seat() {
-		return plan
+// settleAfter asks for a confirmation, not before all that was lent from a part
+// has ended if others may have lent from it.
+func (a *Adopter) settleAfter(lent bool, now time.Time) {
+	a.confirmed = false
+	at := now
+	if lent {
+		at = now.Add(sharer.Quarantine)
+	}
+	if at.After(a.confirmAt) {
+		a.confirmAt = at
 	}
-	return plan.WithSeat(seat, now)
 }
 
-// seatOf numbers a place's seat among the seats of all places.
-func seatOf(set declarer.Set, home string, number int) splitter.Seat {
-	index := 0
-	for place := range set.Places.All() {
-		if place.Name != home {
-			index += place.Seats
+// advance puts a plan in force with the seat that follows from the configuration.
+func (a *Adopter) advance(plan *admitter.Plan, now time.Time) {
+	if seat := a.seat(plan.Table().Set(), a.self); seat != plan.Seat() {
+		plan = plan.WithSeat(seat, now)
+	}
+	a.plans.Advance(*plan)
+	a.pointDesks(plan)
+}
+
+// pointDesks tells each team's desk from whom it can borrow, the nearest first.
+func (a *Adopter) pointDesks(plan *admitter.Plan) {
+	set := plan.Table().Set()
+	home, _ := set.Places.Get(a.self.Place)
+	nearest := slices.Clone(a.others)
+	slices.SortStableFunc(nearest, func(x, y registrar.Member) int {
+		return home.Distance(set.Places, x.Place) - home.Distance(set.Places, y.Place)
+	})
+	for team := range set.Teams.All() {
+		desk, found := plan.Desk(team.Name)
+		if !found {
 			continue
 		}
-		if number < 0 || number >= place.Seats {
-			return splitter.Seat{}
+		var holders []string
+		for _, other := range nearest {
+			if admitter.Part(team, a.seat(set, other)).Burst > 0 {
+				holders = append(holders, other.Incarnation)
+			}
 		}
-		return splitter.Seat{
-			Index: index + number,
-			Of:    set.Seats(),
+		desk.SetHolders(holders, team.RatePerSecond)
+	}
+}
+
+// seat numbers a member's seat among the seats of all places. The first seats of
+// all places come before their second ones, so that few owners of a small limit
+// stand in different places.
+func (a *Adopter) seat(set declarer.Set, member registrar.Member) splitter.Seat {
+	declared, found := set.Places.Get(member.Place)
+	if !found || member.Seat < 0 || member.Seat >= declared.Seats {
+		return splitter.Seat{}
+	}
+	index := 0
+	for place := range set.Places.All() {
+		before := min(place.Seats, member.Seat)
+		if place.Name < member.Place && place.Seats > member.Seat {
+			before++
 		}
+		index += before
+	}
+	return splitter.Seat{
+		Index: index,
+		Of:    set.Seats(),
 	}
-	return splitter.Seat{}
 }
--- a/pkg/command/adopter/adopter_test.go
+++ b/pkg/command/adopter/adopter_test.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 func bundle(revision uint64, seats int) publisher.Bundle {
@@ -42,7 +43,7 @@
 		func(seed uint64) bool {
 			random := rand.New(rand.NewPCG(seed, 3))
 			plans := holder.New[admitter.Plan]()
-			adopt := adopter.New("derby", plans)
+			adopt := adopter.New(registrar.Member{Place: "derby"}, plans)
 			highest := uint64(0)
 			for range 30 {
 				revision := uint64(random.IntN(20))
@@ -64,7 +65,7 @@
 
 func TestSeatFollowsConfiguration(t *testing.T) {
 	plans := holder.New[admitter.Plan]()
-	adopt := adopter.New("derby", plans)
+	adopt := adopter.New(registrar.Member{Place: "derby"}, plans)
 	steps := []struct {
 		name string
 		run  func()
@@ -76,7 +77,7 @@
 		},
 		{
 			name: "seat claimed",
-			run:  func() { adopt.TakeSeat(1, time.Now()) },
+			run:  func() { adopt.TakeSeat(1, false, time.Now()) },
 			of:   2,
 		},
 		{
--- a/pkg/command/claimer/claimer.go
+++ b/pkg/command/claimer/claimer.go
@@ -38,6 +38,8 @@
 	Member registrar.Member
 	// Revision is the store's revision of it.
 	Revision uint64
+	// Used says that another instance has held the seat before.
+	Used bool
 }
 
 // New returns a claimer over a store and the platform's list of instances.
@@ -59,9 +61,11 @@
 	}
 	for _, object := range taken.Objects {
 		if object.Value.Incarnation == member.Incarnation {
+			// Its first answer was lost, and with it whether the seat was used.
 			return Held{
 				Member:   object.Value,
 				Revision: object.Revision,
+				Used:     true,
 			}, nil
 		}
 	}
@@ -75,6 +79,7 @@
 			continue
 		}
 		held, err := c.put(ctx, member.WithSeat(seat), condition)
+		held.Used = !condition.IsAbsent()
 		if !errors.Is(err, storer.ErrConflict) {
 			return held, err
 		}
@@ -99,22 +104,25 @@
 	return c.put(ctx, held.Member.WithLeaving(), storer.At(held.Revision))
 }
 
-// Release gives a seat back. The holder has ended all use of its parts. A seat
-// that has changed since, by a write whose answer was lost, is read again first.
+// Release gives a seat back. The holder has ended all use of its parts. The seat
+// stays in the store without a holder, so that the next one knows that it was used.
+// A seat that has changed since, by a write whose answer was lost, is read again
+// first.
 func (c *Claimer) Release(ctx context.Context, held Held) error {
-	name := registrar.SeatName(held.Member.Place, held.Member.Seat)
-	err := c.seats.Delete(ctx, name, storer.At(held.Revision))
+	vacant := registrar.Vacant(held.Member.Place, held.Member.Seat)
+	_, err := c.put(ctx, vacant, storer.At(held.Revision))
 	if !errors.Is(err, storer.ErrConflict) {
 		return err
 	}
-	object, err := c.seats.Get(ctx, name)
+	object, err := c.seats.Get(ctx, registrar.SeatName(held.Member.Place, held.Member.Seat))
 	if err != nil {
 		return err
 	}
 	if object.Value.Incarnation != held.Member.Incarnation {
 		return ErrLost
 	}
-	return c.seats.Delete(ctx, name, storer.At(object.Revision))
+	_, err = c.put(ctx, vacant, storer.At(object.Revision))
+	return err
 }
 
 func (c *Claimer) put(ctx context.Context, member registrar.Member, condition storer.Condition) (Held, error) {
@@ -148,6 +156,9 @@
 // dead says whether a seat's holder is proved dead: the list has shown it and
 // shows it no longer, or has not shown it for longer than the list can lag.
 func (c *Claimer) dead(holder registrar.Member, instances []storer.Instance, now time.Time) bool {
+	if holder.IsVacant() {
+		return true
+	}
 	if shows(instances, holder.Incarnation) {
 		delete(c.absentUntil, holder.Incarnation)
 		return false
--- a/pkg/command/sharer/desk.go
+++ b/pkg/command/sharer/desk.go
@@ -18,6 +18,8 @@
 	LongestWait = time.Second
 	// MaxWaiters is how many requests and asks wait at a desk at most.
 	MaxWaiters = 512
+	// leastWaiters is how many may always wait.
+	leastWaiters = 4
 	// PumpEvery is the time between two pumps of a desk in use.
 	PumpEvery = 10 * time.Millisecond
 	// keepFor is how long borrowed units are kept unused.
@@ -81,6 +83,11 @@
 	// requests counts the requests that have come.
 	requests atomic.Uint64
 
+	// pumped is the count of requests at the last pump, and busy says that the desk
+	// is to be pumped again whatever the count.
+	pumped atomic.Uint64
+	busy   atomic.Bool
+
 	// deciding guards all below.
 	deciding sync.Mutex
 	resource string
@@ -98,8 +105,10 @@
 	open map[uint64]openAsk
 	// missed holds, for each ask that was not answered in time, when it is no longer
 	// worth while to give a late answer back.
-	missed  map[uint64]time.Time
-	waiters []waiter
+	missed map[uint64]time.Time
+	// maxWaiters bounds waiters.
+	maxWaiters int
+	waiters    []waiter
 }
 
 // openAsk is an ask whose answer is waited for.
@@ -121,13 +130,14 @@
 func NewDesk(resource, borrower string, now time.Time) *Desk {
 	bucket := limiter.NewBucket(limiter.Limit{}, now)
 	return &Desk{
-		Bucket:    bucket,
-		Account:   New[limiter.Limit](bucket),
-		resource:  resource,
-		borrower:  borrower,
-		restUntil: map[string]time.Time{},
-		open:      map[uint64]openAsk{},
-		missed:    map[uint64]time.Time{},
+		Bucket:     bucket,
+		Account:    New[limiter.Limit](bucket),
+		resource:   resource,
+		borrower:   borrower,
+		maxWaiters: leastWaiters,
+		restUntil:  map[string]time.Time{},
+		open:       map[uint64]openAsk{},
+		missed:     map[uint64]time.Time{},
 	}
 }
 
@@ -142,11 +152,13 @@
 	return retryAt, false
 }
 
-// SetHolders says which other instances own parts, the nearest first.
-func (d *Desk) SetHolders(holders []string) {
+// SetHolders says which other instances own parts, the nearest first, and the
+// whole rate, by which the number of those who wait is bounded.
+func (d *Desk) SetHolders(holders []string, wholePerSecond float64) {
 	d.deciding.Lock()
 	defer d.deciding.Unlock()
 	d.holders = slices.Clone(holders)
+	d.maxWaiters = min(leastWaiters+int(wholePerSecond*LongestWait.Seconds()), MaxWaiters)
 	for holder := range d.restUntil {
 		if !slices.Contains(holders, holder) {
 			delete(d.restUntil, holder)
@@ -154,13 +166,6 @@
 	}
 }
 
-// HasHolders says whether another instance owns a part.
-func (d *Desk) HasHolders() bool {
-	d.deciding.Lock()
-	defer d.deciding.Unlock()
-	return len(d.holders) > 0
-}
-
 // Join lets a request wait until a deadline for the team's rate. It returns false
 // if too many wait already; otherwise admitted is called once.
 func (d *Desk) Join(deadline time.Time, admitted func(bool)) bool {
@@ -214,6 +219,7 @@
 	d.deciding.Lock()
 	defer d.deciding.Unlock()
 	var work Work
+	d.pumped.Store(d.requests.Load())
 	d.Account.Tick(now)
 	if now.Sub(d.demand.at) >= observeEvery {
 		d.demand.observe(d.requests.Load(), now)
@@ -227,6 +233,7 @@
 	if len(d.waiters) > 0 || len(d.open) > 0 || d.purse.left(now) > 0 || d.demand.perSecond > 0.01 {
 		work.Next = now.Add(PumpEvery)
 	}
+	d.busy.Store(!work.Next.IsZero())
 	return work
 }
 
@@ -277,6 +284,12 @@
 	d.restUntil[asked.directed.Holder] = now.Add(restAfterSilence)
 }
 
+// InUse says whether anything has happened since the last pump, or still has to.
+// It takes no lock.
+func (d *Desk) InUse() bool {
+	return d.requests.Load() != d.pumped.Load() || d.busy.Load()
+}
+
 // Waiting returns how many requests and asks wait.
 func (d *Desk) Waiting() int {
 	d.deciding.Lock()
@@ -287,10 +300,11 @@
 func (d *Desk) join(joining waiter) bool {
 	d.deciding.Lock()
 	defer d.deciding.Unlock()
-	if len(d.waiters) >= MaxWaiters {
+	if len(d.waiters) >= d.maxWaiters {
 		return false
 	}
 	d.waiters = append(d.waiters, joining)
+	d.busy.Store(true)
 	return true
 }
 
--- a/pkg/command/sharer/fleet_test.go
+++ b/pkg/command/sharer/fleet_test.go
@@ -134,7 +134,7 @@
 			holders = append(holders, strconv.Itoa(other.number))
 		}
 	}
-	node.desk.SetHolders(holders)
+	node.desk.SetHolders(holders, f.whole.RatePerSecond)
 }
 
 func (f *fleet) name(node *instance) string {
--- a/pkg/declarer/place.go
+++ b/pkg/declarer/place.go
@@ -57,3 +57,23 @@
 	}
 	return 0, false
 }
+
+// farMillis orders regions to which no link is declared, in milliseconds.
+const farMillis = 1 << 20
+
+// Distance orders other places as seen from this one: 0 for itself, then its
+// region, then the others by latency.
+func (p Place) Distance(places Table[Place], other string) int {
+	if other == p.Name {
+		return 0
+	}
+	to, found := places.Get(other)
+	if !found {
+		return farMillis
+	}
+	latency, linked := p.LatencyMillisTo(to.Region)
+	if !linked {
+		return farMillis
+	}
+	return 1 + latency
+}
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -18,8 +18,6 @@
 	// maxRotations bounds the prepared orders of one site. Callers are spread over
 	// them.
 	maxRotations = 16
-	// farLatencyMillis orders regions to which no link is declared, in milliseconds.
-	farLatencyMillis = 1 << 20
 )
 
 // Entry is an entry instance that a caller may use.
@@ -111,7 +109,7 @@
 		}
 	}
 	for i, place := range places {
-		locator.sites = append(locator.sites, newSite(place, places, source.Members))
+		locator.sites = append(locator.sites, newSite(place, source.Set.Places, source.Members))
 		if place.Name == source.Home {
 			locator.fallback = i
 		}
@@ -165,10 +163,10 @@
 
 // newSite prepares the orders as seen from a place: own place first, then own
 // region, then by latency. Instances that are equally near take turns.
-func newSite(from declarer.Place, places []declarer.Place, members []registrar.Member) site {
+func newSite(from declarer.Place, places declarer.Table[declarer.Place], members []registrar.Member) site {
 	distances := map[string]int{}
-	for _, place := range places {
-		distances[place.Name] = distance(from, place)
+	for place := range places.All() {
+		distances[place.Name] = from.Distance(places, place.Name)
 	}
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b registrar.Member) int {
@@ -221,14 +219,3 @@
 	}
 	return entries
 }
-
-func distance(from, to declarer.Place) int {
-	if from.Name == to.Name {
-		return 0
-	}
-	latency, linked := from.LatencyMillisTo(to.Region)
-	if !linked {
-		return farLatencyMillis
-	}
-	return 1 + latency
-}
--- a/pkg/registrar/member.go
+++ b/pkg/registrar/member.go
@@ -34,6 +34,19 @@
 	Leaving bool
 }
 
+// Vacant returns the value of a seat that was given back.
+func Vacant(place string, seat int) Member {
+	return Member{
+		Place: place,
+		Seat:  seat,
+	}
+}
+
+// IsVacant says whether nobody holds the seat.
+func (m Member) IsVacant() bool {
+	return m.Incarnation == ""
+}
+
 // WithSeat returns a copy that holds another seat.
 func (m Member) WithSeat(seat int) Member {
 	m.Seat = seat
@@ -79,9 +92,9 @@
 	members  []Member
 }
 
-// NewRoster returns a roster of members.
+// NewRoster returns a roster of members. Vacant seats are left out.
 func NewRoster(revision uint64, members ...Member) Roster {
-	sorted := slices.Clone(members)
+	sorted := slices.DeleteFunc(slices.Clone(members), Member.IsVacant)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(strings.Compare(a.Place, b.Place), cmp.Compare(a.Seat, b.Seat))
 	})
