Take over the seats of the dead, and give them back to newcomers

Cause: when the owner of a small team's rate died, the team was refused everywhere until a replacement came. A seat that nobody claims kept its part of every limit from everybody. Excluded: every instance looking at the platform's list (reads would grow with instances): the first live instance of a place looks after its seats, and of the next place if none is left; the store lets one of several win. Change: instances hold several seats; beats tell of newcomers without one. While testing it, links were found to flap where both ends dial: each new link ended the one before. A second link is now ended instead, and nobody dials a peer that is linked.

--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -47,6 +47,8 @@
 	Revision uint64
 	// Leaving says that the sender has begun its stop.
 	Leaving bool
+	// Seatless says that the sender has a configuration and looks for a seat.
+	Seatless bool
 }
 
 // challenge opens a handshake; the accepting side sends it.
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -52,9 +52,9 @@
 	TLS *tls.Config
 	// Beat returns what to tell the peers.
 	Beat func() Beat
-	// Changed is told of each peer's first and each changed beat, and Lost of each
-	// link that has ended.
-	Changed func(peer registrar.Member, beat Beat)
+	// Changed is told of each peer's first and each changed beat, with the one
+	// before, which is zero at first; Lost of each link that has ended.
+	Changed func(peer registrar.Member, before, beat Beat)
 	Lost    func(peer registrar.Member)
 }
 
@@ -66,7 +66,7 @@
 	scheme  string
 	client  *http.Client
 	beat    func() Beat
-	changed func(peer registrar.Member, beat Beat)
+	changed func(peer registrar.Member, before, beat Beat)
 	lost    func(peer registrar.Member)
 	// topics holds the handler of each topic. It is complete before Run.
 	topics map[string]topic
@@ -182,8 +182,9 @@
 }
 
 // SetPeers says which addresses to keep links to. Of each pair of instances the
-// one with the lower address dials.
-func (h *Hub) SetPeers(addresses []string) {
+// one with the lower address dials, unless the others cannot know this one yet;
+// then it dials all.
+func (h *Hub) SetPeers(addresses []string, unknown bool) {
 	h.linking.Lock()
 	defer h.linking.Unlock()
 	if h.tasks == nil {
@@ -196,7 +197,9 @@
 		}
 	}
 	for _, address := range addresses {
-		if _, found := h.wanted[address]; found || address <= h.self.PeerAddress {
+		_, found := h.wanted[address]
+		theirs := address < h.self.PeerAddress && !unknown
+		if found || theirs || address == h.self.PeerAddress {
 			continue
 		}
 		ctx, stop := context.WithCancel(h.ctx)
@@ -279,7 +282,7 @@
 func (h *Hub) keep(ctx context.Context, address string) error {
 	backoff := retrier.NewBackoff(firstRedialMillis, longestRedialMillis)
 	for {
-		if h.dial(ctx, address) {
+		if h.linkedTo(address) || h.dial(ctx, address) {
 			backoff.Reset()
 		}
 		if backoff.Wait(ctx) != nil {
@@ -310,41 +313,53 @@
 }
 
 // serve runs a link whose handshake has succeeded. A second link to the same
-// incarnation replaces the first, which may have gone silent.
+// incarnation is ended: the first ends by itself if it has gone silent, and one
+// that replaced it would be replaced in turn where both ends dial.
 func (h *Hub) serve(ctx context.Context, conn *websocket.Conn, peer registrar.Member) {
 	running := newLink(h, conn, peer)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h.linking.Lock()
-	if h.tasks == nil {
-		h.linking.Unlock()
+	if !h.register(running) {
 		return
 	}
 	stop := context.AfterFunc(h.ctx, cancel)
 	defer stop()
-	before := h.links[peer.Incarnation]
-	h.links[peer.Incarnation] = running
-	h.linking.Unlock()
-	if before != nil {
-		_ = before.conn.CloseNow()
-	}
 	_ = running.run(ctx)
-	if h.forget(running) {
-		h.lost(peer)
-	}
+	h.forget(running)
+	h.lost(peer)
 }
 
-// forget removes a link that has ended, and says whether it was still in use.
-func (h *Hub) forget(ended *link) bool {
+// register adds a link, unless the hub has ended or has one to the same peer.
+func (h *Hub) register(added *link) bool {
 	h.linking.Lock()
 	defer h.linking.Unlock()
-	if h.links[ended.peer.Incarnation] != ended {
+	_, linked := h.links[added.peer.Incarnation]
+	if h.tasks == nil || linked {
 		return false
 	}
-	delete(h.links, ended.peer.Incarnation)
+	h.links[added.peer.Incarnation] = added
 	return true
 }
 
+// forget removes a link that has ended.
+func (h *Hub) forget(ended *link) {
+	h.linking.Lock()
+	defer h.linking.Unlock()
+	delete(h.links, ended.peer.Incarnation)
+}
+
+// linkedTo says whether there is a link to the peer at an address.
+func (h *Hub) linkedTo(address string) bool {
+	h.linking.Lock()
+	defer h.linking.Unlock()
+	for _, linked := range h.links {
+		if linked.peer.PeerAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Hub) link(incarnation string) (*link, bool) {
 	h.linking.Lock()
 	defer h.linking.Unlock()
--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -50,7 +50,7 @@
 		Secret:  secret,
 		Clock:   stamper.New(time.Now),
 		Beat:    func() linker.Beat { return linker.Beat{Revision: 7} },
-		Changed: func(registrar.Member, linker.Beat) {},
+		Changed: func(_ registrar.Member, _, _ linker.Beat) {},
 		Lost:    func(peer registrar.Member) { started.lost <- peer.Name },
 	})
 	double := handler.QueryFunc[int, int](func(_ context.Context, number int) (int, error) {
@@ -82,7 +82,7 @@
 	defer ticker.Stop()
 	deadline := time.Now().Add(patience)
 	for time.Now().Before(deadline) {
-		n.hub.SetPeers(addresses)
+		n.hub.SetPeers(addresses, false)
 		if len(n.hub.Peers()) > 0 {
 			return true
 		}
@@ -130,7 +130,7 @@
 
 func TestWrongSecretGetsNoLink(t *testing.T) {
 	dialing, accepting := ordered(start(t, "a", secret), start(t, "b", "another secret 0"))
-	dialing.hub.SetPeers([]string{accepting.address})
+	dialing.hub.SetPeers([]string{accepting.address}, false)
 	// Long enough for several tries.
 	timer := time.NewTimer(time.Second)
 	defer timer.Stop()
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -159,8 +159,11 @@
 		return err
 	}
 	before := l.beat.Swap(&beat)
-	if before == nil || *before != beat {
-		l.hub.changed(l.peer, beat)
+	if before == nil {
+		before = &Beat{}
+	}
+	if *before != beat {
+		l.hub.changed(l.peer, *before, beat)
 	}
 	return nil
 }
--- a/internal/receiver/hop_test.go
+++ b/internal/receiver/hop_test.go
@@ -44,7 +44,7 @@
 		Of:    1,
 	}
 	set := serviceSet(addresses)
-	plan := admitter.First("derby", "derby-1").WithSeat(seat, start).WithTable(router.New(1, set), start)
+	plan := admitter.First("derby", "derby-1").WithSeats([]splitter.Seat{seat}, start).WithTable(router.New(1, set), start)
 	plan.Confirm(start)
 	plans.Advance(*plan)
 	send := forwarder.New()
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -17,7 +17,7 @@
 	s.announce("DrainBegun", s.self.Incarnation, "")
 	s.relocate()
 	s.hub.Nudge()
-	within(work, s.leaveSeat)
+	within(work, s.leaveSeats)
 	grace := time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond
 	if retrier.Sleep(work, grace) != nil {
 		stopServing(work)
@@ -30,7 +30,7 @@
 	s.announce("DrainEnded", s.self.Incarnation, "")
 	// The peers end their links once the seat is gone, so the copies go first.
 	within(work, s.copier.Flush)
-	within(work, s.releaseSeat)
+	within(work, s.releaseSeats)
 }
 
 // within makes a call with a bounded time.
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -61,13 +61,15 @@
 		StoreLostSince: instant(s.storeLostNanos.Load()),
 		InFlight:       s.flights.Count(),
 	}
-	if held := s.held.Load(); held != nil {
-		status.Seat = held.Member.Seat
+	if own := s.seats.own(); own != nil {
+		status.Seat = own.Member.Seat
 	}
-	for _, member := range s.roster.Load().Members() {
-		if member.Incarnation != s.self.Incarnation {
+	seen := map[string]bool{}
+	for _, member := range s.others() {
+		if !seen[member.Incarnation] {
 			status.Peers = append(status.Peers, s.peerStatus(member))
 		}
+		seen[member.Incarnation] = true
 	}
 	for _, upstream := range s.plans.Load().Upstreams() {
 		status.Upstreams = append(status.Upstreams, upstreamStatus(upstream))
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -16,16 +16,18 @@
 
 // beat returns what to tell the peers.
 func (s *Server) beat() linker.Beat {
+	leaving := s.leaving.Load()
 	return linker.Beat{
 		Revision: s.adopter.Revision(),
-		Leaving:  s.leaving.Load(),
+		Leaving:  leaving,
+		Seatless: !leaving && s.seats.own() == nil && s.adopter.Revision() != 0,
 	}
 }
 
 // peerChanged takes in a peer's beat that differs from its last. It is called on
 // the link's reading goroutine, which must go on reading for a fetch to succeed.
-func (s *Server) peerChanged(peer registrar.Member, beat linker.Beat) {
-	if beat.Leaving {
+func (s *Server) peerChanged(peer registrar.Member, before, beat linker.Beat) {
+	if beat.Leaving && !before.Leaving {
 		s.announce("PeerLeaving", peer.Name, "")
 	}
 	s.relocate()
@@ -47,7 +49,7 @@
 	for _, member := range s.roster.Load().Members() {
 		addresses = append(addresses, member.PeerAddress)
 	}
-	s.hub.SetPeers(addresses)
+	s.hub.SetPeers(addresses, s.seats.own() == nil)
 }
 
 // relocate makes look-ups follow what is known now.
--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
+	"slices"
+	"sync"
 	"time"
 
-	"github.com/hemlockport/hemlockport/internal/query/prober"
-	"github.com/hemlockport/hemlockport/pkg/arbiter"
-	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/claimer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
@@ -21,18 +20,75 @@
 	listedInterval = 2 * time.Second
 )
 
+// seats are the seats that an instance holds: its own first, then those that it
+// has taken over. Safe for many goroutines.
+type seats struct {
+	holding sync.Mutex
+	held    []claimer.Held
+}
+
+// own returns the instance's own seat, or nil.
+func (s *seats) own() *claimer.Held {
+	s.holding.Lock()
+	defer s.holding.Unlock()
+	if len(s.held) == 0 {
+		return nil
+	}
+	own := s.held[0]
+	return &own
+}
+
+// all returns the seats held.
+func (s *seats) all() []claimer.Held {
+	s.holding.Lock()
+	defer s.holding.Unlock()
+	return slices.Clone(s.held)
+}
+
+// put adds a seat, or a newer revision of one that is held.
+func (s *seats) put(held claimer.Held) {
+	s.holding.Lock()
+	defer s.holding.Unlock()
+	at := slices.IndexFunc(s.held, func(known claimer.Held) bool {
+		return known.Member.HeldSeat() == held.Member.HeldSeat()
+	})
+	if at >= 0 {
+		s.held[at] = held
+	} else {
+		s.held = append(s.held, held)
+	}
+}
+
+// remove drops a seat.
+func (s *seats) remove(seat registrar.Seat) {
+	s.holding.Lock()
+	defer s.holding.Unlock()
+	s.held = slices.DeleteFunc(s.held, func(known claimer.Held) bool {
+		return known.Member.HeldSeat() == seat
+	})
+}
+
+// names returns which seats are held.
+func (s *seats) names() []registrar.Seat {
+	var names []registrar.Seat
+	for _, held := range s.all() {
+		names = append(names, held.Member.HeldSeat())
+	}
+	return names
+}
+
 // keepSeat claims a seat as soon as the configuration has one, and sees to it
 // that the platform's list is known to have shown its holder.
 func (s *Server) keepSeat(ctx context.Context) error {
 	backoff := retrier.NewBackoff(firstClaimMillis, longestClaimMillis)
-	for s.held.Load() == nil {
+	for s.seats.own() == nil {
 		s.claim(ctx)
-		if s.held.Load() == nil && backoff.Wait(ctx) != nil {
+		if s.seats.own() == nil && backoff.Wait(ctx) != nil {
 			return nil
 		}
 	}
 	for {
-		if s.confirm(ctx) || retrier.Sleep(ctx, listedInterval) != nil {
+		if s.confirmListed(ctx) || retrier.Sleep(ctx, listedInterval) != nil {
 			return nil
 		}
 	}
@@ -49,15 +105,21 @@
 		s.gauges.storeFaults.Inc(1)
 		return
 	}
-	s.held.Store(&held)
-	s.adopter.TakeSeat(held.Member.Seat, held.Used, time.Now())
-	s.announce("SeatClaimed", registrar.SeatName(s.settings.Place, held.Member.Seat), "")
+	s.takeSeat(held, "SeatClaimed")
+}
+
+// takeSeat records a seat that was claimed.
+func (s *Server) takeSeat(held claimer.Held, kind string) {
+	s.seats.put(held)
+	s.adopter.TakeSeats(s.seats.names(), held.Used, time.Now())
+	s.hub.Nudge()
+	s.announce(kind, held.Member.HeldSeat().Name(), "")
 }
 
-// confirm says whether nothing is left to confirm.
-func (s *Server) confirm(ctx context.Context) bool {
-	held := s.held.Load()
-	if held.Member.Listed || s.leaving.Load() {
+// confirmListed says whether nothing is left to confirm.
+func (s *Server) confirmListed(ctx context.Context) bool {
+	held := s.seats.own()
+	if held == nil || held.Member.Listed || s.leaving.Load() {
 		return true
 	}
 	confirmed, err := s.claimer.Confirm(ctx, *held)
@@ -65,49 +127,32 @@
 		s.gauges.storeFaults.Inc(1)
 		return false
 	}
-	s.held.CompareAndSwap(held, &confirmed)
+	s.seats.put(confirmed)
 	return confirmed.Member.Listed
 }
 
-// leaveSeat marks the seat as leaving. Without an answer from the platform the
+// leaveSeats marks the seats as leaving. Without an answer from the platform the
 // peers still learn it from the beats.
-func (s *Server) leaveSeat(ctx context.Context) {
-	held := s.held.Load()
-	if held == nil {
-		return
-	}
-	if left, err := s.claimer.Leave(ctx, *held); err == nil {
-		s.held.Store(&left)
+func (s *Server) leaveSeats(ctx context.Context) {
+	for _, held := range s.seats.all() {
+		if left, err := s.claimer.Leave(ctx, held); err == nil {
+			s.seats.put(left)
+		}
 	}
 }
 
-// releaseSeat gives the seat back once no request runs any more.
-func (s *Server) releaseSeat(ctx context.Context) {
-	held := s.held.Load()
-	if held == nil {
-		return
-	}
-	s.adopter.TakeSeat(-1, true, time.Now())
-	if err := s.claimer.Release(ctx, *held); err != nil {
-		s.announce("SeatNotReleased", registrar.SeatName(s.settings.Place, held.Member.Seat), err.Error())
+// releaseSeats gives all seats back once no request runs any more.
+func (s *Server) releaseSeats(ctx context.Context) {
+	s.adopter.TakeSeats(nil, true, time.Now())
+	for _, held := range s.seats.all() {
+		s.releaseSeat(ctx, held)
 	}
 }
 
-// probeUpstreams asks all upstreams for their health again and again.
-func (s *Server) probeUpstreams(ctx context.Context) error {
-	interval := time.Duration(s.settings.Upstreams.ProbeMillis) * time.Millisecond
-	for {
-		_ = s.prober.Round(ctx, s.plans.Load().Upstreams(), func(change prober.Change) {
-			s.announce("Upstream"+change.After.String(), change.Upstream.Address(), "was "+change.Before.String())
-		})
-		if retrier.Sleep(ctx, interval) != nil {
-			return nil
-		}
+// releaseSeat gives one seat back, whose parts are in use no longer.
+func (s *Server) releaseSeat(ctx context.Context, held claimer.Held) {
+	s.seats.remove(held.Member.HeldSeat())
+	if err := s.claimer.Release(ctx, held); err != nil {
+		s.announce("SeatNotReleased", held.Member.HeldSeat().Name(), err.Error())
 	}
 }
-
-// suspected is told of an upstream that has just failed a request.
-func (s *Server) suspected(upstream *admitter.Upstream, refusal *arbiter.Refusal) {
-	s.gauges.suspicions.Inc(1)
-	s.announce("UpstreamSuspect", upstream.Address(), fmt.Sprintf("%s: %s", refusal.Reason, refusal.Detail))
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -57,6 +57,7 @@
 	self      registrar.Member
 	listeners listeners
 	store     storer.Store
+	lister    storer.Lister
 	plans     *holder.Cell[admitter.Plan]
 	locators  *holder.Cell[locator.Locator]
 	adopter   *adopter.Adopter
@@ -73,8 +74,8 @@
 
 	// roster is the newest list of seats; never nil.
 	roster atomic.Pointer[registrar.Roster]
-	// held is the seat held, or nil.
-	held atomic.Pointer[claimer.Held]
+	// seats are the seats held.
+	seats seats
 	// leaving is set once the drain has begun.
 	leaving atomic.Bool
 	// adoptedNanos is when the configuration came into force, in nanoseconds since
@@ -138,10 +139,11 @@
 		plans:     holder.New[admitter.Plan](),
 		locators:  holder.New[locator.Locator](),
 		publisher: publisher.New(platform, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
-		claimer:   claimer.New(platform, platform, encoder.CBOR[registrar.Member]{}),
 		prober:    prober.New(),
 		flights:   tracker.New[receiver.Flight](settings.Callers.MaxInFlight),
 	}
+	s.lister = platform
+	s.claimer = s.newClaimer()
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
 	s.adopter = adopter.New(self, s.plans)
@@ -182,6 +184,11 @@
 	})
 }
 
+// newClaimer returns a claimer for one goroutine.
+func (s *Server) newClaimer() *claimer.Claimer {
+	return claimer.New(s.store, s.lister, encoder.CBOR[registrar.Member]{})
+}
+
 // Name returns the instance's name.
 func (s *Server) Name() string {
 	return s.settings.Name
@@ -234,6 +241,7 @@
 		s.followConfig,
 		s.followRoster,
 		s.keepSeat,
+		s.inheritSeats,
 		s.probeUpstreams,
 		s.refresh,
 		s.copier.Run,
--- a/internal/trier/limit_test.go
+++ b/internal/trier/limit_test.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/operator"
 	"github.com/hemlockport/hemlockport/internal/trier"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/recorder"
+	"github.com/hemlockport/hemlockport/pkg/query/splitter"
 )
 
 // The team "oldfield" of the built-in objects.
@@ -33,6 +38,7 @@
 	for i, target := range targets {
 		admitted := flood(t.Context(), target, length)
 		total += admitted
+		t.Logf("target %d: %d admitted", i, admitted)
 		if least := int64(slowRate * length.Seconds() / 2); admitted < least {
 			t.Errorf("target %d: %d admitted, want at least %d", i, admitted, least)
 		}
@@ -70,3 +76,43 @@
 	_ = group.Wait()
 	return admitted.Load()
 }
+
+// TestDeadOwner kills the instance that owns the slow team's rate. Another takes
+// its seat over, the team is served again at the other instances, and never more
+// than its rate and burst allows.
+func TestDeadOwner(t *testing.T) {
+	cluster := start(t)
+	team, _ := cluster.Set.Teams.Get("oldfield")
+	owner := -1
+	for index := range cluster.Instances {
+		seat := splitter.Seat{
+			Index: index,
+			Of:    len(cluster.Instances),
+		}
+		if admitter.Part(team, seat).Burst > 0 {
+			owner = index
+		}
+	}
+	other := cluster.Instances[(owner+1)%len(cluster.Instances)]
+	begun := time.Now()
+	before := flood(t.Context(), []*trier.Instance{other}, 3*time.Second)
+	cluster.Instances[owner].Kill()
+	died := time.Now()
+	inherited := trier.Await(t.Context(), 20*time.Second, func() bool {
+		line, err := other.Operator.TimeLine(t.Context(), operator.Selection{})
+		return err == nil && slices.ContainsFunc(line.Events, func(event recorder.Event) bool {
+			return event.Kind == "SeatInherited"
+		})
+	})
+	if !inherited {
+		t.Fatal("nobody took the dead instance's seat over")
+	}
+	t.Logf("the seat was taken over after %s", time.Since(died))
+	after := flood(t.Context(), []*trier.Instance{other}, 5*time.Second)
+	if after < slowRate {
+		t.Errorf("%d admitted in 5 s after the seat was taken over", after)
+	}
+	if most := slowRate*time.Since(begun).Seconds() + slowBurst; float64(before+after) > most {
+		t.Fatalf("%d admitted, the team's rate and burst allow %.1f", before+after, most)
+	}
+}
--- a/pkg/command/admitter/admitter_test.go
+++ b/pkg/command/admitter/admitter_test.go
@@ -87,7 +87,7 @@
 		Index: 0,
 		Of:    1,
 	}
-	plan := admitter.First("derby", "derby-1").WithSeat(seat, now).WithTable(router.New(1, set), now)
+	plan := admitter.First("derby", "derby-1").WithSeats([]splitter.Seat{seat}, now).WithTable(router.New(1, set), now)
 	plan.Confirm(now)
 	plans.Advance(*plan)
 	return plans, admitter.New(plans)
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -21,7 +21,8 @@
 	home       string
 	// incarnation names the instance when it borrows.
 	incarnation string
-	seat        splitter.Seat
+	// seats are those that the instance holds.
+	seats []splitter.Seat
 	// desks holds each team's desk under its name, and those of teams that are gone
 	// but have lent something.
 	desks map[string]*sharer.Desk
@@ -45,13 +46,13 @@
 // parts that become larger wait for Confirm. So this is called by one goroutine at
 // a time and its result is put in force.
 func (p *Plan) WithTable(table *router.Table, now time.Time) *Plan {
-	return p.follow(table, p.seat, now)
+	return p.follow(table, p.seats, now)
 }
 
-// WithSeat returns the plan that follows when the instance has got or lost its
-// seat. The same holds as for WithTable.
-func (p *Plan) WithSeat(seat splitter.Seat, now time.Time) *Plan {
-	return p.follow(p.table, seat, now)
+// WithSeats returns the plan that follows when the instance has got or lost seats.
+// The same holds as for WithTable.
+func (p *Plan) WithSeats(seats []splitter.Seat, now time.Time) *Plan {
+	return p.follow(p.table, seats, now)
 }
 
 // RevisionNumber returns the plan's generation.
@@ -64,9 +65,9 @@
 	return p.table
 }
 
-// Seat returns the instance's seat.
-func (p *Plan) Seat() splitter.Seat {
-	return p.seat
+// Seats returns the seats that the instance holds.
+func (p *Plan) Seats() []splitter.Seat {
+	return p.seats
 }
 
 // Confirm puts the larger parts in force. It is called once nobody else can still
@@ -92,13 +93,17 @@
 	return desks
 }
 
-// Part returns the part of a team's limit that belongs to a seat.
-func Part(team declarer.Team, seat splitter.Seat) limiter.Limit {
+// Part returns the part of a team's limit that belongs to seats.
+func Part(team declarer.Team, seats ...splitter.Seat) limiter.Limit {
 	whole := limiter.Limit{
 		RatePerSecond: team.RatePerSecond,
 		Burst:         team.Burst,
 	}
-	return splitter.Part(whole, team.Name, seat.Spread(sharer.PerHolder))
+	var part limiter.Limit
+	for _, seat := range seats {
+		part = part.Plus(splitter.Part(whole, team.Name, seat.Spread(sharer.PerHolder)))
+	}
+	return part
 }
 
 // Upstreams returns the upstreams of all versions in no order.
@@ -110,15 +115,15 @@
 	return upstreams
 }
 
-func (p *Plan) follow(table *router.Table, seat splitter.Seat, now time.Time) *Plan {
+func (p *Plan) follow(table *router.Table, seats []splitter.Seat, now time.Time) *Plan {
 	set := table.Set()
 	next := &Plan{
 		generation:  p.generation + 1,
 		table:       table,
 		home:        p.home,
 		incarnation: p.incarnation,
-		seat:        seat,
-		desks:       p.desksFor(set, seat, now),
+		seats:       seats,
+		desks:       p.desksFor(set, seats, now),
 		pools:       map[string]*Pool{},
 		upstreams:   map[string]*Upstream{},
 	}
@@ -134,14 +139,14 @@
 }
 
 // desksFor returns the desks of all teams, which carry on those before.
-func (p *Plan) desksFor(set declarer.Set, seat splitter.Seat, now time.Time) map[string]*sharer.Desk {
+func (p *Plan) desksFor(set declarer.Set, seats []splitter.Seat, now time.Time) map[string]*sharer.Desk {
 	desks := map[string]*sharer.Desk{}
 	for team := range set.Teams.All() {
 		desk, found := p.desks[team.Name]
 		if !found {
 			desk = sharer.NewDesk(team.Name, p.incarnation, now)
 		}
-		desk.Account.SetOwned(Part(team, seat), now)
+		desk.Account.SetOwned(Part(team, seats...), now)
 		desks[team.Name] = desk
 	}
 	for name, desk := range p.desks {
--- a/pkg/command/adopter/adopter.go
+++ b/pkg/command/adopter/adopter.go
@@ -24,8 +24,9 @@
 	plans   *holder.Cell[admitter.Plan]
 	// bundle is the configuration in force; zero before the first.
 	bundle publisher.Bundle
-	// self is this instance; its seat is -1 without one.
-	self registrar.Member
+	// self is this instance, and seats are those that it holds.
+	self  registrar.Member
+	seats []registrar.Seat
 	// others are the other seated instances.
 	others []registrar.Member
 	// confirmed says that the larger parts of the plan are in force; before that,
@@ -38,10 +39,10 @@
 func New(self registrar.Member, plans *holder.Cell[admitter.Plan]) *Adopter {
 	adopter := &Adopter{
 		plans:     plans,
-		self:      self.WithSeat(-1),
+		self:      self,
 		confirmed: true,
 	}
-	plans.Advance(*admitter.First(self.Place, self.Incarnation).WithSeat(splitter.Seat{}, time.Now()))
+	plans.Advance(*admitter.First(self.Place, self.Incarnation).WithSeats(nil, time.Now()))
 	return adopter
 }
 
@@ -61,12 +62,12 @@
 	return true
 }
 
-// TakeSeat records the seat that the instance holds in its place; -1 means none.
-// Used says that another instance has held it before.
-func (a *Adopter) TakeSeat(number int, used bool, now time.Time) {
+// TakeSeats records the seats that the instance holds. Used says that another
+// instance has held one of them before.
+func (a *Adopter) TakeSeats(seats []registrar.Seat, used bool, now time.Time) {
 	a.writing.Lock()
 	defer a.writing.Unlock()
-	a.self = a.self.WithSeat(number)
+	a.seats = slices.Clone(seats)
 	a.settleAfter(used, now)
 	a.advance(a.plans.Load(), now)
 }
@@ -125,8 +126,12 @@
 
 // advance puts a plan in force with the seat that follows from the configuration.
 func (a *Adopter) advance(plan *admitter.Plan, now time.Time) {
-	if seat := a.seat(plan.Table().Set(), a.self); seat != plan.Seat() {
-		plan = plan.WithSeat(seat, now)
+	var numbered []splitter.Seat
+	for _, seat := range a.seats {
+		numbered = append(numbered, number(plan.Table().Set(), seat))
+	}
+	if !slices.Equal(numbered, plan.Seats()) {
+		plan = plan.WithSeats(numbered, now)
 	}
 	a.plans.Advance(*plan)
 	a.pointDesks(plan)
@@ -147,7 +152,8 @@
 		}
 		var holders []string
 		for _, other := range nearest {
-			if admitter.Part(team, a.seat(set, other)).Burst > 0 {
+			owns := admitter.Part(team, number(set, other.HeldSeat())).Burst > 0
+			if owns && !slices.Contains(holders, other.Incarnation) && other.Incarnation != a.self.Incarnation {
 				holders = append(holders, other.Incarnation)
 			}
 		}
@@ -155,18 +161,18 @@
 	}
 }
 
-// seat numbers a member's seat among the seats of all places. The first seats of
-// all places come before their second ones, so that few owners of a small limit
-// stand in different places.
-func (a *Adopter) seat(set declarer.Set, member registrar.Member) splitter.Seat {
-	declared, found := set.Places.Get(member.Place)
-	if !found || member.Seat < 0 || member.Seat >= declared.Seats {
+// number numbers a seat among the seats of all places. The first seats of all
+// places come before their second ones, so that few owners of a small limit stand
+// in different places.
+func number(set declarer.Set, seat registrar.Seat) splitter.Seat {
+	declared, found := set.Places.Get(seat.Place)
+	if !found || seat.Number < 0 || seat.Number >= declared.Seats {
 		return splitter.Seat{}
 	}
 	index := 0
 	for place := range set.Places.All() {
-		before := min(place.Seats, member.Seat)
-		if place.Name < member.Place && place.Seats > member.Seat {
+		before := min(place.Seats, seat.Number)
+		if place.Name < seat.Place && place.Seats > seat.Number {
 			before++
 		}
 		index += before
--- a/pkg/command/adopter/adopter_test.go
+++ b/pkg/command/adopter/adopter_test.go
@@ -77,7 +77,7 @@
 		},
 		{
 			name: "seat claimed",
-			run:  func() { adopt.TakeSeat(1, false, time.Now()) },
+			run:  func() { adopt.TakeSeats([]registrar.Seat{{Place: "derby", Number: 1}}, false, time.Now()) },
 			of:   2,
 		},
 		{
@@ -92,7 +92,11 @@
 	}
 	for _, step := range steps {
 		step.run()
-		if of := plans.Load().Seat().Of; of != step.of {
+		of := 0
+		for _, seat := range plans.Load().Seats() {
+			of = seat.Of
+		}
+		if of != step.of {
 			t.Fatalf("%s: seat of %d, want %d", step.name, of, step.of)
 		}
 	}
--- a/pkg/command/claimer/claimer.go
+++ b/pkg/command/claimer/claimer.go
@@ -60,7 +60,7 @@
 		return Held{}, err
 	}
 	for _, object := range taken.Objects {
-		if object.Value.Incarnation == member.Incarnation {
+		if object.Value.Incarnation == member.Incarnation && object.Value.SeatPlace == member.Place {
 			// Its first answer was lost, and with it whether the seat was used.
 			return Held{
 				Member:   object.Value,
@@ -73,8 +73,12 @@
 	if err != nil {
 		return Held{}, err
 	}
-	for seat := range seats {
-		condition, free := c.condition(taken.Objects, registrar.SeatName(member.Place, seat), instances, now)
+	for number := range seats {
+		seat := registrar.Seat{
+			Place:  member.Place,
+			Number: number,
+		}
+		condition, free := c.condition(taken.Objects, seat.Name(), instances, now)
 		if !free {
 			continue
 		}
@@ -87,6 +91,26 @@
 	return Held{}, ErrFull
 }
 
+// Inherit takes over one seat whose holder is dead, or that nobody holds, for an
+// instance that has a seat of its own. It returns ErrFull if the holder may live.
+func (c *Claimer) Inherit(ctx context.Context, member registrar.Member, seat registrar.Seat, now time.Time) (Held, error) {
+	taken, err := c.seats.List(ctx, seat.Name())
+	if err != nil {
+		return Held{}, err
+	}
+	instances, err := c.lister.Instances(ctx)
+	if err != nil {
+		return Held{}, err
+	}
+	condition, free := c.condition(taken.Objects, seat.Name(), instances, now)
+	if !free {
+		return Held{}, ErrFull
+	}
+	held, err := c.put(ctx, member.WithSeat(seat), condition)
+	held.Used = !condition.IsAbsent()
+	return held, err
+}
+
 // Confirm marks a seat's holder as listed once the platform's list shows it.
 func (c *Claimer) Confirm(ctx context.Context, held Held) (Held, error) {
 	if held.Member.Listed {
@@ -109,12 +133,13 @@
 // A seat that has changed since, by a write whose answer was lost, is read again
 // first.
 func (c *Claimer) Release(ctx context.Context, held Held) error {
-	vacant := registrar.Vacant(held.Member.Place, held.Member.Seat)
+	seat := held.Member.HeldSeat()
+	vacant := registrar.Vacant(seat)
 	_, err := c.put(ctx, vacant, storer.At(held.Revision))
 	if !errors.Is(err, storer.ErrConflict) {
 		return err
 	}
-	object, err := c.seats.Get(ctx, registrar.SeatName(held.Member.Place, held.Member.Seat))
+	object, err := c.seats.Get(ctx, seat.Name())
 	if err != nil {
 		return err
 	}
@@ -126,7 +151,7 @@
 }
 
 func (c *Claimer) put(ctx context.Context, member registrar.Member, condition storer.Condition) (Held, error) {
-	object, err := c.seats.Put(ctx, registrar.SeatName(member.Place, member.Seat), member, condition)
+	object, err := c.seats.Put(ctx, member.HeldSeat().Name(), member, condition)
 	if err != nil {
 		return Held{}, err
 	}
--- a/pkg/command/limiter/limit.go
+++ b/pkg/command/limiter/limit.go
@@ -50,6 +50,14 @@
 	return interval * int64(l.Burst)
 }
 
+// Plus returns the sum of two limits.
+func (l Limit) Plus(other Limit) Limit {
+	return Limit{
+		RatePerSecond: l.RatePerSecond + other.RatePerSecond,
+		Burst:         l.Burst + other.Burst,
+	}
+}
+
 // Minus returns what is left after another limit is taken away. It is never
 // below zero.
 func (l Limit) Minus(other Limit) Limit {
--- a/pkg/registrar/member.go
+++ b/pkg/registrar/member.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 )
 
@@ -21,7 +20,10 @@
 	Name string
 	// Place is the failure domain.
 	Place string
-	// Seat is the number of the seat in the place, from 0.
+	// SeatPlace is the place of the seat; empty means Place. It is another one if
+	// the instance has taken over the seat of a dead one.
+	SeatPlace string
+	// Seat is the number of the seat in its place, from 0.
 	Seat int
 	// CallerAddress is where callers reach the instance.
 	CallerAddress string
@@ -34,11 +36,36 @@
 	Leaving bool
 }
 
+// Seat is the right to one part of every limit.
+type Seat struct {
+	// Place is the failure domain that the seat is declared in.
+	Place string
+	// Number is from 0 to the number of the place's seats, less 1.
+	Number int
+}
+
+// Name returns the name of the seat in the store.
+func (s Seat) Name() string {
+	return fmt.Sprintf("%s%s/%d", SeatPrefix, s.Place, s.Number)
+}
+
+// HeldSeat returns the seat that the member holds.
+func (m Member) HeldSeat() Seat {
+	place := m.SeatPlace
+	if place == "" {
+		place = m.Place
+	}
+	return Seat{
+		Place:  place,
+		Number: m.Seat,
+	}
+}
+
 // Vacant returns the value of a seat that was given back.
-func Vacant(place string, seat int) Member {
+func Vacant(seat Seat) Member {
 	return Member{
-		Place: place,
-		Seat:  seat,
+		Place: seat.Place,
+		Seat:  seat.Number,
 	}
 }
 
@@ -48,8 +75,9 @@
 }
 
 // WithSeat returns a copy that holds another seat.
-func (m Member) WithSeat(seat int) Member {
-	m.Seat = seat
+func (m Member) WithSeat(seat Seat) Member {
+	m.SeatPlace = seat.Place
+	m.Seat = seat.Number
 	return m
 }
 
@@ -65,26 +93,6 @@
 	return m
 }
 
-// SeatName returns the name of a seat in the store.
-func SeatName(place string, seat int) string {
-	return fmt.Sprintf("%s%s/%d", SeatPrefix, place, seat)
-}
-
-// ParseSeatName returns the place and number of a seat, and false for the name of
-// something else.
-func ParseSeatName(name string) (place string, seat int, ok bool) {
-	rest, found := strings.CutPrefix(name, SeatPrefix)
-	if !found {
-		return "", 0, false
-	}
-	place, digits, found := strings.Cut(rest, "/")
-	if !found {
-		return "", 0, false
-	}
-	seat, err := strconv.Atoi(digits)
-	return place, seat, err == nil && seat >= 0
-}
-
 // Roster is an immutable list of members, in the order of place and seat.
 type Roster struct {
 	// revision is the store's revision that the list is complete up to.
