Measure the control cost, and number the seats once for each change

Excluded: handing out the changes less often (they must be in force within 4 s). Change: seats are numbered once for each change and not once for each pair of team and instance. Also: a fetch of a configuration that failed is tried again; a store that has lost what it held gets a revision above the one in force; peers' frames and bytes are counted; the upstream's stand-in keeps deadlines.

--- a/cmd/hemlockport/process_test.go
+++ b/cmd/hemlockport/process_test.go
@@ -104,6 +104,8 @@
 KeyHash = %q
 [Platform]
 Address = "http://%s"
+[Drain]
+GraceMillis = 3000
 `, i, d.callers[i], freeAddress(t), d.operators[i], declarer.HashKey(operatorKey), platform))
 		d.instances = append(d.instances, d.start("hemlockport", "serve", "--settings", settings))
 	}
@@ -354,6 +356,7 @@
 	if err := d.instances[0].Process.Signal(syscall.SIGTERM); err != nil {
 		d.t.Fatal(err)
 	}
+	d.await("callers are told to go", func() bool { return d.toldToGo(0) })
 	_ = group.Wait()
 	if status != http.StatusOK {
 		d.t.Errorf("the order that ran ended with status %d", status)
@@ -372,6 +375,20 @@
 	}
 }
 
+// toldToGo says whether an instance answers and closes the connection.
+func (d *deployment) toldToGo(instance int) bool {
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.callers[instance]+"/.hemlockport/lookup?service=shopfront", nil)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK && response.Close
+}
+
 func (d *deployment) inFlight(instance int) bool {
 	out, _, _ := d.run("status", "--at", d.operators[instance], "--output", "json")
 	return strings.Contains(out, `"InFlight": 1`)
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -80,6 +81,10 @@
 	// tasks runs the dialing loops and the accepted links. It is nil but in Run.
 	tasks *errgroup.Group
 	ctx   context.Context
+
+	// frames and bytes count what was sent.
+	frames atomic.Uint64
+	bytes  atomic.Uint64
 }
 
 // topic answers encoded questions.
@@ -208,6 +213,11 @@
 	}
 }
 
+// Sent returns how many frames and how many bytes of them were sent so far.
+func (h *Hub) Sent() (sentFrames, sentBytes uint64) {
+	return h.frames.Load(), h.bytes.Load()
+}
+
 // Go runs a task beside the links, unless the hub has ended.
 func (h *Hub) Go(task func()) {
 	h.linking.Lock()
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -116,7 +116,13 @@
 	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
 	defer cancel()
 	frame.Stamp = l.hub.clock.Next()
-	return send(ctx, l.conn, frames, frame)
+	data, err := frames.Encode(frame)
+	if err != nil {
+		return err
+	}
+	l.hub.frames.Add(1)
+	l.hub.bytes.Add(uint64(len(data)))
+	return l.conn.Write(ctx, websocket.MessageBinary, data)
 }
 
 func (l *link) read(ctx context.Context, group *errgroup.Group) error {
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -74,6 +74,7 @@
 
 // fetchHead reads the configuration that a head names and puts it in force.
 func (s *Server) fetchHead(ctx context.Context, head publisher.Head) {
+	s.raiseWanted(head.Revision)
 	if head.Revision <= s.adopter.Revision() {
 		return
 	}
@@ -88,6 +89,16 @@
 	s.adopt(bundle, "from the store")
 }
 
+// raiseWanted notes the highest revision that is known to be accepted.
+func (s *Server) raiseWanted(revision uint64) {
+	for {
+		wanted := s.wanted.Load()
+		if wanted >= revision || s.wanted.CompareAndSwap(wanted, revision) {
+			return
+		}
+	}
+}
+
 // fetchFromPeer reads the configuration of a peer that has a newer one.
 func (s *Server) fetchFromPeer(peer registrar.Member) {
 	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -8,6 +8,8 @@
 	inFlight       metrics.Gauge
 	peers          metrics.Gauge
 	storeLost      metrics.Gauge
+	sentFrames     metrics.Gauge
+	sentBytes      metrics.Gauge
 	lookups        metrics.Counter
 	storeFaults    metrics.Counter
 	fetchFaults    metrics.Counter
@@ -21,6 +23,8 @@
 		inFlight:       metrics.GetOrRegisterGauge("hemlockport_requests_in_flight", registry),
 		peers:          metrics.GetOrRegisterGauge("hemlockport_peers_linked", registry),
 		storeLost:      metrics.GetOrRegisterGauge("hemlockport_store_lost_since_seconds", registry),
+		sentFrames:     metrics.GetOrRegisterGauge("hemlockport_peer_frames_sent", registry),
+		sentBytes:      metrics.GetOrRegisterGauge("hemlockport_peer_bytes_sent", registry),
 		lookups:        metrics.GetOrRegisterCounter("hemlockport_lookups_total", registry),
 		storeFaults:    metrics.GetOrRegisterCounter("hemlockport_store_faults_total", registry),
 		fetchFaults:    metrics.GetOrRegisterCounter("hemlockport_config_fetch_faults_total", registry),
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -30,6 +30,7 @@
 // change publishes an operator's change and puts it in force here at once.
 func (s *Server) change(ctx context.Context, change publisher.Change) (publisher.Accepted, error) {
 	change.AtMillis = time.Now().UnixMilli()
+	change.Above = s.adopter.Revision()
 	accepted, err := s.publisher.Do(ctx, change)
 	if err != nil {
 		s.gauges.refusedChanges.Inc(1)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -141,22 +141,28 @@
 			return nil
 		case <-ticker.C:
 			s.linkPeers()
-			s.catchUp()
+			s.catchUp(ctx)
 			s.gauges.revision.Update(int64(s.adopter.Revision()))
 			s.gauges.inFlight.Update(int64(s.flights.Count()))
+			sentFrames, sentBytes := s.hub.Sent()
+			s.gauges.sentFrames.Update(int64(sentFrames))
+			s.gauges.sentBytes.Update(int64(sentBytes))
 			s.gauges.peers.Update(int64(len(s.hub.Peers())))
 			s.gauges.storeLost.Update(s.storeLostNanos.Load() / int64(time.Second))
 		}
 	}
 }
 
-// catchUp fetches the newest configuration of the peers, should the fetch that
-// followed a beat have failed.
-func (s *Server) catchUp() {
+// catchUp fetches the newest configuration, should the fetch that followed a beat
+// or a change in the store have failed.
+func (s *Server) catchUp(ctx context.Context) {
 	for _, peer := range s.hub.Peers() {
 		if peer.Beat.Revision > s.adopter.Revision() {
 			s.fetchFromPeer(peer.Member)
 			return
 		}
 	}
+	if s.wanted.Load() > s.adopter.Revision() {
+		s.fetchFromStore(ctx)
+	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -76,6 +76,8 @@
 	roster atomic.Pointer[registrar.Roster]
 	// seats are the seats held.
 	seats seats
+	// wanted is the highest revision that is known to be accepted.
+	wanted atomic.Uint64
 	// leaving is set once the drain has begun.
 	leaving atomic.Bool
 	// adoptedNanos is when the configuration came into force, in nanoseconds since
@@ -204,6 +206,11 @@
 	return s.listeners.operators.Addr().String()
 }
 
+// Sent returns how many frames and bytes the instance has sent to its peers.
+func (s *Server) Sent() (frames, bytes uint64) {
+	return s.hub.Sent()
+}
+
 // Halt ends the instance at once; Run returns ErrHalted.
 func (s *Server) Halt() {
 	s.halt(ErrHalted)
--- a/internal/standin/upstreamer/server.go
+++ b/internal/standin/upstreamer/server.go
@@ -3,6 +3,7 @@
 package upstreamer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -179,7 +180,19 @@
 	if s.served.Add(1) <= int64(s.settings.WarmRequests) {
 		millis = 3*s.settings.WorkMillis + faults.SlowMillis
 	}
-	return retrier.Sleep(request.Context(), time.Duration(millis)*time.Millisecond)
+	ctx, cancel := withDeadline(request)
+	defer cancel()
+	return retrier.Sleep(ctx, time.Duration(millis)*time.Millisecond)
+}
+
+// withDeadline returns the request's context, which ends when the time is up that
+// the request says is left.
+func withDeadline(request *http.Request) (context.Context, context.CancelFunc) {
+	left, err := strconv.Atoi(request.Header.Get(forwarder.HeaderTimeoutMillis))
+	if err != nil {
+		return context.WithCancel(request.Context())
+	}
+	return context.WithTimeout(request.Context(), time.Duration(left)*time.Millisecond)
 }
 
 func (s *Server) answer(w http.ResponseWriter, request *http.Request, body []byte, faults *Faults) {
--- a/pkg/command/adopter/adopter.go
+++ b/pkg/command/adopter/adopter.go
@@ -127,8 +127,9 @@
 // advance puts a plan in force with the seat that follows from the configuration.
 func (a *Adopter) advance(plan *admitter.Plan, now time.Time) {
 	var numbered []splitter.Seat
+	numbers := numberSeats(plan.Table().Set())
 	for _, seat := range a.seats {
-		numbered = append(numbered, number(plan.Table().Set(), seat))
+		numbered = append(numbered, numbers[seat])
 	}
 	if !slices.Equal(numbered, plan.Seats()) {
 		plan = plan.WithSeats(numbered, now)
@@ -137,48 +138,75 @@
 	a.pointDesks(plan)
 }
 
+// owner is another instance and one seat that it holds.
+type owner struct {
+	incarnation string
+	seat        splitter.Seat
+	distance    int
+}
+
 // pointDesks tells each team's desk from whom it can borrow, the nearest first.
 func (a *Adopter) pointDesks(plan *admitter.Plan) {
 	set := plan.Table().Set()
-	home, _ := set.Places.Get(a.self.Place)
-	nearest := slices.Clone(a.others)
-	slices.SortStableFunc(nearest, func(x, y registrar.Member) int {
-		return home.Distance(set.Places, x.Place) - home.Distance(set.Places, y.Place)
-	})
+	owners := a.owners(set)
 	for team := range set.Teams.All() {
 		desk, found := plan.Desk(team.Name)
 		if !found {
 			continue
 		}
 		var holders []string
-		for _, other := range nearest {
-			owns := admitter.Part(team, number(set, other.HeldSeat())).Burst > 0
-			if owns && !slices.Contains(holders, other.Incarnation) && other.Incarnation != a.self.Incarnation {
-				holders = append(holders, other.Incarnation)
+		for _, other := range owners {
+			if admitter.Part(team, other.seat).Burst > 0 && !slices.Contains(holders, other.incarnation) {
+				holders = append(holders, other.incarnation)
 			}
 		}
 		desk.SetHolders(holders, team.RatePerSecond)
 	}
 }
 
-// number numbers a seat among the seats of all places. The first seats of all
-// places come before their second ones, so that few owners of a small limit stand
-// in different places.
-func number(set declarer.Set, seat registrar.Seat) splitter.Seat {
-	declared, found := set.Places.Get(seat.Place)
-	if !found || seat.Number < 0 || seat.Number >= declared.Seats {
-		return splitter.Seat{}
-	}
-	index := 0
+// owners returns the seats of the other instances, the nearest first.
+func (a *Adopter) owners(set declarer.Set) []owner {
+	home, _ := set.Places.Get(a.self.Place)
+	numbers := numberSeats(set)
+	distances := map[string]int{}
 	for place := range set.Places.All() {
-		before := min(place.Seats, seat.Number)
-		if place.Name < seat.Place && place.Seats > seat.Number {
-			before++
+		distances[place.Name] = home.Distance(set.Places, place.Name)
+	}
+	var owners []owner
+	for _, other := range a.others {
+		if other.Incarnation == a.self.Incarnation {
+			continue
 		}
-		index += before
+		owners = append(owners, owner{
+			incarnation: other.Incarnation,
+			seat:        numbers[other.HeldSeat()],
+			distance:    distances[other.Place],
+		})
 	}
-	return splitter.Seat{
-		Index: index,
-		Of:    set.Seats(),
+	slices.SortStableFunc(owners, func(x, y owner) int { return x.distance - y.distance })
+	return owners
+}
+
+// numberSeats numbers the seats of all places. The first seats of all places come
+// before their second ones, so that the few owners of a small limit stand in
+// different places. A seat that is not declared has no number and no part.
+func numberSeats(set declarer.Set) map[registrar.Seat]splitter.Seat {
+	total := set.Seats()
+	numbers := make(map[registrar.Seat]splitter.Seat, total)
+	for number := 0; len(numbers) < total; number++ {
+		for place := range set.Places.All() {
+			if number >= place.Seats {
+				continue
+			}
+			seat := registrar.Seat{
+				Place:  place.Name,
+				Number: number,
+			}
+			numbers[seat] = splitter.Seat{
+				Index: len(numbers),
+				Of:    total,
+			}
+		}
 	}
+	return numbers
 }
--- a/pkg/command/publisher/publisher.go
+++ b/pkg/command/publisher/publisher.go
@@ -62,6 +62,9 @@
 	IfRevision uint64
 	// By names who asks.
 	By string
+	// Above is a revision that is in force somewhere. The accepted one is higher,
+	// also if the store has lost what it held.
+	Above uint64
 	// AtMillis is the instant of asking, in milliseconds since the Unix epoch.
 	AtMillis int64
 }
@@ -192,15 +195,16 @@
 		return Accepted{}, err
 	}
 	accepted := Accepted{
-		Revision:  object.Value.Revision,
-		Unchanged: object.Revision != 0 && slices.Equal(chunks, object.Value.Chunks),
-		Objects:   document.Set().Len(),
+		Revision: object.Value.Revision,
+		Unchanged: object.Value.Revision > 0 && object.Value.Revision >= change.Above &&
+			slices.Equal(chunks, object.Value.Chunks),
+		Objects: document.Set().Len(),
 	}
 	if accepted.Unchanged {
 		return accepted, nil
 	}
 	head := Head{
-		Revision:       object.Value.Revision + 1,
+		Revision:       max(object.Value.Revision, change.Above) + 1,
 		Chunks:         chunks,
 		AcceptedMillis: change.AtMillis,
 		By:             change.By,
--- a/pkg/command/publisher/publisher_test.go
+++ b/pkg/command/publisher/publisher_test.go
@@ -229,6 +229,20 @@
 	}
 }
 
+// TestLostStore publishes to a store that has lost what it held. The revision is
+// above the one that instances have in force, so that they take it.
+func TestLostStore(t *testing.T) {
+	change := team("a")
+	change.Above = 7
+	store := keeper.New()
+	for range 2 {
+		accepted, err := newPublisher(store).Do(t.Context(), change)
+		if err != nil || accepted.Revision != 8 {
+			t.Fatalf("%+v, %v, want revision 8", accepted, err)
+		}
+	}
+}
+
 func TestStoreDown(t *testing.T) {
 	store := keeper.New()
 	store.SetFaults(keeper.Faults{}.WithDown(true))
