Budget the platform's calls, and stop unconfirmed keys where a team asks for it

Cause: a domain that is cut off from everything cannot learn of a withdrawal, and a fleet that recovers could stampede the store. Change: beats tell how long ago the sender's configuration was confirmed to be the newest; a team can set KeysStopAfterMillis; calls to the platform are counted by kind and wait for a budget that is set per instance. Figures: 10 reads a second allowed, 100 made in 10 s of virtual time by a caller that never waits; keys of a team with 30 s stop at 31 s without confirmation and work again after one, others go on. Conclusion: both are settings with defaults that keep serving.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -56,6 +56,8 @@
 	address, err := url.Parse(platform.Address)
 	valid := err == nil && address.Host != "" && (address.Scheme == "http" || address.Scheme == "https")
 	p.require(valid, "Platform.Address", platform.Address, "a URL such as http://10.0.0.1:7000")
+	p.perSecond("Platform.ReadsPerSecond", platform.ReadsPerSecond)
+	p.perSecond("Platform.WritesPerSecond", platform.WritesPerSecond)
 }
 
 func (p *pass) limits(s Settings) {
@@ -96,6 +98,10 @@
 	p.require(err == nil, field, value, "an IP number and a port")
 }
 
+func (p *pass) perSecond(field string, value float64) {
+	p.require(value >= 0.1 && value <= maxCount, field, fmt.Sprint(value), "0.1 to 1000000")
+}
+
 func (p *pass) count(field string, value int) {
 	p.require(value >= 1 && value <= maxCount, field, fmt.Sprint(value), "1 to 1000000")
 }
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -81,6 +81,10 @@
 	// holds it instead.
 	Token     string
 	TokenFile string
+	// ReadsPerSecond and WritesPerSecond bound this instance's calls. A waiting
+	// watch is one read.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
 }
 
 // Upstreams says how upstreams are met.
@@ -143,7 +147,9 @@
 			Listen: "127.0.0.1:8082",
 		},
 		Platform: Platform{
-			Address: "http://127.0.0.1:7000",
+			Address:         "http://127.0.0.1:7000",
+			ReadsPerSecond:  50,
+			WritesPerSecond: 20,
 		},
 		Upstreams: Upstreams{
 			ProbeMillis:    500,
--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -45,12 +45,21 @@
 type Beat struct {
 	// Revision is the configuration in force at the sender.
 	Revision uint64
+	// AgeMillis is how long ago the sender's configuration was confirmed to be the
+	// newest, in milliseconds.
+	AgeMillis int64
 	// Leaving says that the sender has begun its stop.
 	Leaving bool
 	// Seatless says that the sender has a configuration and looks for a seat.
 	Seatless bool
 }
 
+// Differs says whether a beat tells of a change, and not just of time that passes.
+func (b Beat) Differs(other Beat) bool {
+	b.AgeMillis = other.AgeMillis
+	return b != other
+}
+
 // challenge opens a handshake; the accepting side sends it.
 type challenge struct {
 	Nonce []byte
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -53,6 +53,8 @@
 	TLS *tls.Config
 	// Beat returns what to tell the peers.
 	Beat func() Beat
+	// Heard is told of each beat.
+	Heard func(beat Beat)
 	// Changed is told of each peer's first and each changed beat, with the one
 	// before, which is zero at first; Lost of each link that has ended.
 	Changed func(peer registrar.Member, before, beat Beat)
@@ -67,6 +69,7 @@
 	scheme  string
 	client  *http.Client
 	beat    func() Beat
+	heard   func(beat Beat)
 	changed func(peer registrar.Member, before, beat Beat)
 	lost    func(peer registrar.Member)
 	// topics holds the handler of each topic. It is complete before Run.
@@ -107,6 +110,7 @@
 			},
 		},
 		beat:    parts.Beat,
+		heard:   parts.Heard,
 		changed: parts.Changed,
 		lost:    parts.Lost,
 		topics:  map[string]topic{},
--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -50,6 +50,7 @@
 		Secret:  secret,
 		Clock:   stamper.New(time.Now),
 		Beat:    func() linker.Beat { return linker.Beat{Revision: 7} },
+		Heard:   func(linker.Beat) {},
 		Changed: func(_ registrar.Member, _, _ linker.Beat) {},
 		Lost:    func(peer registrar.Member) { started.lost <- peer.Name },
 	})
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -168,7 +168,8 @@
 	if before == nil {
 		before = &Beat{}
 	}
-	if *before != beat {
+	l.hub.heard(beat)
+	if beat.Differs(*before) {
 		l.hub.changed(l.peer, *before, beat)
 	}
 	return nil
--- a/internal/receiver/hop_test.go
+++ b/internal/receiver/hop_test.go
@@ -50,7 +50,7 @@
 	send := forwarder.New()
 	t.Cleanup(send.Close)
 	receive := receiver.New(receiver.Parts{
-		Admitter:  admitter.New(plans),
+		Admitter:  admitter.New(plans, admitter.NewFreshness(time.Now())),
 		Forwarder: send,
 		Flights:   tracker.New[receiver.Flight](1024),
 		Budget:    retrier.NewBudget(retrier.DefaultRatio, retrier.DefaultReserve),
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -76,7 +76,7 @@
 // after each change of the plan.
 func (r *Receiver) Sweep() {
 	r.flights.Each(func(flight *Flight) {
-		if !r.admitter.StillValid(flight.admission) {
+		if !r.admitter.StillValid(flight.admission, time.Now()) {
 			flight.cancel(withdrawn())
 		}
 	})
@@ -130,7 +130,7 @@
 	defer r.flights.Remove(ticket)
 	// The key may have been withdrawn after Admit and before Add, when no sweep
 	// could find the request.
-	if !r.admitter.StillValid(admission) {
+	if !r.admitter.StillValid(admission, time.Now()) {
 		return withdrawn()
 	}
 	return r.exchange(ctx, w, request, admission)
--- a/internal/receiver/refusal.go
+++ b/internal/receiver/refusal.go
@@ -30,6 +30,7 @@
 	arbiter.KeyUnknown:       http.StatusUnauthorized,
 	arbiter.KeyWithdrawn:     http.StatusUnauthorized,
 	arbiter.KeyExposed:       http.StatusBadRequest,
+	arbiter.KeyUnconfirmed:   http.StatusServiceUnavailable,
 	arbiter.TeamNotAllowed:   http.StatusForbidden,
 	arbiter.TeamOverRate:     http.StatusTooManyRequests,
 	arbiter.NoRoom:           http.StatusServiceUnavailable,
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -43,6 +43,11 @@
 		for _, object := range view.Objects {
 			s.fetchHead(ctx, object.Value)
 		}
+	}, func() {
+		s.storeAnswered()
+		if s.wanted.Load() <= s.adopter.Revision() {
+			s.fresh.Confirm(time.Now())
+		}
 	}, s.storeFailed)
 }
 
@@ -60,7 +65,7 @@
 		s.adopter.SetOthers(s.others())
 		s.linkPeers()
 		s.relocate()
-	}, s.storeFailed)
+	}, s.storeAnswered, s.storeFailed)
 }
 
 // fetchFromStore reads the head once, without waiting for the watch.
--- a/internal/server/gauges.go
+++ b/internal/server/gauges.go
@@ -1,6 +1,12 @@
 package server
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hemlockport/hemlockport/pkg/command/budgeter"
+)
 
 // gauges are the counts of an instance beside those of its requests.
 type gauges struct {
@@ -17,6 +23,16 @@
 	suspicions     metrics.Counter
 }
 
+// countCalls returns what counts the calls to the platform by kind.
+func countCalls(registry metrics.Registry) func(budgeter.Kind) {
+	counters := map[budgeter.Kind]metrics.Counter{}
+	for _, kind := range []budgeter.Kind{budgeter.Read, budgeter.Write, budgeter.Watch} {
+		name := fmt.Sprintf("hemlockport_store_calls_total{kind=%q}", kind)
+		counters[kind] = metrics.GetOrRegisterCounter(name, registry)
+	}
+	return func(kind budgeter.Kind) { counters[kind].Inc(1) }
+}
+
 func newGauges(registry metrics.Registry) gauges {
 	return gauges{
 		revision:       metrics.GetOrRegisterGauge("hemlockport_config_revision", registry),
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -18,9 +18,22 @@
 func (s *Server) beat() linker.Beat {
 	leaving := s.leaving.Load()
 	return linker.Beat{
-		Revision: s.adopter.Revision(),
-		Leaving:  leaving,
-		Seatless: !leaving && s.seats.own() == nil && s.adopter.Revision() != 0,
+		Revision:  s.adopter.Revision(),
+		AgeMillis: time.Since(s.fresh.At()).Milliseconds(),
+		Leaving:   leaving,
+		Seatless:  !leaving && s.seats.own() == nil && s.adopter.Revision() != 0,
+	}
+}
+
+// wayMillis is the longest that a beat is under way, in milliseconds.
+const wayMillis = 1000
+
+// heard takes over a peer's confirmation of the configuration, if this instance
+// has as new a one.
+func (s *Server) heard(beat linker.Beat) {
+	if beat.Revision <= s.adopter.Revision() {
+		age := time.Duration(beat.AgeMillis+wayMillis) * time.Millisecond
+		s.fresh.Confirm(time.Now().Add(-age))
 	}
 }
 
@@ -142,6 +155,7 @@
 		case <-ticker.C:
 			s.linkPeers()
 			s.catchUp(ctx)
+			s.receiver.Sweep()
 			s.gauges.revision.Update(int64(s.adopter.Revision()))
 			s.gauges.inFlight.Update(int64(s.flights.Count()))
 			sentFrames, sentBytes := s.hub.Sent()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/adopter"
+	"github.com/hemlockport/hemlockport/pkg/command/budgeter"
 	"github.com/hemlockport/hemlockport/pkg/command/claimer"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/command/recorder"
@@ -61,6 +62,8 @@
 	plans     *holder.Cell[admitter.Plan]
 	locators  *holder.Cell[locator.Locator]
 	adopter   *adopter.Adopter
+	// fresh knows when the configuration was last confirmed.
+	fresh     *admitter.Freshness
 	publisher *publisher.Publisher
 	claimer   *claimer.Claimer
 	hub       *linker.Hub
@@ -129,22 +132,28 @@
 		PeerAddress:   opened.Peers.Addr().String(),
 	}
 	clock := stamper.New(time.Now)
+	registry := metrics.NewRegistry()
+	within := budgeter.New(platform, budgeter.Budget{
+		ReadsPerSecond:  settings.Platform.ReadsPerSecond,
+		WritesPerSecond: settings.Platform.WritesPerSecond,
+	}, countCalls(registry))
 	s := &Server{
 		settings:  settings,
 		log:       log.With().Str("instance", settings.Name).Logger(),
 		clock:     clock,
 		recorder:  recorder.New(settings.Name, clock, recorder.DefaultCapacity),
-		registry:  metrics.NewRegistry(),
+		registry:  registry,
 		self:      self,
 		listeners: secured,
-		store:     platform,
+		store:     within,
+		lister:    within,
 		plans:     holder.New[admitter.Plan](),
 		locators:  holder.New[locator.Locator](),
-		publisher: publisher.New(platform, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
+		publisher: publisher.New(within, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
 		prober:    prober.New(),
 		flights:   tracker.New[receiver.Flight](settings.Callers.MaxInFlight),
 	}
-	s.lister = platform
+	s.fresh = admitter.NewFreshness(time.Now())
 	s.claimer = s.newClaimer()
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
@@ -162,6 +171,7 @@
 		Clock:   s.clock,
 		TLS:     s.listeners.dialing,
 		Beat:    s.beat,
+		Heard:   s.heard,
 		Changed: s.peerChanged,
 		Lost:    s.peerLost,
 	})
@@ -174,7 +184,7 @@
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 	)
 	s.receiver = receiver.New(receiver.Parts{
-		Admitter:  admitter.New(s.plans),
+		Admitter:  admitter.New(s.plans, s.fresh),
 		Forwarder: s.forwarder,
 		Flights:   s.flights,
 		Budget:    retrier.NewBudget(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -15,6 +15,7 @@
 	KeyUnknown        Reason = "KeyUnknown"
 	KeyWithdrawn      Reason = "KeyWithdrawn"
 	KeyExposed        Reason = "KeyExposed"
+	KeyUnconfirmed    Reason = "KeyUnconfirmed"
 	TeamNotAllowed    Reason = "TeamNotAllowed"
 	TeamOverRate      Reason = "TeamOverRate"
 	NoRoom            Reason = "NoRoom"
@@ -38,6 +39,7 @@
 		KeyUnknown,
 		KeyWithdrawn,
 		KeyExposed,
+		KeyUnconfirmed,
 		TeamNotAllowed,
 		TeamOverRate,
 		NoRoom,
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -60,12 +60,15 @@
 // path takes no lock.
 type Admitter struct {
 	plans *holder.Cell[Plan]
+	fresh *Freshness
 }
 
-// New returns an admitter that follows a cell of plans.
-func New(plans *holder.Cell[Plan]) *Admitter {
+// New returns an admitter that follows a cell of plans, and the freshness of what
+// they are made from.
+func New(plans *holder.Cell[Plan], fresh *Freshness) *Admitter {
 	return &Admitter{
 		plans: plans,
+		fresh: fresh,
 	}
 }
 
@@ -98,15 +101,22 @@
 	if route.Open {
 		return admission, nil
 	}
-	return admission.charge(request)
+	refusal := a.checkKey(&admission, request)
+	if refusal != nil {
+		return Admission{}, refusal
+	}
+	return admission.charge(request.Now)
 }
 
 // StillValid says whether the key that admitted a request works under the plan
 // in force. A request on an open route stays valid.
-func (a *Admitter) StillValid(admission Admission) bool {
+func (a *Admitter) StillValid(admission Admission, now time.Time) bool {
 	if admission.Key == nil {
 		return true
 	}
+	if a.unconfirmed(admission.Key.Team, now) {
+		return false
+	}
 	plan := a.plans.Load()
 	if plan == admission.Plan {
 		return true
@@ -157,29 +167,47 @@
 	return a.Key.Declared.Team
 }
 
-// charge checks the key and takes one request of the team's rate.
-func (a Admission) charge(request Request) (Admission, *arbiter.Refusal) {
+// checkKey finds the key that a request shows, and sets it in the admission.
+func (a *Admitter) checkKey(admission *Admission, request Request) *arbiter.Refusal {
 	if request.Key == "" {
-		return Admission{}, arbiter.Refuse(arbiter.KeyMissing, "show a key as Authorization: Bearer KEY")
+		return arbiter.Refuse(arbiter.KeyMissing, "show a key as Authorization: Bearer KEY")
 	}
-	key, found := a.Plan.table.Key(declarer.HashKey(request.Key))
+	key, found := admission.Plan.table.Key(declarer.HashKey(request.Key))
 	if !found {
-		return Admission{}, arbiter.Refuse(arbiter.KeyUnknown, "no such key")
+		return arbiter.Refuse(arbiter.KeyUnknown, "no such key")
 	}
 	if key.Declared.Withdrawn {
-		return Admission{}, arbiter.Refuse(arbiter.KeyWithdrawn, "the key has been withdrawn")
+		return arbiter.Refuse(arbiter.KeyWithdrawn, "the key has been withdrawn")
+	}
+	if !key.MayUse(admission.Service.Declared.Name) {
+		return arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
+	}
+	if a.unconfirmed(key.Team, request.Now) {
+		return arbiter.Refuse(arbiter.KeyUnconfirmed, "this instance is cut off and cannot tell whether the key still works")
 	}
-	if !key.MayUse(a.Service.Declared.Name) {
-		return Admission{}, arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
+	admission.Key = key
+	return nil
+}
+
+// unconfirmed says whether the team's keys have stopped, because the configuration
+// was not confirmed for too long.
+func (a *Admitter) unconfirmed(team declarer.Team, now time.Time) bool {
+	if team.KeysStopAfterMillis == 0 {
+		return false
 	}
-	a.Key = key
-	a.desk = a.Plan.desks[key.Team.Name]
-	retryAt, ok := a.desk.Take(request.Now)
+	limit := time.Duration(team.KeysStopAfterMillis) * time.Millisecond
+	return now.Sub(a.fresh.At()) > limit
+}
+
+// charge takes one request of the team's rate.
+func (a Admission) charge(now time.Time) (Admission, *arbiter.Refusal) {
+	a.desk = a.Plan.desks[a.Key.Team.Name]
+	retryAt, ok := a.desk.Take(now)
 	if ok {
 		return a, nil
 	}
 	if retryAt.IsZero() {
-		retryAt = request.Now.Add(NoShareMillis * time.Millisecond)
+		retryAt = now.Add(NoShareMillis * time.Millisecond)
 	}
 	return a, arbiter.Refuse(arbiter.TeamOverRate, "the team's rate is used up").WithRetryAt(retryAt)
 }
--- a/pkg/command/admitter/admitter_test.go
+++ b/pkg/command/admitter/admitter_test.go
@@ -90,7 +90,7 @@
 	plan := admitter.First("derby", "derby-1").WithSeats([]splitter.Seat{seat}, now).WithTable(router.New(1, set), now)
 	plan.Confirm(now)
 	plans.Advance(*plan)
-	return plans, admitter.New(plans)
+	return plans, admitter.New(plans, admitter.NewFreshness(now))
 }
 
 func TestAdmit(t *testing.T) {
@@ -296,16 +296,82 @@
 	}
 	same := router.New(2, set)
 	plans.Advance(*plans.Load().WithTable(same, start))
-	if !admit.StillValid(admission) {
+	if !admit.StillValid(admission, start) {
 		t.Fatal("a change that keeps the key ended its validity")
 	}
 	gone := router.New(3, set.WithKey(key("quilters", secret).WithWithdrawn()))
 	plans.Advance(*plans.Load().WithTable(gone, start))
-	if admit.StillValid(admission) {
+	if admit.StillValid(admission, start) {
 		t.Fatal("a withdrawn key is still valid")
 	}
 }
 
+func TestCutOffKeysStop(t *testing.T) {
+	start := time.Now()
+	careful, _ := declaredSet().Teams.Get("quilters")
+	careful.KeysStopAfterMillis = 30_000
+	plans, _ := inForce(declaredSet().WithTeam(careful), start)
+	fresh := admitter.NewFreshness(start)
+	admit := admitter.New(plans, fresh)
+	cases := []struct {
+		name string
+		// confirmed is the last confirmation, and now the instant of the request, both
+		// after the start.
+		confirmed time.Duration
+		now       time.Duration
+		key       string
+		reason    arbiter.Reason
+	}{
+		{
+			name: "confirmed a while ago",
+			now:  30 * time.Second,
+			key:  secret,
+		},
+		{
+			name:   "not confirmed for too long",
+			now:    31 * time.Second,
+			key:    secret,
+			reason: arbiter.KeyUnconfirmed,
+		},
+		{
+			name: "a team whose keys go on",
+			now:  31 * time.Second,
+			key:  "slow-key",
+		},
+		{
+			name:      "confirmed again",
+			confirmed: 40 * time.Second,
+			now:       60 * time.Second,
+			key:       secret,
+		},
+		{
+			name:      "an earlier confirmation changes nothing",
+			confirmed: 10 * time.Second,
+			now:       61 * time.Second,
+			key:       secret,
+		},
+	}
+	for _, c := range cases {
+		fresh.Confirm(start.Add(c.confirmed))
+		admission, refusal := admit.Admit(admitter.Request{
+			Host: "shopfront",
+			Path: "/orders",
+			Key:  c.key,
+			Now:  start.Add(c.now),
+		})
+		reason := arbiter.Reason("")
+		if refusal != nil {
+			reason = refusal.Reason
+		}
+		if reason != c.reason {
+			t.Errorf("%s: got %q, want %q", c.name, reason, c.reason)
+		}
+		if refusal == nil && c.key == secret && admit.StillValid(admission, start.Add(c.now+time.Hour)) {
+			t.Errorf("%s: the request stays valid although nothing is confirmed", c.name)
+		}
+	}
+}
+
 // admitOne is the decision path of one request: admit, claim a slot, release it.
 func admitOne(admit *admitter.Admitter, now time.Time, random uint64) *arbiter.Refusal {
 	admission, refusal := admit.Admit(admitter.Request{
--- /dev/null
+++ b/pkg/command/budgeter/budgeter.go
@@ -0,0 +1,128 @@
+// Package budgeter keeps an instance's calls to the platform inside a budget, and
+// counts them by kind, so that a fleet that recovers does not stampede a store.
+package budgeter
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// Kind is a kind of call.
+type Kind string
+
+// The kinds of calls. A waiting watch is one call.
+const (
+	Read  Kind = "read"
+	Write Kind = "write"
+	Watch Kind = "watch"
+)
+
+// Platform is what calls go to.
+type Platform interface {
+	storer.Store
+	storer.Lister
+}
+
+// Budget is how many calls an instance may make.
+type Budget struct {
+	// ReadsPerSecond counts reads and watches, WritesPerSecond the rest; above 0.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+}
+
+// burst is how many calls may come at once.
+const burst = 20
+
+// Budgeter is a platform whose calls wait for their budget. Safe for many
+// goroutines.
+type Budgeter struct {
+	platform Platform
+	reads    *limiter.Bucket
+	writes   *limiter.Bucket
+	// count is told of each call.
+	count func(Kind)
+}
+
+// New returns a platform inside a budget.
+func New(platform Platform, budget Budget, count func(Kind)) *Budgeter {
+	now := time.Now()
+	return &Budgeter{
+		platform: platform,
+		reads:    limiter.NewBucket(limiter.Limit{RatePerSecond: budget.ReadsPerSecond, Burst: burst}, now),
+		writes:   limiter.NewBucket(limiter.Limit{RatePerSecond: budget.WritesPerSecond, Burst: burst}, now),
+		count:    count,
+	}
+}
+
+// Get returns one object, or storer.ErrNotFound.
+func (b *Budgeter) Get(ctx context.Context, name string) (storer.Object[[]byte], error) {
+	if err := b.spend(ctx, Read, b.reads); err != nil {
+		return storer.Object[[]byte]{}, err
+	}
+	return b.platform.Get(ctx, name)
+}
+
+// List returns all objects whose names start with prefix.
+func (b *Budgeter) List(ctx context.Context, prefix string) (storer.Changes[[]byte], error) {
+	if err := b.spend(ctx, Read, b.reads); err != nil {
+		return storer.Changes[[]byte]{}, err
+	}
+	return b.platform.List(ctx, prefix)
+}
+
+// Watch waits for changes below prefix after a revision.
+func (b *Budgeter) Watch(ctx context.Context, prefix string, after uint64) (storer.Changes[[]byte], error) {
+	if err := b.spend(ctx, Watch, b.reads); err != nil {
+		return storer.Changes[[]byte]{}, err
+	}
+	return b.platform.Watch(ctx, prefix, after)
+}
+
+// Put writes an object if the condition holds.
+func (b *Budgeter) Put(
+	ctx context.Context,
+	name string,
+	value []byte,
+	condition storer.Condition,
+) (storer.Object[[]byte], error) {
+	if err := b.spend(ctx, Write, b.writes); err != nil {
+		return storer.Object[[]byte]{}, err
+	}
+	return b.platform.Put(ctx, name, value, condition)
+}
+
+// Delete removes an object if the condition holds.
+func (b *Budgeter) Delete(ctx context.Context, name string, condition storer.Condition) error {
+	if err := b.spend(ctx, Write, b.writes); err != nil {
+		return err
+	}
+	return b.platform.Delete(ctx, name, condition)
+}
+
+// Instances returns the platform's list of instances.
+func (b *Budgeter) Instances(ctx context.Context) ([]storer.Instance, error) {
+	if err := b.spend(ctx, Read, b.reads); err != nil {
+		return nil, err
+	}
+	return b.platform.Instances(ctx)
+}
+
+// spend waits until the budget has room for a call. Its error says that the call
+// was not made.
+func (b *Budgeter) spend(ctx context.Context, kind Kind, bucket *limiter.Bucket) error {
+	for {
+		now := time.Now()
+		next, ok := bucket.Take(now)
+		if ok {
+			b.count(kind)
+			return nil
+		}
+		if err := retrier.Sleep(ctx, next.Sub(now)); err != nil {
+			return storer.Unmade("wait for the budget", err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/command/budgeter/budgeter_test.go
@@ -0,0 +1,60 @@
+package budgeter_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/pkg/command/budgeter"
+	"github.com/hemlockport/hemlockport/pkg/prover"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// TestBudget calls a store as fast as it can for ten seconds of virtual time.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kept := keeper.New()
+		counted := map[budgeter.Kind]int{}
+		store := budgeter.New(kept, budgeter.Budget{
+			ReadsPerSecond:  10,
+			WritesPerSecond: 4,
+		}, func(kind budgeter.Kind) { counted[kind]++ })
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var group errgroup.Group
+		group.Go(func() error {
+			for {
+				if _, err := store.Get(ctx, "none"); !errors.Is(err, storer.ErrNotFound) {
+					return err
+				}
+			}
+		})
+		if err := group.Wait(); !errors.Is(err, context.DeadlineExceeded) || !storer.Settled(err) {
+			t.Fatalf("got %v", err)
+		}
+		if calls := kept.Calls(); calls.Reads != 100 || counted[budgeter.Read] != 100 {
+			t.Fatalf("%+v calls, %d counted, want 100", calls, counted[budgeter.Read])
+		}
+	})
+}
+
+func TestContract(t *testing.T) {
+	for _, clause := range prover.Cases() {
+		t.Run(clause.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := budgeter.New(keeper.New(), budgeter.Budget{
+					ReadsPerSecond:  100,
+					WritesPerSecond: 100,
+				}, func(budgeter.Kind) {})
+				if err := clause.Prove(t.Context(), store); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
--- a/pkg/declarer/team.go
+++ b/pkg/declarer/team.go
@@ -11,6 +11,10 @@
 	Burst int
 	// Services are the services that the team may use. Empty means all.
 	Services []string `toml:",omitempty"`
+	// KeysStopAfterMillis is how long the team's keys go on working at instances
+	// that are cut off from the platform and from everybody who reaches it, and so
+	// cannot learn of a withdrawal; in milliseconds. 0 means that they go on.
+	KeysStopAfterMillis int `toml:",omitempty"`
 }
 
 // ObjectName returns the team's name.
--- a/pkg/query/checker/teams.go
+++ b/pkg/query/checker/teams.go
@@ -12,6 +12,11 @@
 	maxRatePerSecond = 10_000_000
 	// minRatePerSecond is the lowest rate, in requests a second: one in ~3 hours.
 	minRatePerSecond = 0.0001
+	// minKeysStopMillis is the shortest time after which keys stop, in milliseconds.
+	// The platform confirms the configuration only every WatchMillis or so.
+	minKeysStopMillis = 30_000
+	// maxKeysStopMillis is the longest, in milliseconds: one day.
+	maxKeysStopMillis = 86_400_000
 	// maxBurst bounds a team's burst, in requests.
 	maxBurst = 10_000_000
 )
@@ -23,6 +28,9 @@
 		inRange := !math.IsNaN(rate) && rate >= minRatePerSecond && rate <= maxRatePerSecond
 		o.require(inRange, "RatePerSecond", rate, "0.0001 to 10000000")
 		o.require(team.Burst >= 1 && team.Burst <= maxBurst, "Burst", team.Burst, "1 to 10000000")
+		stop := team.KeysStopAfterMillis
+		o.require(stop == 0 || (stop >= minKeysStopMillis && stop <= maxKeysStopMillis),
+			"KeysStopAfterMillis", stop, "0, or 30000 to 86400000")
 		for i, name := range team.Services {
 			_, found := p.set.Services.Get(name)
 			o.require(found, fmt.Sprintf("Services[%d]", i), name, "the name of a declared Service")
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -44,9 +44,10 @@
 	}
 }
 
-// Run calls update with each new view until ctx ends, and failed with each error
-// of the store. It lists anew when changes were lost.
-func (w *Watcher[T]) Run(ctx context.Context, update func(View[T]), failed func(error)) error {
+// Run calls update with each new view until ctx ends, answered after each answer
+// of the store, and failed with each of its errors. It lists anew when changes
+// were lost.
+func (w *Watcher[T]) Run(ctx context.Context, update func(View[T]), answered func(), failed func(error)) error {
 	backoff := retrier.NewBackoff(firstWaitMillis, longestWaitMillis)
 	for ctx.Err() == nil {
 		changed, err := w.step(ctx)
@@ -62,6 +63,7 @@
 		if changed {
 			update(w.view())
 		}
+		answered()
 	}
 	return nil
 }
--- a/pkg/storer/error.go
+++ b/pkg/storer/error.go
@@ -35,6 +35,15 @@
 	return e.Err
 }
 
+// Unmade returns the error of a call that was not made.
+func Unmade(call string, err error) error {
+	return &Error{
+		Call:    call,
+		Verdict: arbiter.NotRun,
+		Err:     errors.Join(ErrUnavailable, err),
+	}
+}
+
 // Settled says whether a write's outcome is known. After an unsettled write the
 // object is read again.
 func Settled(err error) bool {
