Cut instances off from the platform, take it down, lose its answers

Excluded: a proxy process between instance and platform (each instance has its own front to the same store, which can be cut). Change: tests on four running instances; status tells, by failure domain, the lowest revision and when the configuration was last confirmed. Conclusion: serving does not depend on the platform.

--- a/internal/commander/queries.go
+++ b/internal/commander/queries.go
@@ -121,6 +121,11 @@
 	}
 	fmt.Fprintf(w, "; %d requests in flight\n", status.InFlight)
 	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "\nFAILURE DOMAIN\tINSTANCES\tNOT LINKED\tLOWEST REVISION\tCONFIRMED")
+	for _, domain := range status.Domains() {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%s\n", domain.Place, domain.Instances, domain.NotLinked,
+			domain.LowestRevision, domain.ConfirmedAt.Format(time.RFC3339))
+	}
 	fmt.Fprintln(table, "\nPEER\tPLACE\tCALLERS AT\tLINKED\tLEAVING\tREVISION")
 	for _, peer := range status.Peers {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\t%d\n",
--- a/internal/query/reporter/reporter.go
+++ b/internal/query/reporter/reporter.go
@@ -28,6 +28,9 @@
 	// StoreLostSince is the instant from which the platform has not answered, or
 	// the zero time.
 	StoreLostSince time.Time `json:",omitzero"`
+	// ConfirmedAt is the instant at which the configuration was last confirmed to be
+	// the newest.
+	ConfirmedAt time.Time
 	// InFlight is how many requests are being served.
 	InFlight  int
 	Peers     []PeerStatus
@@ -43,6 +46,8 @@
 	Linked   bool
 	Leaving  bool
 	Revision uint64
+	// ConfirmedAt is as in Status; zero for a peer that is not linked.
+	ConfirmedAt time.Time `json:",omitzero"`
 }
 
 // UpstreamStatus is what an instance knows of an upstream.
--- a/internal/server/operate.go
+++ b/internal/server/operate.go
@@ -60,6 +60,7 @@
 		Revision:       s.adopter.Revision(),
 		InForceSince:   instant(s.adoptedNanos.Load()),
 		StoreLostSince: instant(s.storeLostNanos.Load()),
+		ConfirmedAt:    s.fresh.At().UTC(),
 		InFlight:       s.flights.Count(),
 	}
 	if own := s.seats.own(); own != nil {
@@ -90,6 +91,8 @@
 			status.Linked = true
 			status.Leaving = status.Leaving || peer.Beat.Leaving
 			status.Revision = peer.Beat.Revision
+			age := time.Duration(peer.Beat.AgeMillis) * time.Millisecond
+			status.ConfirmedAt = time.Now().Add(-age).UTC()
 		}
 	}
 	return status
--- a/internal/trier/cluster.go
+++ b/internal/trier/cluster.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -66,6 +67,8 @@
 	// Operator calls the instance's operators' listener.
 	Operator *operator.Client
 
+	// cut says that the platform cannot be reached.
+	cut   *atomic.Bool
 	stop  context.CancelFunc
 	ended chan struct{}
 	err   error
@@ -173,6 +176,21 @@
 	return i.err
 }
 
+// CutPlatform cuts the instance off from the platform, or ends that.
+func (i *Instance) CutPlatform(cut bool) {
+	i.cut.Store(cut)
+}
+
+// cuttable serves calls unless they are cut off.
+func cuttable(next http.Handler, cut *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, request)
+	})
+}
+
 // Kill ends the instance at once.
 func (i *Instance) Kill() {
 	i.Halt()
@@ -245,7 +263,12 @@
 	settings.Place = place
 	settings.Peers.Secret = peerSecret
 	settings.Operators.KeyHash = declarer.HashKey(OperatorKey).String()
-	settings.Platform.Address = "http://" + c.PlatformAddress
+	cut := &atomic.Bool{}
+	gate, _, err := c.serve(cuttable(platformer.New(c.Keeper), cut))
+	if err != nil {
+		return err
+	}
+	settings.Platform.Address = "http://" + gate
 	settings.Upstreams.ProbeMillis = 100
 	settings.Drain.GraceMillis = 200
 	settings.Drain.LimitMillis = 5000
@@ -262,6 +285,7 @@
 		Server:   running,
 		Place:    place,
 		Operator: operator.New(running.OperatorAddress(), OperatorKey),
+		cut:      cut,
 		stop:     stop,
 		ended:    make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/trier/outage_test.go
@@ -0,0 +1,141 @@
+package trier_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/internal/trier"
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+)
+
+const (
+	// forceLimit is how soon an accepted configuration is in force everywhere.
+	forceLimit = time.Second
+	// noticeLimit is how soon an outage shows, and how soon its end does.
+	noticeLimit = 10 * time.Second
+)
+
+// withdrawal withdraws the key of the slow team.
+var withdrawal = publisher.Change{
+	Withdraw: []string{"oldfield-web"},
+	By:       "test",
+}
+
+func storeLost(t *testing.T, instance *trier.Instance) bool {
+	t.Helper()
+	status, err := instance.Operator.Status(t.Context())
+	return err == nil && !status.StoreLostSince.IsZero()
+}
+
+func inForce(t *testing.T, instance *trier.Instance, revision uint64) bool {
+	t.Helper()
+	status, err := instance.Operator.Status(t.Context())
+	return err == nil && status.Revision >= revision
+}
+
+func order(t *testing.T, instance *trier.Instance, key string) trier.Outcome {
+	t.Helper()
+	return trier.NewCaller("shopfront", trier.KeyOf(key)).Order(t.Context(), trier.Call{
+		Instance: instance.CallerAddress(),
+		Method:   http.MethodPost,
+		Path:     "/orders/1",
+		Body:     "one quilt",
+	})
+}
+
+// TestCutOffFromPlatform cuts one instance off from the platform. It goes on
+// serving, and learns of a withdrawal from its peers as fast as the others.
+func TestCutOffFromPlatform(t *testing.T) {
+	cluster := start(t)
+	cutOff, other := cluster.Instances[0], cluster.Instances[2]
+	cutOff.CutPlatform(true)
+	accepted, err := other.Operator.Change(t.Context(), withdrawal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !trier.Await(t.Context(), forceLimit, func() bool { return inForce(t, cutOff, accepted.Revision) }) {
+		t.Fatalf("revision %d is not in force where the platform cannot be reached", accepted.Revision)
+	}
+	if outcome := order(t, cutOff, "oldfield-web"); outcome.Reason != string(arbiter.KeyWithdrawn) {
+		t.Errorf("withdrawn key: %+v", outcome)
+	}
+	if outcome := order(t, cutOff, "hartley-web"); outcome.Status != http.StatusOK {
+		t.Errorf("another key: %+v", outcome)
+	}
+	if _, err = cutOff.Operator.Change(t.Context(), withdrawal); err == nil {
+		t.Error("a change was accepted without the platform")
+	}
+}
+
+// TestPlatformOutage takes the platform down for all. Orders go on, changes are
+// refused, and the next change after the end is in force everywhere.
+func TestPlatformOutage(t *testing.T) {
+	cluster := start(t)
+	cluster.Keeper.SetFaults(keeper.Faults{}.WithDown(true))
+	lost := func() bool {
+		for _, instance := range cluster.Instances {
+			if !storeLost(t, instance) {
+				return false
+			}
+		}
+		return true
+	}
+	if !trier.Await(t.Context(), noticeLimit, lost) {
+		t.Fatal("the outage does not show")
+	}
+	for _, instance := range cluster.Instances {
+		if outcome := order(t, instance, "hartley-web"); outcome.Status != http.StatusOK {
+			t.Errorf("order in %s: %+v", instance.Place, outcome)
+		}
+	}
+	if _, err := cluster.Instances[0].Operator.Change(t.Context(), withdrawal); err == nil {
+		t.Error("a change was accepted without the platform")
+	}
+	cluster.Keeper.SetFaults(keeper.Faults{})
+	accepted, err := cluster.Instances[1].Operator.Change(t.Context(), withdrawal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	everywhere := func() bool {
+		for _, instance := range cluster.Instances {
+			if !inForce(t, instance, accepted.Revision) {
+				return false
+			}
+		}
+		return true
+	}
+	if !trier.Await(t.Context(), forceLimit, everywhere) {
+		t.Fatalf("revision %d is not in force everywhere", accepted.Revision)
+	}
+}
+
+// TestLostAnswersOfThePlatform loses the answers to writes while a change is
+// published and an instance stops. The change is reported as accepted once, and
+// the seat is given back.
+func TestLostAnswersOfThePlatform(t *testing.T) {
+	cluster := start(t)
+	cluster.Keeper.SetFaults(keeper.Faults{}.WithLoseAnswers(2))
+	accepted, err := cluster.Instances[0].Operator.Change(t.Context(), withdrawal)
+	if err != nil || accepted.Revision != 2 {
+		t.Fatalf("%+v, %v", accepted, err)
+	}
+	cluster.Keeper.SetFaults(keeper.Faults{}.WithLoseAnswers(1))
+	if err = cluster.Instances[0].Stop(); err != nil {
+		t.Fatal(err)
+	}
+	object, err := cluster.Keeper.Get(context.Background(), "Seats/derby/0")
+	if err != nil || len(object.Value) == 0 {
+		t.Fatalf("%+v, %v", object, err)
+	}
+	gone := trier.Await(t.Context(), noticeLimit, func() bool {
+		status, err := cluster.Instances[1].Operator.Status(t.Context())
+		return err == nil && len(status.Peers) == 2
+	})
+	if !gone {
+		t.Fatal("the stopped instance still holds a seat")
+	}
+}
--- a/pkg/command/adopter/adopter_test.go
+++ b/pkg/command/adopter/adopter_test.go
@@ -66,6 +66,10 @@
 func TestSeatFollowsConfiguration(t *testing.T) {
 	plans := holder.New[admitter.Plan]()
 	adopt := adopter.New(registrar.Member{Place: "derby"}, plans)
+	second := registrar.Seat{
+		Place:  "derby",
+		Number: 1,
+	}
 	steps := []struct {
 		name string
 		run  func()
@@ -77,7 +81,7 @@
 		},
 		{
 			name: "seat claimed",
-			run:  func() { adopt.TakeSeats([]registrar.Seat{{Place: "derby", Number: 1}}, false, time.Now()) },
+			run:  func() { adopt.TakeSeats([]registrar.Seat{second}, false, time.Now()) },
 			of:   2,
 		},
 		{
--- a/pkg/command/budgeter/budgeter.go
+++ b/pkg/command/budgeter/budgeter.go
@@ -52,8 +52,8 @@
 	now := time.Now()
 	return &Budgeter{
 		platform: platform,
-		reads:    limiter.NewBucket(limiter.Limit{RatePerSecond: budget.ReadsPerSecond, Burst: burst}, now),
-		writes:   limiter.NewBucket(limiter.Limit{RatePerSecond: budget.WritesPerSecond, Burst: burst}, now),
+		reads:    limiter.NewBucket(limiter.Limit{}.WithRate(budget.ReadsPerSecond).WithBurst(burst), now),
+		writes:   limiter.NewBucket(limiter.Limit{}.WithRate(budget.WritesPerSecond).WithBurst(burst), now),
 		count:    count,
 	}
 }
--- a/pkg/command/sharer/fleet_test.go
+++ b/pkg/command/sharer/fleet_test.go
@@ -109,10 +109,15 @@
 		left:  float64(whole.Burst),
 	}
 	for number := range seats {
+		seat := splitter.Seat{
+			Index:     number,
+			Of:        seats,
+			PerHolder: how.perHolder,
+		}
 		f.nodes[number] = &instance{
 			number: number,
 			clock:  1 + 200e-6*(2*f.random.Float64()-1),
-			part:   splitter.Part(whole, "team", splitter.Seat{Index: number, Of: seats}.Spread(how.perHolder)),
+			part:   splitter.Part(whole, "team", seat),
 		}
 	}
 	for _, node := range f.nodes {
--- a/pkg/command/sharer/safety_test.go
+++ b/pkg/command/sharer/safety_test.go
@@ -120,7 +120,7 @@
 	start := time.Now()
 	bucket := limiter.NewBucket(limiter.Limit{}, start)
 	account := sharer.New[limiter.Limit](bucket)
-	account.SetOwned(limiter.Limit{RatePerSecond: 10, Burst: 10}, start)
+	account.SetOwned(limiter.Limit{}.WithRate(10).WithBurst(10), start)
 	if limit := bucket.Limit(); !limit.IsZero() {
 		t.Fatalf("an increase is in force before it is confirmed: %+v", limit)
 	}
--- a/pkg/query/checker/checker.go
+++ b/pkg/query/checker/checker.go
@@ -66,9 +66,13 @@
 }
 
 func (p *pass) object(kind declarer.Kind, name string) object {
+	reference := declarer.Reference{
+		Kind: kind,
+		Name: name,
+	}
 	found := object{
 		pass: p,
-		name: declarer.Reference{Kind: kind, Name: name}.String(),
+		name: reference.String(),
 	}
 	found.require(validName(name), "Name", name, nameRule)
 	return found
