Take over edits made through the platform's own API

Cause: operators drive the system by editing objects and reading back; only apply could do so. Excluded: watching each object on every instance (the first live one looks once a second, with two lists); one change for each edit (six edits of one operator would be six revisions). Change: Specs/KIND/NAME in JSON becomes a change; Status/KIND/NAME says Accepted at a revision or Refused with each fault; all edits of a look are one change, and are tried singly only if that is refused. Conclusion: both ways end in the same checked set.

--- /dev/null
+++ b/internal/command/editor/decode.go
@@ -0,0 +1,73 @@
+package editor
+
+import (
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/checker"
+)
+
+// changeOf returns the change that edits ask for, and the faults of those that
+// cannot be read.
+func changeOf(edits []edit) (publisher.Change, []checker.Fault) {
+	change := publisher.Change{
+		By: "platform",
+	}
+	var faults []checker.Fault
+	for _, edit := range edits {
+		if edit.spec.Revision == 0 {
+			change.Remove = append(change.Remove, edit.reference)
+			continue
+		}
+		document, fault := decode(edit)
+		if fault != nil {
+			faults = append(faults, *fault)
+			continue
+		}
+		change.Document = change.Document.WithDocument(document)
+	}
+	return change, faults
+}
+
+// decode reads an edited object. Its name must be that of its place in the store.
+func decode(edit edit) (declarer.Document, *checker.Fault) {
+	var document declarer.Document
+	switch edit.reference.Kind {
+	case declarer.KindPlace:
+		return read(edit, &document.Place, &document)
+	case declarer.KindService:
+		return read(edit, &document.Service, &document)
+	case declarer.KindTeam:
+		return read(edit, &document.Team, &document)
+	case declarer.KindKey:
+		return read(edit, &document.Key, &document)
+	case declarer.KindVersion:
+		return read(edit, &document.Version, &document)
+	case declarer.KindMove:
+		return read(edit, &document.Move, &document)
+	default:
+		return document, faultOf(edit, "Kind", string(edit.reference.Kind), "a kind of object, such as Team")
+	}
+}
+
+// read decodes an object into the rows of its kind in a document.
+func read[T declarer.Named](edit edit, rows *[]T, document *declarer.Document) (declarer.Document, *checker.Fault) {
+	object, err := encoder.JSON[T]{}.Decode(edit.spec.Value)
+	if err != nil {
+		return *document, faultOf(edit, "Value", "", err.Error())
+	}
+	if name := object.ObjectName(); name != edit.reference.Name {
+		return *document, faultOf(edit, "Name", name, "the name under which the object is stored")
+	}
+	*rows = []T{object}
+	return *document, nil
+}
+
+func faultOf(edit edit, field, value, rule string) *checker.Fault {
+	return &checker.Fault{
+		Object: edit.reference.String(),
+		Field:  field,
+		Value:  value,
+		Rule:   rule,
+	}
+}
--- /dev/null
+++ b/internal/command/editor/editor_test.go
@@ -0,0 +1,113 @@
+package editor_test
+
+import (
+	"testing"
+
+	"github.com/hemlockport/hemlockport/internal/command/editor"
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// TestEdits edits objects in the store and reads back what became of them.
+func TestEdits(t *testing.T) {
+	const team = `{"Name":"a","RatePerSecond":5,"Burst":2}`
+	steps := []struct {
+		name string
+		// put writes a value under a name; an empty value removes it.
+		put   map[string]string
+		state map[string]editor.State
+		// teams and revision are what is in force afterwards.
+		teams    int
+		revision uint64
+	}{
+		{
+			name:     "a new team",
+			put:      map[string]string{"Team/a": team},
+			state:    map[string]editor.State{"Team/a": editor.Accepted},
+			teams:    1,
+			revision: 1,
+		},
+		{
+			name:     "nothing new",
+			state:    map[string]editor.State{"Team/a": editor.Accepted},
+			teams:    1,
+			revision: 1,
+		},
+		{
+			name: "a bad one holds up no good one",
+			put: map[string]string{
+				"Team/b":   `{"Name":"b","RatePerSecond":0,"Burst":2}`,
+				"Team/c":   `{"Name":"c","RatePerSecond":1,"Burst":2}`,
+				"Team/d":   `{"Name":"other"}`,
+				"Team/e":   `{"Nam`,
+				"Teapot/f": `{}`,
+			},
+			state: map[string]editor.State{
+				"Team/a":   editor.Accepted,
+				"Team/b":   editor.Refused,
+				"Team/c":   editor.Accepted,
+				"Team/d":   editor.Refused,
+				"Team/e":   editor.Refused,
+				"Teapot/f": editor.Refused,
+			},
+			teams:    2,
+			revision: 2,
+		},
+		{
+			name: "mended and removed",
+			put: map[string]string{
+				"Team/b": `{"Name":"b","RatePerSecond":1,"Burst":2}`,
+				"Team/a": "",
+			},
+			state: map[string]editor.State{
+				"Team/a": "",
+				"Team/b": editor.Accepted,
+			},
+			teams:    2,
+			revision: 3,
+		},
+	}
+	store := keeper.New()
+	publish := publisher.New(store, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{})
+	edit := editor.New(store, publish, func() bool { return true })
+	statuses := storer.NewTyped(store, encoder.JSON[editor.Status]{})
+	for _, step := range steps {
+		for name, value := range step.put {
+			write(t, store, editor.SpecPrefix+name, value)
+		}
+		if err := edit.Look(t.Context()); err != nil {
+			t.Fatalf("%s: %v", step.name, err)
+		}
+		for name, state := range step.state {
+			// A status that is gone is the zero status.
+			status, _ := statuses.Get(t.Context(), editor.StatusPrefix+name)
+			if status.Value.State != state || (state == editor.Refused) != (len(status.Value.Faults) > 0) {
+				t.Errorf("%s: %s: %+v, want %q", step.name, name, status.Value, state)
+			}
+		}
+		head, err := storer.NewTyped(store, encoder.CBOR[publisher.Head]{}).Get(t.Context(), publisher.HeadName)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bundle, err := publish.Ask(t.Context(), head.Value)
+		if err != nil || len(bundle.Document.Team) != step.teams || head.Value.Revision != step.revision {
+			t.Errorf("%s: revision %d with %d teams, %v", step.name, head.Value.Revision, len(bundle.Document.Team), err)
+		}
+	}
+}
+
+func write(t *testing.T, store storer.Store, name, value string) {
+	t.Helper()
+	var err error
+	if value == "" {
+		err = store.Delete(t.Context(), name, storer.Always())
+	} else {
+		_, err = store.Put(t.Context(), name, []byte(value), storer.Always())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/server/heir.go
+++ b/internal/server/heir.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// isGuardian says whether it falls to this instance to do what one instance is to
+// do for all: the first of those that it knows to live. Instances that disagree
+// both do it; what they do is ordered by the store.
+func (s *Server) isGuardian() bool {
+	for _, member := range s.present() {
+		if member.Incarnation < s.self.Incarnation {
+			return false
+		}
+	}
+	return !s.leaving.Load()
+}
+
 // guardian returns the incarnation that looks after a place's seats: the first of
 // the live instances in the place, or in the next place that has any. Instances
 // that disagree race, and the store lets one win.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/adapter"
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
+	"github.com/hemlockport/hemlockport/internal/command/editor"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/command/replicator"
 	"github.com/hemlockport/hemlockport/internal/configurer"
@@ -35,6 +36,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -264,6 +266,7 @@
 		s.copier.Run,
 		s.borrower.Run,
 		s.confirmParts,
+		editor.New(s.store, handler.CommandFunc[publisher.Change, publisher.Accepted](s.change), s.isGuardian).Run,
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(work) })
--- a/internal/trier/outage_test.go
+++ b/internal/trier/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hemlockport/hemlockport/internal/trier"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
 const (
@@ -139,3 +141,31 @@
 		t.Fatal("the stopped instance still holds a seat")
 	}
 }
+
+// TestEditThroughThePlatform edits an object through the platform's own API. The
+// edit is in force everywhere, and its status says so.
+func TestEditThroughThePlatform(t *testing.T) {
+	cluster := start(t)
+	edit := []byte(`{"Name":"newcomer","RatePerSecond":10,"Burst":20}`)
+	if _, err := cluster.Keeper.Put(t.Context(), "Specs/Team/newcomer", edit, storer.Always()); err != nil {
+		t.Fatal(err)
+	}
+	accepted := func() bool {
+		object, err := cluster.Keeper.Get(t.Context(), "Status/Team/newcomer")
+		return err == nil && strings.Contains(string(object.Value), `"State": "Accepted"`)
+	}
+	if !trier.Await(t.Context(), noticeLimit, accepted) {
+		t.Fatal("the status does not say that the edit was accepted")
+	}
+	everywhere := func() bool {
+		for _, instance := range cluster.Instances {
+			if !inForce(t, instance, 2) {
+				return false
+			}
+		}
+		return true
+	}
+	if !trier.Await(t.Context(), forceLimit, everywhere) {
+		t.Fatal("the edit is not in force everywhere")
+	}
+}
