Two watchers of the platform in each failure domain

Cause: every instance watched head and roster, so that each change woke 2,000 watches at the design size and store calls grew with instances. Excluded: one watcher (its death would cost the time until it shows). Change: the first two instances that live in a domain watch; beats carry the revision of the roster, and the others fetch head and roster from who is ahead. Conclusion: store calls grow with domains.

--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -47,6 +47,8 @@
 type Beat struct {
 	// Revision is the configuration in force at the sender.
 	Revision uint64
+	// Roster is the store's revision of the sender's list of seats.
+	Roster uint64
 	// AgeMillis is how long ago the sender's configuration was confirmed to be the
 	// newest, in milliseconds.
 	AgeMillis int64
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -17,12 +17,22 @@
 // topicBundle is the name under which peers are asked for their configuration.
 const topicBundle = "Bundle"
 
+// topicRoster is the name under which peers are asked for their list of seats.
+const topicRoster = "Roster"
+
+// rosterList is a registrar.Roster on a link.
+type rosterList struct {
+	Revision uint64
+	Members  []registrar.Member
+}
+
 // fetchLimit bounds the reading of a configuration.
 const fetchLimit = 5 * time.Second
 
 var (
 	nothings = encoder.CBOR[reporter.Nothing]{}
 	bundles  = encoder.CBOR[publisher.Bundle]{}
+	rosters  = encoder.CBOR[rosterList]{}
 )
 
 // handlePeers lets peers ask for the configuration in force here.
@@ -33,12 +43,22 @@
 		},
 	)
 	linker.Handle(s.hub, topicBundle, own, nothings, bundles)
+	seats := handler.QueryFunc[reporter.Nothing, rosterList](
+		func(context.Context, reporter.Nothing) (rosterList, error) {
+			roster := s.roster.Load()
+			return rosterList{
+				Revision: roster.Revision(),
+				Members:  roster.Members(),
+			}, nil
+		},
+	)
+	linker.Handle(s.hub, topicRoster, seats, nothings, rosters)
 }
 
 // followConfig follows the head in the store.
 func (s *Server) followConfig(ctx context.Context) error {
 	heads := storer.NewTyped(s.store, encoder.CBOR[publisher.Head]{})
-	return watcher.New[publisher.Head](heads, publisher.HeadName).Run(ctx, func(view watcher.View[publisher.Head]) {
+	return watcher.New[publisher.Head](heads, publisher.HeadName, s.watches).Run(ctx, func(view watcher.View[publisher.Head]) {
 		s.storeAnswered()
 		for _, object := range view.Objects {
 			s.fetchHead(ctx, object.Value)
@@ -54,20 +74,39 @@
 // followRoster follows the seats in the store.
 func (s *Server) followRoster(ctx context.Context) error {
 	members := storer.NewTyped(s.store, encoder.CBOR[registrar.Member]{})
-	return watcher.New[registrar.Member](members, registrar.SeatPrefix).Run(ctx, func(view watcher.View[registrar.Member]) {
+	return watcher.New[registrar.Member](members, registrar.SeatPrefix, s.watches).Run(ctx, func(view watcher.View[registrar.Member]) {
 		s.storeAnswered()
 		seated := make([]registrar.Member, 0, len(view.Objects))
 		for _, object := range view.Objects {
 			seated = append(seated, object.Value)
 		}
-		roster := registrar.NewRoster(view.Revision, seated...)
-		s.roster.Store(&roster)
-		s.adopter.SetOthers(s.others())
-		s.linkPeers()
-		s.relocate()
+		s.setRoster(registrar.NewRoster(view.Revision, seated...))
 	}, s.storeAnswered, s.storeFailed)
 }
 
+// setRoster puts a list of seats in use and tells the peers.
+func (s *Server) setRoster(roster registrar.Roster) {
+	s.roster.Store(&roster)
+	s.adopter.SetOthers(s.others())
+	s.linkPeers()
+	s.relocate()
+	s.hub.Nudge()
+}
+
+// fetchRoster reads the list of seats of a peer that has a newer one.
+func (s *Server) fetchRoster(peer registrar.Member) {
+	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	defer cancel()
+	listed, err := linker.Ask(ctx, s.hub, peer.Incarnation, topicRoster, reporter.Nothing{}, nothings, rosters)
+	if err != nil {
+		s.gauges.fetchFaults.Inc(1)
+		return
+	}
+	if listed.Revision > s.roster.Load().Revision() {
+		s.setRoster(registrar.NewRoster(listed.Revision, listed.Members...))
+	}
+}
+
 // fetchFromStore reads the head once, without waiting for the watch.
 func (s *Server) fetchFromStore(ctx context.Context) {
 	heads := storer.NewTyped(s.store, encoder.CBOR[publisher.Head]{})
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -19,6 +19,7 @@
 	leaving := s.leaving.Load()
 	return linker.Beat{
 		Revision:  s.adopter.Revision(),
+		Roster:    s.roster.Load().Revision(),
 		AgeMillis: time.Since(s.fresh.At()).Milliseconds(),
 		Leaving:   leaving,
 		Seatless:  !leaving && s.seats.own() == nil && s.adopter.Revision() != 0,
@@ -47,6 +48,25 @@
 	if beat.Revision > s.adopter.Revision() {
 		s.hub.Go(func() { s.fetchFromPeer(peer) })
 	}
+	if beat.Roster > s.roster.Load().Revision() && !s.watches() {
+		s.hub.Go(func() { s.fetchRoster(peer) })
+	}
+}
+
+// watchers is how many instances of a failure domain watch the platform. The
+// others learn from them.
+const watchers = 2
+
+// watches says whether it falls to this instance to watch the platform: to the
+// first ones that live in its failure domain.
+func (s *Server) watches() bool {
+	before := 0
+	for _, peer := range s.hub.Peers() {
+		if peer.Member.Place == s.self.Place && !peer.Beat.Leaving && peer.Member.Incarnation < s.self.Incarnation {
+			before++
+		}
+	}
+	return before < watchers
 }
 
 func (s *Server) peerLost(peer registrar.Member) {
@@ -171,6 +191,9 @@
 // or a change in the store have failed.
 func (s *Server) catchUp(ctx context.Context) {
 	for _, peer := range s.hub.Peers() {
+		if peer.Beat.Roster > s.roster.Load().Revision() && !s.watches() {
+			s.fetchRoster(peer.Member)
+		}
 		if peer.Beat.Revision > s.adopter.Revision() {
 			s.fetchFromPeer(peer.Member)
 			return
--- a/internal/trier/cluster.go
+++ b/internal/trier/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -83,15 +84,41 @@
 	http *http.Server
 }
 
+// Option changes a default of a trial.
+type Option func(settings *options)
+
+type options struct {
+	seats int
+}
+
+// WithSeats runs that many instances in each place, in place of one.
+func WithSeats(seats int) Option {
+	return func(settings *options) {
+		settings.seats = seats
+	}
+}
+
 // Start runs a trial of a document in a group until ctx ends.
-func Start(ctx context.Context, group *errgroup.Group, document declarer.Document, log zerolog.Logger) (*Cluster, error) {
+func Start(
+	ctx context.Context,
+	group *errgroup.Group,
+	document declarer.Document,
+	log zerolog.Logger,
+	changes ...Option,
+) (*Cluster, error) {
+	settings := options{
+		seats: 1,
+	}
+	for _, change := range changes {
+		change(&settings)
+	}
 	if faults := checker.CheckDocument(document); len(faults) > 0 {
 		return nil, &publisher.Refused{
 			Faults: faults,
 		}
 	}
 	cluster := &Cluster{
-		Set:       scaleDown(document.Set(), upstreamsPerPlace),
+		Set:       scaleDown(document.Set(), settings.seats, upstreamsPerPlace),
 		Keeper:    keeper.New(),
 		Upstreams: map[string]*Upstream{},
 		group:     group,
@@ -105,8 +132,10 @@
 		return nil, err
 	}
 	for place := range cluster.Set.Places.All() {
-		if err := cluster.startInstance(place.Name); err != nil {
-			return nil, err
+		for number := range place.Seats {
+			if err := cluster.startInstance(place.Name, number+1); err != nil {
+				return nil, err
+			}
 		}
 	}
 	group.Go(func() error {
@@ -257,9 +286,9 @@
 	return listener.Addr().String(), running, nil
 }
 
-func (c *Cluster) startInstance(place string) error {
+func (c *Cluster) startInstance(place string, number int) error {
 	settings := configurer.Defaults()
-	settings.Name = place + "-1"
+	settings.Name = fmt.Sprintf("%s-%d", place, number)
 	settings.Place = place
 	settings.Peers.Secret = peerSecret
 	settings.Operators.KeyHash = declarer.HashKey(OperatorKey).String()
--- a/internal/trier/cluster_test.go
+++ b/internal/trier/cluster_test.go
@@ -12,7 +12,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
-func start(t *testing.T) *trier.Cluster {
+func start(t *testing.T, changes ...trier.Option) *trier.Cluster {
 	t.Helper()
 	document, err := trier.BuiltIn()
 	if err != nil {
@@ -26,7 +26,7 @@
 			t.Error(err)
 		}
 	})
-	cluster, err := trier.Start(ctx, group, document, zerolog.Nop())
+	cluster, err := trier.Start(ctx, group, document, zerolog.Nop(), changes...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/trier/outage_test.go
+++ b/internal/trier/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockport/hemlockport/internal/trier"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
@@ -169,3 +170,58 @@
 		t.Fatal("the edit is not in force everywhere")
 	}
 }
+
+// TestWatchersOfADomain runs four instances in each of four failure domains. Only
+// two of each watch the platform, the others learn from them, and one takes over
+// when both have gone.
+func TestWatchersOfADomain(t *testing.T) {
+	const seats, places = 4, 4
+	cluster := start(t, trier.WithSeats(seats))
+	first, err := cluster.Instances[0].Operator.Change(t.Context(), withdrawal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inForceOn := func(instances []*trier.Instance, revision uint64) bool {
+		return trier.Await(t.Context(), forceLimit, func() bool {
+			for _, instance := range instances {
+				if !inForce(t, instance, revision) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	if !inForceOn(cluster.Instances, first.Revision) {
+		t.Fatalf("revision %d is not in force everywhere", first.Revision)
+	}
+	// Each change wakes the watches of the head, and each watcher then watches anew.
+	before := cluster.Keeper.Calls().Watches
+	second, err := cluster.Instances[0].Operator.Change(t.Context(), publisher.Change{
+		Withdraw: []string{"hartley-web"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !inForceOn(cluster.Instances, second.Revision) {
+		t.Fatalf("revision %d is not in force everywhere", second.Revision)
+	}
+	if woken := cluster.Keeper.Calls().Watches - before; woken > 2*places {
+		t.Errorf("a change of the head woke %d watches, want at most two a domain", woken)
+	}
+	cluster.Instances[0].Kill()
+	cluster.Instances[1].Kill()
+	third, err := cluster.Instances[seats].Operator.Change(t.Context(), publisher.Change{
+		Remove: []declarer.Reference{
+			{
+				Kind: declarer.KindKey,
+				Name: "hartley-web",
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !inForceOn(cluster.Instances[2:], third.Revision) {
+		t.Fatalf("revision %d is not in force on the instances that live", third.Revision)
+	}
+}
--- a/internal/trier/rewrite.go
+++ b/internal/trier/rewrite.go
@@ -23,12 +23,12 @@
 	return "try-key-of-" + name
 }
 
-// scaleDown returns a set that fits into one process: one instance a place, at
-// most perPlace upstreams of a version a place, and keys that the trial knows.
-// Places that end without instances or upstreams stay declared.
-func scaleDown(set declarer.Set, perPlace int) declarer.Set {
+// scaleDown returns a set that fits into one process: so many instances a place,
+// at most perPlace upstreams of a version a place, and keys that the trial knows.
+// Places that end without upstreams stay declared.
+func scaleDown(set declarer.Set, seats, perPlace int) declarer.Set {
 	for place := range set.Places.All() {
-		set = set.WithPlace(place.WithSeats(1))
+		set = set.WithPlace(place.WithSeats(seats))
 	}
 	for version := range set.Versions.All() {
 		set = set.WithVersion(version.WithUpstreams(thin(version.Upstreams, perPlace)...))
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -14,6 +15,8 @@
 	// firstWaitMillis and longestWaitMillis space the tries while the store fails.
 	firstWaitMillis   = 50
 	longestWaitMillis = 1000
+	// dueInterval is the time between two looks at whether to watch.
+	dueInterval = 200 * time.Millisecond
 )
 
 // View is all that is stored below a prefix.
@@ -28,6 +31,8 @@
 type Watcher[T any] struct {
 	reader storer.Reader[T]
 	prefix string
+	// due says whether it falls to this process to watch now.
+	due func() bool
 	// objects holds the objects of the view under their names.
 	objects  map[string]storer.Object[T]
 	revision uint64
@@ -35,11 +40,12 @@
 	listed bool
 }
 
-// New returns a watcher of a prefix.
-func New[T any](reader storer.Reader[T], prefix string) *Watcher[T] {
+// New returns a watcher of a prefix, which watches while due says so.
+func New[T any](reader storer.Reader[T], prefix string, due func() bool) *Watcher[T] {
 	return &Watcher[T]{
 		reader:  reader,
 		prefix:  prefix,
+		due:     due,
 		objects: map[string]storer.Object[T]{},
 	}
 }
@@ -50,6 +56,11 @@
 func (w *Watcher[T]) Run(ctx context.Context, update func(View[T]), answered func(), failed func(error)) error {
 	backoff := retrier.NewBackoff(firstWaitMillis, longestWaitMillis)
 	for ctx.Err() == nil {
+		if !w.due() {
+			// The error is that ctx has ended, which ends the loop.
+			_ = retrier.Sleep(ctx, dueInterval)
+			continue
+		}
 		changed, err := w.step(ctx)
 		if err != nil {
 			w.listed = false
