Claim a seat as soon as one is declared

Cause: trying the program as separate processes showed a seat claimed up to two seconds after the first configuration: tries that asked nothing of the platform grew the backoff all the same. Excluded: a shorter longest backoff (it spares a store that recovers). Change: only tries that reach the platform are spaced out.

--- a/internal/server/seat.go
+++ b/internal/server/seat.go
@@ -82,7 +82,10 @@
 func (s *Server) keepSeat(ctx context.Context) error {
 	backoff := retrier.NewBackoff(firstClaimMillis, longestClaimMillis)
 	for s.seats.own() == nil {
-		s.claim(ctx)
+		if !s.claim(ctx) {
+			// Nothing was asked of the platform; only its failures are spaced out.
+			backoff.Reset()
+		}
 		if s.seats.own() == nil && backoff.Wait(ctx) != nil {
 			return nil
 		}
@@ -94,18 +97,19 @@
 	}
 }
 
-// claim tries once to get a seat.
-func (s *Server) claim(ctx context.Context) {
+// claim tries once to get a seat, and says whether the platform was asked.
+func (s *Server) claim(ctx context.Context) bool {
 	place, declared := s.plans.Load().Table().Set().Places.Get(s.settings.Place)
 	if !declared || s.leaving.Load() {
-		return
+		return false
 	}
 	held, err := s.claimer.Claim(ctx, s.self, place.Seats, time.Now())
 	if err != nil {
 		s.gauges.storeFaults.Inc(1)
-		return
+		return true
 	}
 	s.takeSeat(held, "SeatClaimed")
+	return true
 }
 
 // takeSeat records a seat that was claimed.
