Fetch from one peer at a time, and relocate only for what look-ups name

Cause: measuring the idle fleet again after the beats had gained the roster's revision: 48 instances took 11 s to get ready, because each seat that was written made every instance rebuild its look-ups once for each peer and fetch from all. Excluded: fewer nudges (they carry withdrawals). Change: a beat rebuilds look-ups only if a peer has come or is leaving; one fetch runs at a time and goes on until nobody is ahead. Examples for the library's cell and desk.

--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -100,8 +100,7 @@
 
 // fetchRoster reads the list of seats of a peer that has a newer one.
 func (s *Server) fetchRoster(peer registrar.Member) {
-	listed, found := askPeer(s, peer, topicRoster, rosters)
-	if found && listed.Revision > s.roster.Load().Revision() {
+	if listed, found := askPeer(s, peer, topicRoster, rosters); found {
 		s.setRoster(registrar.NewRoster(listed.Revision, listed.Members...))
 	}
 }
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -44,15 +44,48 @@
 	if beat.Leaving && !before.Leaving {
 		s.announce("PeerLeaving", peer.Name, "")
 	}
-	s.relocate()
+	if before == (linker.Beat{}) || beat.Leaving != before.Leaving {
+		// Only then do look-ups name other instances.
+		s.relocate()
+	}
+	if s.behind(beat) && s.fetching.CompareAndSwap(false, true) {
+		s.hub.Go(func() {
+			defer s.fetching.Store(false)
+			s.fetchFromPeers()
+		})
+	}
+}
+
+// behind says whether a peer has something newer that this instance is to fetch.
+func (s *Server) behind(beat linker.Beat) bool {
 	if beat.Revision > s.adopter.Revision() {
-		s.hub.Go(func() { s.fetchFromPeer(peer) })
+		return true
 	}
-	if beat.Roster > s.roster.Load().Revision() && !s.watches() {
-		s.hub.Go(func() { s.fetchRoster(peer) })
+	return beat.Roster > s.roster.Load().Revision() && !s.watches()
+}
+
+// fetchFromPeers fetches from whoever is ahead, until nobody is or a fetch fails.
+func (s *Server) fetchFromPeers() {
+	for {
+		ahead := s.hub.Peers()
+		ahead = slices.DeleteFunc(ahead, func(peer linker.Peer) bool { return !s.behind(peer.Beat) })
+		if len(ahead) == 0 || !s.fetchFrom(ahead[0]) {
+			return
+		}
 	}
 }
 
+// fetchFrom fetches what a peer has newer, and says whether all of it came.
+func (s *Server) fetchFrom(peer linker.Peer) bool {
+	if peer.Beat.Revision > s.adopter.Revision() {
+		s.fetchFromPeer(peer.Member)
+	}
+	if peer.Beat.Roster > s.roster.Load().Revision() && !s.watches() {
+		s.fetchRoster(peer.Member)
+	}
+	return !s.behind(peer.Beat)
+}
+
 // watchers is how many instances of a failure domain watch the platform. The
 // others learn from them.
 const watchers = 2
@@ -190,15 +223,7 @@
 // catchUp fetches the newest configuration, should the fetch that followed a beat
 // or a change in the store have failed.
 func (s *Server) catchUp(ctx context.Context) {
-	for _, peer := range s.hub.Peers() {
-		if peer.Beat.Roster > s.roster.Load().Revision() && !s.watches() {
-			s.fetchRoster(peer.Member)
-		}
-		if peer.Beat.Revision > s.adopter.Revision() {
-			s.fetchFromPeer(peer.Member)
-			return
-		}
-	}
+	s.fetchFromPeers()
 	if s.wanted.Load() > s.adopter.Revision() {
 		s.fetchFromStore(ctx)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,6 +85,8 @@
 	seats seats
 	// wanted is the highest revision that is known to be accepted.
 	wanted atomic.Uint64
+	// fetching is set while something is fetched from peers.
+	fetching atomic.Bool
 	// leaving is set once the drain has begun.
 	leaving atomic.Bool
 	// adoptedNanos is when the configuration came into force, in nanoseconds since
--- /dev/null
+++ b/pkg/command/sharer/example_test.go
@@ -0,0 +1,43 @@
+package sharer_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/limiter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
+)
+
+// Two instances share a limit that one of them owns. The other borrows, here by
+// calls in place of messages.
+func ExampleDesk() {
+	start := time.Now()
+	owner := sharer.NewDesk("quilters", "instance-a", start)
+	owner.Account.SetOwned(limiter.Limit{}.WithRate(5).WithBurst(3), start)
+	owner.Account.Confirm(start)
+	borrower := sharer.NewDesk("quilters", "instance-b", start)
+	borrower.SetHolders([]string{"instance-a"}, 5)
+
+	now := start.Add(time.Minute)
+	_, ok := borrower.Take(now)
+	fmt.Println("at once:", ok)
+
+	borrower.Join(now.Add(sharer.LongestWait), func(admitted bool) {
+		fmt.Println("after a loan:", admitted)
+	})
+	for _, directed := range borrower.Pump(now).Asks {
+		owner.Lend(directed.Ask, now, func(grant sharer.Grant) {
+			borrower.Receive(directed.Holder, grant, now)
+		})
+	}
+	fmt.Println("the owner has room for", owner.Bucket.Limit().Burst)
+	for _, settlement := range borrower.Pump(now).Settlements {
+		owner.Account.Settle(settlement.Serial, settlement.Unused, now)
+	}
+	fmt.Println("and after the settlement for", owner.Bucket.Limit().Burst)
+	// Output:
+	// at once: false
+	// after a loan: true
+	// the owner has room for 2
+	// and after the settlement for 3
+}
--- /dev/null
+++ b/pkg/holder/cell_test.go
@@ -0,0 +1,70 @@
+package holder_test
+
+import (
+	"fmt"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/pkg/holder"
+)
+
+// policy is an immutable value with a revision.
+type policy struct {
+	revision uint64
+	limit    int
+}
+
+// RevisionNumber returns the revision.
+func (p policy) RevisionNumber() uint64 {
+	return p.revision
+}
+
+func ExampleCell() {
+	cell := holder.New[policy]()
+	for _, next := range []policy{
+		{
+			revision: 2,
+			limit:    20,
+		},
+		{
+			revision: 1,
+			limit:    10,
+		},
+	} {
+		fmt.Println(next.revision, "taken:", cell.Advance(next))
+	}
+	fmt.Println("in force:", cell.Load().limit)
+	// Output:
+	// 2 taken: true
+	// 1 taken: false
+	// in force: 20
+}
+
+// TestRevisionNeverFalls lets writers race while readers look.
+func TestRevisionNeverFalls(t *testing.T) {
+	const writers, each = 4, 5000
+	cell := holder.New[policy]()
+	var group errgroup.Group
+	for writer := range uint64(writers) {
+		group.Go(func() error {
+			last := uint64(0)
+			for i := range uint64(each) {
+				cell.Advance(policy{
+					revision: 1 + (i*7+writer)%each,
+				})
+				if now := cell.Revision(); now < last {
+					t.Errorf("revision %d after %d", now, last)
+				} else {
+					last = now
+				}
+			}
+			return nil
+		})
+	}
+	// The goroutines return no error.
+	_ = group.Wait()
+	if cell.Revision() != each {
+		t.Fatalf("revision %d, want %d", cell.Revision(), each)
+	}
+}
