Store deadlines and settings, not durations

Cause: the house style; a reading of the change found five stored durations. Excluded: the stand-in's and tests' figures, which are not state. Change: calls to the platform carry a deadline; settings stay whole milliseconds until they are used. Conclusion: no struct outside tests stores a duration.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -57,9 +57,9 @@
 // Get returns one object, or storer.ErrNotFound.
 func (a *Adapter) Get(ctx context.Context, name string) (storer.Object[[]byte], error) {
 	answer, err := a.call(ctx, call{
-		method: http.MethodGet,
-		path:   objectPath(name),
-		limit:  callLimit,
+		method:   http.MethodGet,
+		path:     objectPath(name),
+		deadline: time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return storer.Object[[]byte]{}, err
@@ -75,7 +75,7 @@
 func (a *Adapter) List(ctx context.Context, prefix string) (storer.Changes[[]byte], error) {
 	return a.changes(ctx, url.Values{
 		ParamPrefix: {prefix},
-	}, callLimit)
+	}, time.Now().Add(callLimit))
 }
 
 // Watch waits for changes below prefix after a revision.
@@ -98,7 +98,7 @@
 		ParamPrefix:     {prefix},
 		ParamAfter:      {strconv.FormatUint(after, 10)},
 		ParamWaitMillis: {strconv.FormatInt(max(wait.Milliseconds(), 0), 10)},
-	}, wait+watchSlack)
+	}, time.Now().Add(wait+watchSlack))
 }
 
 // Put writes an object if the condition holds.
@@ -113,7 +113,7 @@
 		path:      objectPath(name),
 		body:      value,
 		condition: condition,
-		limit:     callLimit,
+		deadline:  time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return storer.Object[[]byte]{}, err
@@ -131,7 +131,7 @@
 		method:    http.MethodDelete,
 		path:      objectPath(name),
 		condition: condition,
-		limit:     callLimit,
+		deadline:  time.Now().Add(callLimit),
 	})
 	return err
 }
@@ -139,9 +139,9 @@
 // Instances returns the platform's list of instances.
 func (a *Adapter) Instances(ctx context.Context) ([]storer.Instance, error) {
 	answer, err := a.call(ctx, call{
-		method: http.MethodGet,
-		path:   PathInstances,
-		limit:  callLimit,
+		method:   http.MethodGet,
+		path:     PathInstances,
+		deadline: time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return nil, err
@@ -149,12 +149,12 @@
 	return encoder.JSON[[]storer.Instance]{}.Decode(answer.body)
 }
 
-func (a *Adapter) changes(ctx context.Context, query url.Values, limit time.Duration) (storer.Changes[[]byte], error) {
+func (a *Adapter) changes(ctx context.Context, query url.Values, deadline time.Time) (storer.Changes[[]byte], error) {
 	answer, err := a.call(ctx, call{
-		method: http.MethodGet,
-		path:   PathObjects,
-		query:  query,
-		limit:  limit,
+		method:   http.MethodGet,
+		path:     PathObjects,
+		query:    query,
+		deadline: deadline,
 	})
 	if err != nil {
 		return storer.Changes[[]byte]{}, err
@@ -169,7 +169,8 @@
 	query     url.Values
 	body      []byte
 	condition storer.Condition
-	limit     time.Duration
+	// deadline ends the call.
+	deadline time.Time
 }
 
 // answer is what the platform said.
@@ -179,7 +180,7 @@
 }
 
 func (a *Adapter) call(ctx context.Context, call call) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.limit)
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
 	defer cancel()
 	exchange := &arbiter.Exchange{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -41,14 +41,14 @@
 type Option func(settings *options)
 
 type options struct {
-	dialLimit   time.Duration
+	dialMillis  int
 	connections int
 }
 
 // WithDialMillis bounds the time to connect, in milliseconds.
 func WithDialMillis(limit int) Option {
 	return func(settings *options) {
-		settings.dialLimit = time.Duration(limit) * time.Millisecond
+		settings.dialMillis = limit
 	}
 }
 
@@ -62,7 +62,7 @@
 // New returns a forwarder.
 func New(changes ...Option) *Forwarder {
 	settings := options{
-		dialLimit:   DefaultDialMillis * time.Millisecond,
+		dialMillis:  DefaultDialMillis,
 		connections: DefaultConnections,
 	}
 	for _, change := range changes {
@@ -76,7 +76,7 @@
 
 func newTransport(settings options, reuse bool) *http.Transport {
 	dialer := &net.Dialer{
-		Timeout: settings.dialLimit,
+		Timeout: time.Duration(settings.dialMillis) * time.Millisecond,
 	}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
--- a/pkg/command/retrier/backoff.go
+++ b/pkg/command/retrier/backoff.go
@@ -6,19 +6,22 @@
 	"time"
 )
 
+// maxDoublings bounds how often the first wait doubles.
+const maxDoublings = 20
+
 // Backoff spaces the tries of something that fails, with full jitter, so that
 // many instances do not come back at the same moment. Used by one goroutine.
 type Backoff struct {
-	first    time.Duration
-	longest  time.Duration
-	failures int
+	firstMillis   int
+	longestMillis int
+	failures      int
 }
 
 // NewBackoff returns a backoff between two bounds, in milliseconds.
 func NewBackoff(firstMillis, longestMillis int) *Backoff {
 	return &Backoff{
-		first:   time.Duration(firstMillis) * time.Millisecond,
-		longest: time.Duration(longestMillis) * time.Millisecond,
+		firstMillis:   firstMillis,
+		longestMillis: longestMillis,
 	}
 }
 
@@ -29,9 +32,10 @@
 
 // Wait waits before the next try, or until ctx ends, whose error it then returns.
 func (b *Backoff) Wait(ctx context.Context) error {
-	bound := min(b.first<<min(b.failures, 20), b.longest)
+	bound := min(b.firstMillis<<min(b.failures, maxDoublings), b.longestMillis)
 	b.failures++
-	return Sleep(ctx, b.first/2+rand.N(bound))
+	wait := b.firstMillis/2 + rand.N(bound)
+	return Sleep(ctx, time.Duration(wait)*time.Millisecond)
 }
 
 // Sleep waits for a time, or until ctx ends, whose error it then returns.
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -56,7 +56,8 @@
 type Locator struct {
 	generation uint64
 	revision   uint64
-	valid      time.Duration
+	// validMillis is how long an answer is valid, in milliseconds.
+	validMillis int
 	// services holds the names and host names of all services.
 	services map[string]bool
 	blocks   *Blocks
@@ -96,11 +97,11 @@
 func New(source Source) *Locator {
 	places := source.Set.Places.Rows()
 	locator := &Locator{
-		generation: source.Generation,
-		revision:   source.Revision,
-		valid:      time.Duration(source.ValidMillis) * time.Millisecond,
-		services:   map[string]bool{},
-		blocks:     source.Blocks,
+		generation:  source.Generation,
+		revision:    source.Revision,
+		validMillis: source.ValidMillis,
+		services:    map[string]bool{},
+		blocks:      source.Blocks,
 	}
 	for service := range source.Set.Services.All() {
 		locator.services[service.Name] = true
@@ -128,7 +129,7 @@
 		return Answer{}, false
 	}
 	answer := Answer{
-		ValidUntil: question.Now.Add(l.valid),
+		ValidUntil: question.Now.Add(time.Duration(l.validMillis) * time.Millisecond),
 		Revision:   l.revision,
 	}
 	at := int(l.blocks.Site(question.Client))
