Blame no upstream for a caller's own haste

Cause: reading the code as a newcomer: a caller that sends a tight deadline of its own made the instance suspect healthy upstreams, one after another. Excluded: ignoring missed deadlines (a silent upstream must be found). Change: only a deadline that the service sets counts against an upstream. Conclusion: a caller can no longer steer others away from an upstream.

--- a/internal/receiver/exchange_test.go
+++ b/internal/receiver/exchange_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
 
 // scripted is an upstream that acts out one way to fail on each connection.
@@ -462,3 +463,48 @@
 		t.Errorf("header %v", header)
 	}
 }
+
+// TestHurriedCallers lets a silent upstream miss deadlines. One that a caller has
+// made shorter makes nobody suspect; the service's own does.
+func TestHurriedCallers(t *testing.T) {
+	silent := func(_ testing.TB, _ net.Conn, request *bufio.Reader) {
+		if readRequest(request) == nil {
+			_, _ = request.ReadByte()
+		}
+	}
+	cases := []struct {
+		name   string
+		millis string
+		health admitter.Health
+	}{
+		{
+			name:   "the caller's deadline",
+			millis: "50",
+			health: admitter.Live,
+		},
+		{
+			name:   "the service's deadline",
+			millis: "60000",
+			health: admitter.Suspect,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			entry := newEntry(t, newScripted(t, silent).address)
+			request := entry.request(t, http.MethodPost, "/orders/1", strings.NewReader("quilt"))
+			request.Header.Set(forwarder.HeaderTimeoutMillis, c.millis)
+			response, err := (&http.Client{Transport: &http.Transport{}}).Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			expect(t, response, arbiter.MayHaveRun, arbiter.DeadlineExceeded)
+			for _, upstream := range entry.plans.Load().Upstreams() {
+				if health := upstream.Health(); health != c.health {
+					t.Fatalf("the upstream is %s, want %s", health, c.health)
+				}
+			}
+		})
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -187,7 +187,7 @@
 	defer answer.response.Body.Close()
 	refusal = relay(w, answer.response)
 	if refusal != nil {
-		r.blame(answer.upstream, refusal)
+		r.blame(answer.upstream, refusal, admission.Hurried)
 	}
 	return refusal
 }
@@ -231,7 +231,7 @@
 		if err != nil {
 			upstream.Release()
 			failed = upstream
-			r.blame(upstream, err)
+			r.blame(upstream, err, admission.Hurried)
 			return answered{}, err
 		}
 		upstream.Succeeded()
@@ -242,17 +242,22 @@
 	})
 }
 
-// blame marks an upstream that broke a request by its own fault.
-func (r *Receiver) blame(upstream *admitter.Upstream, err error) {
+// blame marks an upstream that broke a request by its own fault. A deadline that
+// the caller has made shorter is not its fault.
+func (r *Receiver) blame(upstream *admitter.Upstream, err error, hurried bool) {
 	var refusal *arbiter.Refusal
 	if !errors.As(err, &refusal) {
 		return
 	}
+	guilty := false
 	switch refusal.Reason {
-	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken, arbiter.DeadlineExceeded:
-		if upstream.Suspect(time.Now()) {
-			r.suspected(upstream, refusal)
-		}
+	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken:
+		guilty = true
+	case arbiter.DeadlineExceeded:
+		guilty = !hurried
+	}
+	if guilty && upstream.Suspect(time.Now()) {
+		r.suspected(upstream, refusal)
 	}
 }
 
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -51,6 +51,9 @@
 	Idempotent bool
 	// Deadline ends the request; never zero.
 	Deadline time.Time
+	// Hurried says that the deadline is the caller's own, and earlier than the
+	// service's. That it passes says nothing about the upstream.
+	Hurried bool
 
 	pool *Pool
 	desk *sharer.Desk
@@ -88,11 +91,13 @@
 		return Admission{}, arbiter.Refuse(arbiter.RequestMalformed, "the path has dot segments, empty segments or escaped slashes")
 	}
 	route := service.Route(request.Path)
+	deadline, hurried := deadline(request, service.Declared)
 	admission := Admission{
 		Plan:       plan,
 		Service:    service,
 		Idempotent: router.Idempotent(route, request.Method),
-		Deadline:   deadline(request, service.Declared),
+		Deadline:   deadline,
+		Hurried:    hurried,
 		pool:       plan.pools[service.Declared.Name],
 	}
 	if !request.Now.Before(admission.Deadline) {
@@ -212,10 +217,11 @@
 	return a, arbiter.Refuse(arbiter.TeamOverRate, "the team's rate is used up").WithRetryAt(retryAt)
 }
 
-func deadline(request Request, service declarer.Service) time.Time {
+// deadline returns the request's deadline, and whether it is the caller's own.
+func deadline(request Request, service declarer.Service) (deadline time.Time, hurried bool) {
 	limit := request.Now.Add(time.Duration(service.LimitMillis()) * time.Millisecond)
-	if request.Deadline.IsZero() || request.Deadline.After(limit) {
-		return limit
+	if request.Deadline.IsZero() || !request.Deadline.Before(limit) {
+		return limit, false
 	}
-	return request.Deadline
+	return request.Deadline, true
 }
