Withdraw a key while a process is paused

Excluded: a bound on the pause itself (it is the machine's). Change: the processes' test stops an instance by SIGSTOP for longer than its links last, withdraws a key meanwhile, and lets it go on. Conclusion: an instance that wakes learns before long what it has missed.

--- a/cmd/hemlockport/process_test.go
+++ b/cmd/hemlockport/process_test.go
@@ -24,6 +24,7 @@
 const (
 	operatorKey = "the-operators-key"
 	callerKey   = "the-callers-key"
+	leakedKey   = "the-leaked-key"
 	// patience bounds each wait of this test.
 	patience = 20 * time.Second
 )
@@ -151,6 +152,10 @@
 // order sends an order to an instance and returns the status, or 0 if the
 // connection broke.
 func (d *deployment) order(instance int, path string) int {
+	return d.orderWith(callerKey, instance, path)
+}
+
+func (d *deployment) orderWith(key string, instance int, path string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers[instance]+path, strings.NewReader("quilt"))
@@ -159,7 +164,7 @@
 		return 0
 	}
 	request.Host = "shopfront"
-	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	client := &http.Client{
 		Transport: &http.Transport{
 			DisableKeepAlives: true,
@@ -200,7 +205,11 @@
 Name = "quilters-1"
 Team = "quilters"
 Hash = %q
-`, d.upstreams[0], d.upstreams[1], declarer.HashKey(callerKey))
+[[Key]]
+Name = "quilters-2"
+Team = "quilters"
+Hash = %q
+`, d.upstreams[0], d.upstreams[1], declarer.HashKey(callerKey), declarer.HashKey(leakedKey))
 }
 
 func (d *deployment) fault(json string) {
@@ -232,6 +241,7 @@
 		d.await("an order", func() bool { return d.order(instance, "/orders/1") == http.StatusOK })
 	}
 	d.commandLine(file)
+	d.pause()
 	d.gracefulStop()
 	d.secondSignal()
 }
@@ -253,7 +263,7 @@
 		},
 		{
 			arguments: []string{"check", file},
-			out:       "fits: 5 objects",
+			out:       "fits: 6 objects",
 		},
 		{
 			arguments: []string{"apply", bad},
@@ -342,6 +352,41 @@
 	}
 }
 
+// withdrawalLimit is how soon a withdrawn key stops working where it can be known.
+const withdrawalLimit = 2 * time.Second
+
+// pause stops an instance's process for longer than its links last, and withdraws a
+// key meanwhile. The key does not work there for long once the process goes on.
+func (d *deployment) pause() {
+	if status := d.orderWith(leakedKey, 1, "/orders/4"); status != http.StatusOK {
+		d.t.Errorf("status %d before the withdrawal", status)
+	}
+	if err := d.instances[1].Process.Signal(syscall.SIGSTOP); err != nil {
+		d.t.Fatal(err)
+	}
+	if out, problems, code := d.run("withdraw", "quilters-2"); code != 0 {
+		d.t.Errorf("withdraw: %s %s", out, problems)
+	}
+	d.await("the look-up leaves the paused instance out", func() bool {
+		out, _, _ := d.run("lookup", "shopfront", "--at", d.callers[0])
+		return !strings.Contains(out, d.callers[1])
+	})
+	if err := d.instances[1].Process.Signal(syscall.SIGCONT); err != nil {
+		d.t.Fatal(err)
+	}
+	resumed := time.Now()
+	d.await("the withdrawn key is refused", func() bool {
+		return d.orderWith(leakedKey, 1, "/orders/5") == http.StatusUnauthorized
+	})
+	if taken := time.Since(resumed); taken > withdrawalLimit {
+		d.t.Errorf("the withdrawn key worked for %s after the pause", taken)
+	}
+	d.await("the paused instance is back", func() bool {
+		out, _, _ := d.run("lookup", "shopfront", "--at", d.callers[0])
+		return strings.Contains(out, d.callers[1])
+	})
+}
+
 // gracefulStop stops an instance while an order runs there. The order ends well
 // and the process ends with 0.
 func (d *deployment) gracefulStop() {
