--- /dev/null
+++ b/internal/receiver/crossed_test.go
@@ -0,0 +1,67 @@
+package receiver_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// TestCrossedAnswers lets an upstream send each answer on a connection twice, so
+// that the second copy stands where the next request's answer is looked for. No
+// caller gets an answer that is not its own.
+func TestCrossedAnswers(t *testing.T) {
+	const callers, requests = 8, 500
+	upstream := newScripted(t, func(_ testing.TB, conn net.Conn, request *bufio.Reader) {
+		for {
+			message, err := http.ReadRequest(request)
+			if err != nil {
+				return
+			}
+			body := message.URL.Path
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+			if _, err = io.WriteString(conn, answer+answer); err != nil {
+				return
+			}
+		}
+	})
+	entry := newEntry(t, upstream.address)
+	var crossed, answered atomic.Int64
+	var group errgroup.Group
+	for caller := range callers {
+		client := &http.Client{
+			Transport: &http.Transport{},
+		}
+		group.Go(func() error {
+			for i := range requests {
+				path := fmt.Sprintf("/orders/%d-%d", caller, i)
+				response, err := client.Do(entry.request(t, http.MethodGet, path, nil))
+				if err != nil {
+					return err
+				}
+				body, err := io.ReadAll(response.Body)
+				response.Body.Close()
+				if err != nil || response.StatusCode != http.StatusOK {
+					continue
+				}
+				answered.Add(1)
+				if string(body) != path {
+					crossed.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if crossed.Load() > 0 || answered.Load() < callers*requests/2 {
+		t.Fatalf("of %d answers %d were another's", answered.Load(), crossed.Load())
+	}
+}
