Reuse a connection only when it holds no answer

Change: the first write of a request on a reused connection waits, for up to 20 ms, until the reader waits for bytes, so that its buffer is empty; else the connection ends and nothing is sent. An answer that comes before anything was sent is thrown away.

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -78,8 +78,12 @@
 	dialer := &net.Dialer{
 		Timeout: time.Duration(settings.dialMillis) * time.Millisecond,
 	}
+	dial := dialer.DialContext
+	if reuse {
+		dial = dialGuarded(dialer)
+	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		DisableKeepAlives:      !reuse,
 		DisableCompression:     true,
 		MaxConnsPerHost:        settings.connections,
@@ -147,13 +151,23 @@
 // whose body the caller closes. Each error is an *arbiter.Refusal.
 func (f *Forwarder) Send(ctx context.Context, address string, outbound Outbound) (*http.Response, error) {
 	exchange := &arbiter.Exchange{}
+	seen := &witness{}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { exchange.Connected() },
+		GotConn: func(info httptrace.GotConnInfo) {
+			exchange.Connected()
+			seen.see(info.Conn)
+		},
 	})
 	response, err := f.transport(outbound).RoundTrip(outbound.request(traced, address))
 	if err != nil {
 		return nil, explain(ctx, exchange.Verdict(), err)
 	}
+	if seen.unasked() {
+		seen.guard.Close()
+		response.Body.Close()
+		// The transport may have sent the request on another connection before.
+		return nil, arbiter.Doubt(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnasked)
+	}
 	if refusal := examine(response); refusal != nil {
 		response.Body.Close()
 		return nil, refusal
