--- a/internal/command/editor/decode.go
+++ b/internal/command/editor/decode.go
@@ -45,6 +45,8 @@
 		return read(edit, &document.Version, &document)
 	case declarer.KindMove:
 		return read(edit, &document.Move, &document)
+	case declarer.KindRoute:
+		return read(edit, &document.Route, &document)
 	default:
 		return document, faultOf(edit, "Kind", string(edit.reference.Kind), "a kind of object, such as Team")
 	}
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
@@ -21,19 +21,21 @@
 	// DefaultConnections bounds the open connections of one instance to one
 	// upstream.
 	DefaultConnections = 64
-	// idleLimit ends a connection that no request has used for that long.
-	idleLimit = 30 * time.Second
+	// DefaultIdleMillis ends a connection that no request has used for that long, in
+	// milliseconds.
+	DefaultIdleMillis = 30_000
 	// maxHeaderBytes bounds the header of an answer, in bytes.
 	maxHeaderBytes = 64 << 10
 )
 
 // Forwarder sends requests. Safe for many goroutines.
 type Forwarder struct {
-	// reusing keeps connections open. It may send a request again by itself on
-	// another connection, so it is for idempotent requests only.
+	translator translator.Translator
+	// reusing keeps connections open. It may send a request that it takes for
+	// idempotent again by itself on another connection.
 	reusing *http.Transport
 	// fresh opens a connection for each request, so that none is sent on a
-	// connection that has gone silent, and none is ever sent twice.
+	// connection that has gone silent or holds another answer.
 	fresh *http.Transport
 }
 
@@ -43,6 +45,8 @@
 type options struct {
 	dialMillis  int
 	connections int
+	idleMillis  int
+	translator  translator.Translator
 }
 
 // WithDialMillis bounds the time to connect, in milliseconds.
@@ -59,18 +63,36 @@
 	}
 }
 
+// WithIdleMillis ends a connection to an upstream that no request has used for
+// that long.
+func WithIdleMillis(limit int) Option {
+	return func(settings *options) {
+		settings.idleMillis = limit
+	}
+}
+
+// WithTranslator sets how callers and upstreams are spoken to.
+func WithTranslator(spoken translator.Translator) Option {
+	return func(settings *options) {
+		settings.translator = spoken
+	}
+}
+
 // New returns a forwarder.
 func New(changes ...Option) *Forwarder {
 	settings := options{
 		dialMillis:  DefaultDialMillis,
 		connections: DefaultConnections,
+		idleMillis:  DefaultIdleMillis,
+		translator:  translator.Own{},
 	}
 	for _, change := range changes {
 		change(&settings)
 	}
 	return &Forwarder{
-		reusing: newTransport(settings, true),
-		fresh:   newTransport(settings, false),
+		translator: settings.translator,
+		reusing:    newTransport(settings, true),
+		fresh:      newTransport(settings, false),
 	}
 }
 
@@ -88,7 +110,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        settings.connections,
 		MaxIdleConnsPerHost:    settings.connections,
-		IdleConnTimeout:        idleLimit,
+		IdleConnTimeout:        time.Duration(settings.idleMillis) * time.Millisecond,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
@@ -107,6 +129,7 @@
 	host       string
 	header     http.Header
 	body       *Body
+	team       string
 	idempotent bool
 	deadline   time.Time
 }
@@ -115,10 +138,7 @@
 // what concerns the caller's connection only, and with the team named.
 func NewOutbound(request *http.Request, body *Body, team string, idempotent bool, deadline time.Time) Outbound {
 	header := request.Header.Clone()
-	strip(header)
-	if team != "" {
-		header.Set(HeaderTeam, team)
-	}
+	translator.Strip(header)
 	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil {
 		header.Add("X-Forwarded-For", host)
 	}
@@ -137,6 +157,7 @@
 		host:       request.Host,
 		header:     header,
 		body:       body,
+		team:       team,
 		idempotent: idempotent,
 		deadline:   deadline,
 	}
@@ -147,9 +168,16 @@
 	return o.body
 }
 
-// Send sends a request once to the upstream at an address and returns its answer,
-// whose body the caller closes. Each error is an *arbiter.Refusal.
-func (f *Forwarder) Send(ctx context.Context, address string, outbound Outbound) (*http.Response, error) {
+// Target is the upstream that a request is sent to.
+type Target struct {
+	// Name is the upstream's name, and Address where it listens.
+	Name    string
+	Address string
+}
+
+// Send sends a request once to an upstream and returns its answer, whose body the
+// caller closes. Each error is an *arbiter.Refusal.
+func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (*http.Response, error) {
 	exchange := &arbiter.Exchange{}
 	seen := &witness{}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -158,39 +186,43 @@
 			seen.see(info.Conn)
 		},
 	})
-	response, err := f.transport(outbound).RoundTrip(outbound.request(traced, address))
+	response, err := f.transport(outbound).RoundTrip(f.request(traced, target, outbound))
 	if err != nil {
 		return nil, explain(ctx, exchange.Verdict(), err)
 	}
 	if seen.unasked() {
-		seen.guard.Close()
+		seen.end()
 		response.Body.Close()
 		// The transport may have sent the request on another connection before.
 		return nil, arbiter.Doubt(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnasked)
 	}
-	if refusal := examine(response); refusal != nil {
+	if refusal := f.examine(response); refusal != nil {
+		if refusal.Verdict != arbiter.NotRun {
+			seen.end()
+		}
 		response.Body.Close()
 		return nil, refusal
 	}
 	exchange.Answered()
-	strip(response.Header)
-	response.Header.Set(HeaderVerdict, exchange.Verdict().String())
 	return response, nil
 }
 
 func (f *Forwarder) transport(outbound Outbound) *http.Transport {
-	if outbound.idempotent {
+	if outbound.idempotent || f.translator.NamesAnswers() {
 		return f.reusing
 	}
 	return f.fresh
 }
 
-func (o Outbound) request(ctx context.Context, address string) *http.Request {
+func (f *Forwarder) request(ctx context.Context, to Target, o Outbound) *http.Request {
 	target := o.target
-	target.Host = address
+	target.Host = to.Address
 	header := o.header.Clone()
-	left := max(time.Until(o.deadline).Milliseconds(), 0)
-	header.Set(HeaderTimeoutMillis, strconv.FormatInt(left, 10))
+	f.translator.Tell(header, translator.Told{
+		Team:     o.team,
+		Upstream: to.Name,
+		Deadline: o.deadline,
+	}, time.Now())
 	request := &http.Request{
 		Method:        o.method,
 		URL:           &target,
@@ -234,11 +266,9 @@
 }
 
 // examine returns a refusal for an answer that must not be passed on.
-func examine(response *http.Response) *arbiter.Refusal {
-	if response.StatusCode == http.StatusServiceUnavailable &&
-		arbiter.Parse(response.Header.Get(HeaderVerdict)) == arbiter.NotRun {
-		return arbiter.Refuse(arbiter.UpstreamShed, "the upstream has shed the request").
-			WithRetryAt(retryAt(response.Header))
+func (f *Forwarder) examine(response *http.Response) *arbiter.Refusal {
+	if refusal := f.translator.Examine(response); refusal != nil {
+		return refusal
 	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return arbiter.Doubt(arbiter.UpstreamBroken, "the upstream switched protocols unasked")
@@ -254,11 +284,3 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
 		response.Request.Method != http.MethodHead
 }
-
-func retryAt(header http.Header) time.Time {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return time.Time{}
-	}
-	return time.Now().Add(time.Duration(seconds) * time.Second)
-}
--- a/internal/command/forwarder/guard.go
+++ b/internal/command/forwarder/guard.go
@@ -106,6 +106,13 @@
 	w.before = guarded.sent.Load()
 }
 
+// end closes the connection, so that no other request is sent there.
+func (w *witness) end() {
+	if w.guard != nil {
+		w.guard.Close()
+	}
+}
+
 // unasked says whether an answer came although nothing was sent.
 func (w *witness) unasked() bool {
 	return w.guard != nil && w.guard.sent.Load() == w.before
--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -38,7 +38,7 @@
 type deleteCommand struct {
 	Remote
 	Output
-	Kind       string `arg:"" help:"Place, Service, Team, Key, Version or Move."`
+	Kind       string `arg:"" help:"Place, Service, Team, Key, Version, Move or Route."`
 	Name       string `arg:"" help:"The object's name."`
 	IfRevision uint64 `help:"Refuse unless this revision is in force."`
 }
--- a/internal/commander/queries.go
+++ b/internal/commander/queries.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
 	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/checker"
 )
@@ -49,7 +50,7 @@
 type getQuery struct {
 	Remote
 	Output
-	Kind string `arg:"" optional:"" help:"Place, Service, Team, Key, Version or Move; all if left out."`
+	Kind string `arg:"" optional:"" help:"Place, Service, Team, Key, Version, Move or Route; all if left out."`
 	Name string `arg:"" optional:"" help:"The object's name; all if left out."`
 }
 
@@ -184,7 +185,7 @@
 }
 
 func lookupRefusal(status int, body []byte) error {
-	refused, err := encoder.JSON[receiver.Refused]{}.Decode(body)
+	refused, err := encoder.JSON[translator.Refused]{}.Decode(body)
 	if err != nil {
 		return errors.New(http.StatusText(status))
 	}
--- a/internal/query/reporter/reporter.go
+++ b/internal/query/reporter/reporter.go
@@ -109,6 +109,7 @@
 		Key:     choose(s, declarer.KindKey, document.Key),
 		Version: choose(s, declarer.KindVersion, document.Version),
 		Move:    choose(s, declarer.KindMove, document.Move),
+		Route:   choose(s, declarer.KindRoute, document.Route),
 	}
 }
 
--- a/internal/receiver/lookup.go
+++ b/internal/receiver/lookup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
@@ -47,13 +48,13 @@
 	now := time.Now()
 	located, refusal := l.locate(request, now)
 	if refusal != nil {
-		writeRefusal(w, refusal, now)
+		translator.Own{}.Refuse(w, request, refusal, now)
 		return
 	}
 	l.count()
 	body, err := encoder.JSON[Located]{}.Encode(located)
 	if err != nil {
-		writeRefusal(w, arbiter.Refuse(arbiter.NotReady, err.Error()), now)
+		translator.Own{}.Refuse(w, request, arbiter.Refuse(arbiter.NotReady, err.Error()), now)
 		return
 	}
 	header := w.Header()
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -4,15 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -30,10 +28,16 @@
 	admitter  *admitter.Admitter
 	forwarder *forwarder.Forwarder
 	flights   *tracker.Tracker[Flight]
-	budget    *retrier.Budget
+	budgets   *retrier.Budgets
 	attempts  int
-	metrics   *exporter.Requests
-	lookups   http.Handler
+	// retryFailures says that an idempotent request is sent again after an answer
+	// that tells of a failure.
+	retryFailures bool
+	metrics       *exporter.Requests
+	translator    translator.Translator
+	lookups       http.Handler
+	// ended is told how each request ended.
+	ended func(Outcome)
 	// waiting is told of each request that waits for its team's rate.
 	waiting func()
 	// suspected is told of an upstream that has just failed.
@@ -45,12 +49,20 @@
 	Admitter  *admitter.Admitter
 	Forwarder *forwarder.Forwarder
 	Flights   *tracker.Tracker[Flight]
-	Budget    *retrier.Budget
-	// Attempts is how often one request is sent at most; at least 1.
+	Budgets   *retrier.Budgets
+	// Attempts is how often one request is sent at most, where its route does not
+	// say; at least 1.
 	Attempts int
-	Metrics  *exporter.Requests
-	// Lookups answers PathLookup.
+	// RetryFailures says that an idempotent request is sent again after an answer
+	// that tells of a failure.
+	RetryFailures bool
+	Metrics       *exporter.Requests
+	// Translator is how callers are spoken to.
+	Translator translator.Translator
+	// Lookups answers PathLookup, unless it is nil.
 	Lookups http.Handler
+	// Ended, if not nil, is told how each request ended.
+	Ended func(Outcome)
 	// Waiting is told of each request that waits for its team's rate.
 	Waiting func()
 	// Suspected is told of an upstream that has just failed.
@@ -59,16 +71,23 @@
 
 // New returns a receiver made of parts.
 func New(parts Parts) *Receiver {
+	ended := parts.Ended
+	if ended == nil {
+		ended = func(Outcome) {}
+	}
 	return &Receiver{
-		admitter:  parts.Admitter,
-		forwarder: parts.Forwarder,
-		flights:   parts.Flights,
-		budget:    parts.Budget,
-		attempts:  parts.Attempts,
-		metrics:   parts.Metrics,
-		lookups:   parts.Lookups,
-		waiting:   parts.Waiting,
-		suspected: parts.Suspected,
+		admitter:      parts.Admitter,
+		forwarder:     parts.Forwarder,
+		flights:       parts.Flights,
+		budgets:       parts.Budgets,
+		attempts:      parts.Attempts,
+		retryFailures: parts.RetryFailures,
+		metrics:       parts.Metrics,
+		translator:    parts.Translator,
+		lookups:       parts.Lookups,
+		ended:         ended,
+		waiting:       parts.Waiting,
+		suspected:     parts.Suspected,
 	}
 }
 
@@ -84,31 +103,38 @@
 
 // ServeHTTP serves one request of a caller.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if request.URL.Path == PathLookup {
+	if r.lookups != nil && request.URL.Path == PathLookup {
 		r.lookups.ServeHTTP(w, request)
 		return
 	}
-	arrived := time.Now()
-	refusal := r.serve(w, request, arrived)
-	r.metrics.Count(refusal, arrived)
+	outcome := Outcome{
+		Arrived: time.Now(),
+	}
+	refusal := r.serve(w, request, &outcome)
+	r.metrics.Count(refusal, outcome.Arrived)
+	outcome.Refusal = refusal
+	outcome.Ended = time.Now()
+	r.ended(outcome)
 	switch {
 	case refusal == nil:
 	case refusal.Reason == arbiter.AnswerBroken:
 		// The server's way to break one connection or stream.
 		panic(http.ErrAbortHandler)
 	default:
-		writeRefusal(w, refusal, time.Now())
+		r.translator.Refuse(w, request, refusal, outcome.Ended)
 	}
 }
 
 // serve carries a request through. It returns why it failed: an AnswerBroken if
 // the answer has begun, anything else as long as nothing has been answered.
-func (r *Receiver) serve(w http.ResponseWriter, request *http.Request, now time.Time) *arbiter.Refusal {
-	decision, refusal := describe(request, now)
+func (r *Receiver) serve(w http.ResponseWriter, request *http.Request, outcome *Outcome) *arbiter.Refusal {
+	now := outcome.Arrived
+	decision, refusal := r.describe(request, outcome)
 	if refusal != nil {
 		return refusal
 	}
 	admission, refusal := r.admitter.Admit(decision)
+	outcome.admitted(admission)
 	if refusal != nil && !r.waitForRate(request.Context(), admission, refusal, now) {
 		return refusal
 	}
@@ -133,7 +159,7 @@
 	if refusal = r.admitter.Recheck(admission, time.Now()); refusal != nil {
 		return refusal
 	}
-	return r.exchange(ctx, w, request, admission)
+	return r.exchange(ctx, w, request, admission, outcome)
 }
 
 // waitForRate lets a request that was refused for its team's rate wait for it, and
@@ -161,164 +187,3 @@
 		return false
 	}
 }
-
-// exchange sends an admitted request and passes the answer on.
-func (r *Receiver) exchange(
-	ctx context.Context,
-	w http.ResponseWriter,
-	request *http.Request,
-	admission admitter.Admission,
-) *arbiter.Refusal {
-	// A caller that stops sending or reading must not hold a slot beyond the end of
-	// its request.
-	stop := context.AfterFunc(ctx, func() { unblock(w) })
-	defer stop()
-	body, refusal := forwarder.ReadBody(request.Body, request.ContentLength)
-	if refusal != nil {
-		admission.Refund(time.Now())
-		return refusal
-	}
-	outbound := forwarder.NewOutbound(request, body, admission.Team(), admission.Idempotent, admission.Deadline)
-	answer, err := r.send(ctx, outbound, admission)
-	if err != nil {
-		return r.failed(admission, err)
-	}
-	defer answer.upstream.Release()
-	defer answer.response.Body.Close()
-	refusal = relay(w, answer.response)
-	if refusal != nil {
-		r.blame(answer.upstream, refusal, admission.Hurried)
-	}
-	return refusal
-}
-
-// lastWords is how long a caller gets to read why its request has ended.
-const lastWords = time.Second
-
-// unblock ends the reading of a caller's connection now and the writing soon.
-func unblock(w http.ResponseWriter) {
-	connection := http.NewResponseController(w)
-	now := time.Now()
-	// Errors here mean a connection that has gone already.
-	_ = connection.SetReadDeadline(now)
-	_ = connection.SetWriteDeadline(now.Add(lastWords))
-}
-
-// answered is an answer and the upstream whose slot it still holds.
-type answered struct {
-	response *http.Response
-	upstream *admitter.Upstream
-}
-
-// send sends a request to one upstream after another as far as verdicts allow.
-func (r *Receiver) send(ctx context.Context, outbound forwarder.Outbound, admission admitter.Admission) (answered, error) {
-	policy := retrier.Policy{
-		Idempotent: admission.Idempotent,
-		Replayable: outbound.Body().Replayable,
-		Attempts:   r.attempts,
-		Deadline:   admission.Deadline,
-	}
-	var failed *admitter.Upstream
-	return retrier.Run(ctx, r.budget, policy, func(number int) (answered, error) {
-		if number > 1 {
-			r.metrics.CountRetry()
-		}
-		upstream, refusal := admission.Acquire(time.Now(), rand.Uint64(), failed)
-		if refusal != nil {
-			return answered{}, refusal
-		}
-		response, err := r.forwarder.Send(ctx, upstream.Address(), outbound)
-		if err != nil {
-			upstream.Release()
-			failed = upstream
-			r.blame(upstream, err, admission.Hurried)
-			return answered{}, err
-		}
-		upstream.Succeeded()
-		return answered{
-			response: response,
-			upstream: upstream,
-		}, nil
-	})
-}
-
-// blame marks an upstream that broke a request by its own fault. A deadline that
-// the caller has made shorter is not its fault.
-func (r *Receiver) blame(upstream *admitter.Upstream, err error, hurried bool) {
-	var refusal *arbiter.Refusal
-	if !errors.As(err, &refusal) {
-		return
-	}
-	guilty := false
-	switch refusal.Reason {
-	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken:
-		guilty = true
-	case arbiter.DeadlineExceeded:
-		guilty = !hurried
-	}
-	if guilty && upstream.Suspect(time.Now()) {
-		r.suspected(upstream, refusal)
-	}
-}
-
-// failed ends a request that got no answer, and gives the team its request back
-// where it is proved not to have run.
-func (r *Receiver) failed(admission admitter.Admission, err error) *arbiter.Refusal {
-	var refusal *arbiter.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = arbiter.Doubt(arbiter.UpstreamBroken, "the request failed").WithCause(err)
-	}
-	if refusal.Verdict == arbiter.NotRun {
-		admission.Refund(time.Now())
-	}
-	return refusal
-}
-
-// describe reads from a message what the decision needs.
-func describe(request *http.Request, now time.Time) (admitter.Request, *arbiter.Refusal) {
-	decision := admitter.Request{
-		Host:        request.Host,
-		Path:        request.URL.Path,
-		EscapedPath: request.URL.RawPath,
-		Method:      request.Method,
-		Now:         now,
-	}
-	if request.Method == http.MethodConnect || request.Header.Get("Upgrade") != "" {
-		return decision, arbiter.Refuse(arbiter.RequestMalformed, "CONNECT and Upgrade are not served")
-	}
-	key, refusal := keyOf(request)
-	if refusal != nil {
-		return decision, refusal
-	}
-	decision.Key = key
-	if text := request.Header.Get(forwarder.HeaderTimeoutMillis); text != "" {
-		left, err := strconv.ParseUint(text, 10, 31)
-		if err != nil {
-			detail := forwarder.HeaderTimeoutMillis + ": want whole milliseconds"
-			return decision, arbiter.Refuse(arbiter.RequestMalformed, detail)
-		}
-		decision.Deadline = now.Add(time.Duration(left) * time.Millisecond)
-	}
-	return decision, nil
-}
-
-// keyOf returns the key that a caller shows, or "".
-func keyOf(request *http.Request) (string, *arbiter.Refusal) {
-	lines := request.Header["Authorization"]
-	if len(lines) == 0 {
-		return "", nil
-	}
-	const scheme = "bearer "
-	line := lines[0]
-	if len(lines) > 1 || len(line) <= len(scheme) || !strings.EqualFold(line[:len(scheme)], scheme) {
-		return "", arbiter.Refuse(arbiter.KeyMissing, "show one key as Authorization: Bearer KEY")
-	}
-	key := strings.TrimSpace(line[len(scheme):])
-	if key == "" {
-		return "", arbiter.Refuse(arbiter.KeyMissing, "show a key as Authorization: Bearer KEY")
-	}
-	if forwarder.CarriesKey(request, key) {
-		return "", arbiter.Refuse(arbiter.KeyExposed, "the key also stands where an upstream would see it")
-	}
-	return key, nil
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/hemlockport/hemlockport/internal/query/prober"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
 	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/adopter"
 	"github.com/hemlockport/hemlockport/pkg/command/budgeter"
@@ -190,15 +191,16 @@
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 	)
 	s.receiver = receiver.New(receiver.Parts{
-		Admitter:  admitter.New(s.plans, s.fresh),
-		Forwarder: s.forwarder,
-		Flights:   s.flights,
-		Budget:    retrier.NewBudget(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
-		Attempts:  s.settings.Retries.Attempts,
-		Metrics:   exporter.NewRequests(s.registry),
-		Lookups:   receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
-		Waiting:   s.borrower.Wake,
-		Suspected: s.suspected,
+		Admitter:   admitter.New(s.plans, s.fresh),
+		Forwarder:  s.forwarder,
+		Flights:    s.flights,
+		Budgets:    retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Attempts:   s.settings.Retries.Attempts,
+		Metrics:    exporter.NewRequests(s.registry),
+		Translator: translator.Own{},
+		Lookups:    receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
+		Waiting:    s.borrower.Wake,
+		Suspected:  s.suspected,
 	})
 }
 
--- a/internal/standin/upstreamer/server.go
+++ b/internal/standin/upstreamer/server.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -188,7 +188,7 @@
 // withDeadline returns the request's context, which ends when the time is up that
 // the request says is left.
 func withDeadline(request *http.Request) (context.Context, context.CancelFunc) {
-	left, err := strconv.Atoi(request.Header.Get(forwarder.HeaderTimeoutMillis))
+	left, err := strconv.Atoi(request.Header.Get(translator.HeaderTimeoutMillis))
 	if err != nil {
 		return context.WithCancel(request.Context())
 	}
@@ -209,7 +209,7 @@
 		return
 	}
 	text := fmt.Sprintf("%s %s %s team=%s bytes=%d\n", s.settings.Name, request.Method,
-		request.URL.Path, request.Header.Get(forwarder.HeaderTeam), len(body))
+		request.URL.Path, request.Header.Get(translator.HeaderTeam), len(body))
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if faults.Truncate {
@@ -286,7 +286,7 @@
 }
 
 func shed(w http.ResponseWriter) {
-	w.Header().Set(forwarder.HeaderVerdict, arbiter.NotRun.String())
+	w.Header().Set(translator.HeaderVerdict, arbiter.NotRun.String())
 	w.Header().Set("Retry-After", "1")
 	http.Error(w, "shed", http.StatusServiceUnavailable)
 }
--- /dev/null
+++ b/internal/translator/status.go
@@ -0,0 +1,35 @@
+package translator
+
+import (
+	"net/http"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+)
+
+// statuses gives each reason its HTTP status; others have 502.
+var statuses = map[arbiter.Reason]int{
+	arbiter.UnknownService:   http.StatusNotFound,
+	arbiter.KeyMissing:       http.StatusUnauthorized,
+	arbiter.KeyUnknown:       http.StatusUnauthorized,
+	arbiter.KeyWithdrawn:     http.StatusUnauthorized,
+	arbiter.KeyExposed:       http.StatusBadRequest,
+	arbiter.KeyUnconfirmed:   http.StatusServiceUnavailable,
+	arbiter.TeamNotAllowed:   http.StatusForbidden,
+	arbiter.TeamOverRate:     http.StatusTooManyRequests,
+	arbiter.NoRoom:           http.StatusServiceUnavailable,
+	arbiter.NotReady:         http.StatusServiceUnavailable,
+	arbiter.InstanceFull:     http.StatusServiceUnavailable,
+	arbiter.RequestMalformed: http.StatusBadRequest,
+	arbiter.RequestTruncated: http.StatusBadRequest,
+	arbiter.DeadlineExceeded: http.StatusGatewayTimeout,
+	arbiter.UpstreamShed:     http.StatusServiceUnavailable,
+}
+
+// StatusOf returns the HTTP status of a reason.
+func StatusOf(reason arbiter.Reason) int {
+	status, found := statuses[reason]
+	if !found {
+		return http.StatusBadGateway
+	}
+	return status
+}
--- a/internal/trier/caller.go
+++ b/internal/trier/caller.go
@@ -8,10 +8,10 @@
 	"net/url"
 	"strings"
 
-	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/internal/standin/upstreamer"
+	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
@@ -72,8 +72,8 @@
 	body, err := io.ReadAll(response.Body)
 	return Outcome{
 		Status:  response.StatusCode,
-		Verdict: arbiter.Parse(response.Header.Get(forwarder.HeaderVerdict)),
-		Reason:  response.Header.Get(forwarder.HeaderReason),
+		Verdict: arbiter.Parse(response.Header.Get(translator.HeaderVerdict)),
+		Reason:  response.Header.Get(translator.HeaderReason),
 		Body:    string(body),
 		Err:     err,
 	}
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -28,6 +28,7 @@
 	UpstreamUnreached Reason = "UpstreamUnreached"
 	UpstreamShed      Reason = "UpstreamShed"
 	UpstreamBroken    Reason = "UpstreamBroken"
+	UpstreamFailed    Reason = "UpstreamFailed"
 	AnswerBroken      Reason = "AnswerBroken"
 )
 
@@ -52,6 +53,7 @@
 		UpstreamUnreached,
 		UpstreamShed,
 		UpstreamBroken,
+		UpstreamFailed,
 		AnswerBroken,
 	}
 }
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -33,6 +33,10 @@
 	Method string
 	// Key is the key that the caller showed, or empty.
 	Key string
+	// Object names what the request is about, or is empty.
+	Object string
+	// Random spreads requests over the services of a route.
+	Random uint64
 	// Now is the instant of arrival.
 	Now time.Time
 	// Deadline is the caller's own deadline, or zero.
@@ -43,8 +47,10 @@
 type Admission struct {
 	// Plan admitted the request.
 	Plan *Plan
-	// Service is what the caller asked for.
-	Service *router.Service
+	// Route is what the caller asked for, and Service the one of its services that
+	// serves the request.
+	Route   *router.Route
+	Service string
 	// Key is the caller's key; nil on a route open to all.
 	Key *router.Key
 	// Idempotent says that the request may be repeated after MayHaveRun.
@@ -55,8 +61,10 @@
 	// service's. That it passes says nothing about the upstream.
 	Hurried bool
 
-	pool *Pool
-	desk *sharer.Desk
+	// object is the hash of Request.Object, or 0.
+	object uint64
+	pool   *Pool
+	desk   *sharer.Desk
 }
 
 // Admitter admits requests by the plan in force. Safe for many goroutines; its
@@ -83,27 +91,29 @@
 		refusal := arbiter.Refuse(arbiter.NotReady, "no configuration is in force yet")
 		return Admission{}, refusal.WithRetryAt(request.Now.Add(NoShareMillis * time.Millisecond))
 	}
-	service, found := plan.table.Service(request.Host)
-	if !found {
-		return Admission{}, arbiter.Refuse(arbiter.UnknownService, "no service has this host name")
-	}
 	if !router.PlainPath(request.Path, request.EscapedPath) {
 		return Admission{}, arbiter.Refuse(arbiter.RequestMalformed, "the path has dot segments, empty segments or escaped slashes")
 	}
-	route := service.Route(request.Path)
-	deadline, hurried := deadline(request, service.Declared)
+	route, found := plan.table.Route(request.Host, request.Path)
+	if !found {
+		return Admission{}, arbiter.Refuse(arbiter.UnknownService, "no route has this host name and path")
+	}
+	deadline, hurried := deadline(request, route.Declared)
+	service := route.Service(request.Random)
 	admission := Admission{
 		Plan:       plan,
+		Route:      route,
 		Service:    service,
-		Idempotent: router.Idempotent(route, request.Method),
+		Idempotent: route.Idempotent(request.Method),
 		Deadline:   deadline,
 		Hurried:    hurried,
-		pool:       plan.pools[service.Declared.Name],
+		object:     hashOf(request.Object),
+		pool:       plan.pools[service],
 	}
 	if !request.Now.Before(admission.Deadline) {
 		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
 	}
-	if route.Open {
+	if route.Declared.Open {
 		return admission, nil
 	}
 	refusal := a.checkKey(&admission, request)
@@ -132,7 +142,15 @@
 
 // Acquire claims a slot at an upstream. The caller releases it.
 func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
-	upstream, found := a.pool.Acquire(random, avoid)
+	if a.object != 0 {
+		random = a.object
+	}
+	upstream, found := a.pool.Acquire(random, ask{
+		now:       now,
+		avoid:     avoid,
+		homes:     a.Route.Declared.Homes,
+		teamHomes: a.teamHomes(),
+	})
 	if found {
 		return upstream, nil
 	}
@@ -140,6 +158,23 @@
 	return nil, refusal.WithRetryAt(now.Add(NoRoomMillis * time.Millisecond))
 }
 
+// teamHomes returns the regions in which the team's requests may run.
+func (a Admission) teamHomes() []string {
+	if a.Key == nil {
+		return nil
+	}
+	return a.Key.Team.Homes
+}
+
+// Attempts returns to how many upstreams the request is sent at most, of which
+// there are usual ones where the route does not say.
+func (a Admission) Attempts(usual int) int {
+	if a.Route.Declared.Attempts == 0 {
+		return usual
+	}
+	return a.Route.Declared.Attempts
+}
+
 // Refund gives the team's request back, which must be proved not to have run.
 func (a Admission) Refund(now time.Time) {
 	if a.desk != nil {
@@ -185,11 +220,11 @@
 
 // checkUse says why a key that is declared may not be used for a service, or
 // returns nil.
-func (a *Admitter) checkUse(key *router.Key, service *router.Service, now time.Time) *arbiter.Refusal {
+func (a *Admitter) checkUse(key *router.Key, service string, now time.Time) *arbiter.Refusal {
 	switch {
 	case key.Declared.Withdrawn:
 		return withdrawn()
-	case !key.MayUse(service.Declared.Name):
+	case !key.MayUse(service):
 		return arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
 	case a.unconfirmed(key.Team, now):
 		return arbiter.Refuse(arbiter.KeyUnconfirmed, "this instance is cut off and cannot tell whether the key still works")
@@ -214,6 +249,9 @@
 
 // charge takes one request of the team's rate.
 func (a Admission) charge(now time.Time) (Admission, *arbiter.Refusal) {
+	if a.Key.Team.IsUnlimited() {
+		return a, nil
+	}
 	a.desk = a.Plan.desks[a.Key.Team.Name]
 	retryAt, ok := a.desk.Take(now)
 	if ok {
@@ -226,10 +264,27 @@
 }
 
 // deadline returns the request's deadline, and whether it is the caller's own.
-func deadline(request Request, service declarer.Service) (deadline time.Time, hurried bool) {
-	limit := request.Now.Add(time.Duration(service.LimitMillis()) * time.Millisecond)
+func deadline(request Request, route declarer.Route) (deadline time.Time, hurried bool) {
+	limit := request.Now.Add(time.Duration(route.LimitMillis()) * time.Millisecond)
 	if request.Deadline.IsZero() || !request.Deadline.Before(limit) {
 		return limit, false
 	}
 	return request.Deadline, true
 }
+
+// hashOf returns the FNV-1a hash of an object's name, and 0 for no name. It makes
+// no allocation.
+func hashOf(object string) uint64 {
+	if object == "" {
+		return 0
+	}
+	const (
+		basis = 14695981039346656037
+		prime = 1099511628211
+	)
+	hash := uint64(basis)
+	for i := range len(object) {
+		hash = (hash ^ uint64(object[i])) * prime
+	}
+	return hash
+}
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -6,7 +6,6 @@
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
 	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/query/picker"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
 	"github.com/hemlockport/hemlockport/pkg/query/splitter"
 )
@@ -26,10 +25,29 @@
 	// desks holds each team's desk under its name, and those of teams that are gone
 	// but have lent something.
 	desks map[string]*sharer.Desk
-	// pools holds the pool of each service's version under the service's name.
+	// pools holds the pool of each service under its name.
 	pools map[string]*Pool
-	// upstreams holds each upstream under its address.
-	upstreams map[string]*Upstream
+	// upstreams holds each upstream under its address and incarnation.
+	upstreams map[identity]*Upstream
+	// keyed, if not nil, is how upstreams are chosen by the object of a request.
+	keyed *Keyed
+}
+
+// identity tells upstreams apart that use the same address one after another.
+type identity struct {
+	address     string
+	incarnation string
+}
+
+// Keyed says how upstreams are chosen by the object of a request. Its costs are in
+// parts of the whole range of picker.ByKey.
+type Keyed struct {
+	// OtherPlace and OtherRegion are the costs of the way.
+	OtherPlace  float64
+	OtherRegion float64
+	// FreeLoad and LoadWeight are those of picker.ByKey.
+	FreeLoad   float64
+	LoadWeight float64
 }
 
 // First returns the plan that precedes all others, in which nothing is declared.
@@ -41,6 +59,16 @@
 	}
 }
 
+// WithKeyed returns the plan in which upstreams are chosen by the object of a
+// request. They are not probed: a suspicion lapses by itself. It is called before
+// the first WithTable.
+func (p *Plan) WithKeyed(keyed Keyed) *Plan {
+	next := *p
+	next.generation++
+	next.keyed = &keyed
+	return &next
+}
+
 // WithTable returns the plan that follows when another configuration comes into
 // force. Both plans share their desks: parts that become smaller do so at once,
 // parts that become larger wait for Confirm. So this is called by one goroutine at
@@ -125,11 +153,12 @@
 		seats:       seats,
 		desks:       p.desksFor(set, seats, now),
 		pools:       map[string]*Pool{},
-		upstreams:   map[string]*Upstream{},
+		upstreams:   map[identity]*Upstream{},
+		keyed:       p.keyed,
 	}
 	for version := range set.Versions.All() {
 		for _, declared := range version.Upstreams {
-			next.upstreams[declared.Address] = p.upstream(declared)
+			next.upstreams[identify(declared)] = p.upstream(declared, seats, now)
 		}
 	}
 	for service := range set.Services.All() {
@@ -143,6 +172,9 @@
 	desks := map[string]*sharer.Desk{}
 	for team := range set.Teams.All() {
 		desk, found := p.desks[team.Name]
+		if team.IsUnlimited() {
+			continue
+		}
 		if !found {
 			desk = sharer.NewDesk(team.Name, p.incarnation, now)
 		}
@@ -161,23 +193,82 @@
 	return desks
 }
 
-func (p *Plan) upstream(declared declarer.Upstream) *Upstream {
-	before, found := p.upstreams[declared.Address]
-	if !found {
-		return newUpstream(declared)
+func identify(declared declarer.Upstream) identity {
+	return identity{
+		address:     declared.Address,
+		incarnation: declared.Incarnation,
+	}
+}
+
+// coldBurst is how many requests a cold upstream gets at once at most, of all
+// instances together.
+const coldBurst = 4
+
+func (p *Plan) upstream(declared declarer.Upstream, seats []splitter.Seat, now time.Time) *Upstream {
+	upstream, found := p.upstreams[identify(declared)]
+	switch {
+	case !found:
+		upstream = newUpstream(declared, p.keyed != nil, now)
+	case upstream.Declared() != declared:
+		upstream.redeclare(declared)
+	}
+	if limit := coldPart(declared, seats); limit != upstream.cold.Limit() {
+		upstream.cold.SetLimit(limit, now)
+	}
+	return upstream
+}
+
+// coldPart returns what the holder of seats may send to an upstream while it is
+// cold.
+func coldPart(declared declarer.Upstream, seats []splitter.Seat) limiter.Limit {
+	var part limiter.Limit
+	if declared.ColdPerSecond == 0 {
+		return part
 	}
-	if before.Declared() != declared {
-		before.redeclare(declared)
+	whole := limiter.Limit{
+		RatePerSecond: declared.ColdPerSecond,
+		Burst:         coldBurst,
+	}
+	for _, seat := range seats {
+		part = part.Plus(splitter.Part(whole, declared.Name, seat))
 	}
-	return before
+	return part
 }
 
 func (p *Plan) pool(service declarer.Service) *Pool {
 	set := p.table.Set()
-	version, _ := set.Versions.Get(service.Version)
-	upstreams := make([]*Upstream, 0, len(version.Upstreams))
-	for _, declared := range version.Upstreams {
-		upstreams = append(upstreams, p.upstreams[declared.Address])
+	upstreams := make([]*Upstream, 0, len(p.upstreams))
+	for version := range set.Versions.All() {
+		if !serves(set, service, version) {
+			continue
+		}
+		for _, declared := range version.Upstreams {
+			upstreams = append(upstreams, p.upstreams[identify(declared)])
+		}
+	}
+	seen := view{
+		places: set.Places,
+		home:   p.home,
+	}
+	if p.keyed != nil {
+		return newKeyed(upstreams, seen, *p.keyed)
+	}
+	return newNearest(upstreams, seen)
+}
+
+// serves says whether a version serves a service's requests: the one that the
+// service names, or else all that no move holds back.
+func serves(set declarer.Set, service declarer.Service, version declarer.Version) bool {
+	if service.Version != "" {
+		return version.Name == service.Version
+	}
+	if version.Service != service.Name {
+		return false
+	}
+	for move := range set.Moves.All() {
+		if move.To == version.Name {
+			return false
+		}
 	}
-	return newPool(upstreams, set.Places, p.home, picker.PowerOfTwo[*Upstream]{})
+	return true
 }
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -1,12 +1,13 @@
 package admitter
 
 import (
+	"hash/fnv"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/query/picker"
 )
 
 // Health is what an instance knows of an upstream.
@@ -43,29 +44,50 @@
 }
 
 // Upstream is one upstream as this instance sees it. It lives on over changes of
-// the configuration that keep its address. Safe for many goroutines.
+// the configuration that keep its address and incarnation. Safe for many
+// goroutines.
 type Upstream struct {
 	declared atomic.Pointer[declarer.Upstream]
+	// seed names the upstream for picker.Keyed.
+	seed uint64
 	// slots bounds the requests of this instance at the upstream.
-	slots  *limiter.Slots
+	slots *limiter.Slots
+	// cold is this instance's part of what the upstream bears while it is cold.
+	cold   *limiter.Bucket
 	health atomic.Uint32
 	// failures counts the failed requests since the last answered one.
 	failures atomic.Int32
 	// suspectUntil is the instant before which no report clears a suspicion, in
 	// nanoseconds since the Unix epoch.
 	suspectUntil atomic.Int64
+	// unprobed says that no report ever clears a suspicion, so that it lapses.
+	unprobed bool
+	// others is what all other instances together had at the upstream, as its last
+	// answers told; nil before the first.
+	others atomic.Pointer[sighting]
 }
 
-var _ picker.Candidate = (*Upstream)(nil)
-
-func newUpstream(declared declarer.Upstream) *Upstream {
+func newUpstream(declared declarer.Upstream, unprobed bool, now time.Time) *Upstream {
+	hash := fnv.New64a()
+	hash.Write([]byte(declared.Name))
 	upstream := &Upstream{
-		slots: limiter.NewSlots(declared.Slots),
+		seed:     hash.Sum64(),
+		slots:    limiter.NewSlots(declared.Slots),
+		cold:     limiter.NewBucket(limiter.Limit{}, now),
+		unprobed: unprobed,
 	}
 	upstream.declared.Store(&declared)
+	upstream.follow(declared)
 	return upstream
 }
 
+// follow takes over the state that the upstream has registered.
+func (u *Upstream) follow(declared declarer.Upstream) {
+	if declared.Leaving {
+		u.health.Store(uint32(Leaving))
+	}
+}
+
 // Declared returns the operator's object.
 func (u *Upstream) Declared() declarer.Upstream {
 	return *u.declared.Load()
@@ -76,14 +98,98 @@
 	return u.declared.Load().Address
 }
 
-// Usable says whether the upstream may get work now.
-func (u *Upstream) Usable() bool {
-	return u.Health() == Live && u.slots.InUse() < u.slots.Limit()
+// Seed names the upstream. It is the same at all instances.
+func (u *Upstream) Seed() uint64 {
+	return u.seed
+}
+
+// hasRoom says whether a slot is free, and the upstream bears another request if
+// it is cold.
+func (u *Upstream) hasRoom(now time.Time) bool {
+	if u.slots.InUse() >= u.slots.Limit() {
+		return false
+	}
+	if !u.isCold(now) {
+		return true
+	}
+	next := u.cold.Next(now)
+	return !next.IsZero() && !next.After(now)
+}
+
+// isCold says whether the upstream bears only few requests now.
+func (u *Upstream) isCold(now time.Time) bool {
+	declared := u.declared.Load()
+	return declared.ColdPerSecond > 0 && now.Before(declared.ColdUntil)
+}
+
+// claim takes a slot, and a request of the cold rate while the upstream is cold.
+func (u *Upstream) claim(now time.Time) bool {
+	if !u.slots.Acquire() {
+		return false
+	}
+	if !u.isCold(now) {
+		return true
+	}
+	if _, taken := u.cold.Take(now); taken {
+		return true
+	}
+	u.slots.Release()
+	return false
+}
+
+// lapsed says whether a suspicion that no report clears has run out.
+func (u *Upstream) lapsed(now time.Time) bool {
+	return u.unprobed && now.UnixNano() >= u.suspectUntil.Load()
+}
+
+// loadAt returns the part of the upstream's slots in use, as far as is known here.
+func (u *Upstream) loadAt(now time.Time) float64 {
+	others := 0.0
+	if seen := u.others.Load(); seen != nil {
+		others = seen.at(now)
+	}
+	return (float64(u.slots.InUse()) + others) / float64(u.declared.Load().Slots)
+}
+
+// Observe takes in how many requests run and wait at the upstream, as an answer of
+// it tells. The request that is answered still holds its slot.
+func (u *Upstream) Observe(running, waiting int, now time.Time) {
+	others := float64(max(running+waiting-u.slots.InUse(), 0))
+	if before := u.others.Load(); before != nil {
+		others = (others + before.at(now)) / 2
+	}
+	u.others.Store(&sighting{
+		requests: others,
+		seenAt:   now,
+	})
+}
+
+// Shed takes in that the upstream had no room for a request.
+func (u *Upstream) Shed(now time.Time) {
+	u.others.Store(&sighting{
+		requests: shedLoad * float64(u.declared.Load().Slots),
+		seenAt:   now,
+	})
+}
+
+const (
+	// sightingHalfLife is after how long half of what was seen at an upstream is
+	// taken to have ended.
+	sightingHalfLife = time.Second
+	// shedLoad is the load of an upstream that has just shed, in parts of its slots.
+	shedLoad = 4
+)
+
+// sighting is what the requests of all other instances at an upstream were.
+type sighting struct {
+	requests float64
+	seenAt   time.Time
 }
 
-// Load returns the part of the upstream's slots that this instance uses.
-func (u *Upstream) Load() float64 {
-	return float64(u.slots.InUse()) / float64(u.slots.Limit())
+// at returns how many of the requests are taken to be there still.
+func (s sighting) at(now time.Time) float64 {
+	halves := now.Sub(s.seenAt).Seconds() / sightingHalfLife.Seconds()
+	return s.requests * math.Exp2(-max(halves, 0))
 }
 
 // InUse returns how many requests this instance has at the upstream.
@@ -111,6 +217,9 @@
 	if u.failures.Load() != 0 {
 		u.failures.Store(0)
 	}
+	if u.unprobed {
+		u.health.CompareAndSwap(uint32(Suspect), uint32(Live))
+	}
 }
 
 // Report takes over what the upstream's health endpoint says, or Suspect if it
@@ -135,4 +244,5 @@
 func (u *Upstream) redeclare(declared declarer.Upstream) {
 	u.declared.Store(&declared)
 	u.slots.SetLimit(declared.Slots)
+	u.follow(declared)
 }
--- a/pkg/command/retrier/retrier.go
+++ b/pkg/command/retrier/retrier.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,32 @@
 	}
 }
 
+// Budgets holds a budget for each service, so that retries to one are not paid for
+// by requests to another. Safe for many goroutines.
+type Budgets struct {
+	ratio   float64
+	reserve int
+	// budgets holds a *Budget under each service's name.
+	budgets sync.Map
+}
+
+// NewBudgets returns budgets that are all full.
+func NewBudgets(ratio float64, reserve int) *Budgets {
+	return &Budgets{
+		ratio:   ratio,
+		reserve: reserve,
+	}
+}
+
+// Of returns the budget of a service.
+func (b *Budgets) Of(service string) *Budget {
+	if budget, found := b.budgets.Load(service); found {
+		return budget.(*Budget)
+	}
+	budget, _ := b.budgets.LoadOrStore(service, NewBudget(b.ratio, b.reserve))
+	return budget.(*Budget)
+}
+
 // Policy says when a request is sent again.
 type Policy struct {
 	// Idempotent says that the request may be repeated after MayHaveRun.
--- a/pkg/declarer/document.go
+++ b/pkg/declarer/document.go
@@ -9,6 +9,7 @@
 	Key     []Key     `toml:",omitempty"`
 	Version []Version `toml:",omitempty"`
 	Move    []Move    `toml:",omitempty"`
+	Route   []Route   `toml:",omitempty"`
 }
 
 // Document returns the set in written form.
@@ -20,6 +21,7 @@
 		Key:     s.Keys.Rows(),
 		Version: s.Versions.Rows(),
 		Move:    s.Moves.Rows(),
+		Route:   s.Routes.Rows(),
 	}
 }
 
@@ -33,6 +35,7 @@
 		Keys:     NewTable(d.Key...),
 		Versions: NewTable(d.Version...),
 		Moves:    NewTable(d.Move...),
+		Routes:   NewTable(d.Route...),
 	}
 }
 
@@ -45,6 +48,7 @@
 		Key:     join(d.Key, other.Key),
 		Version: join(d.Version, other.Version),
 		Move:    join(d.Move, other.Move),
+		Route:   join(d.Route, other.Route),
 	}
 }
 
@@ -68,6 +72,7 @@
 	found = append(found, repeated(KindKey, d.Key)...)
 	found = append(found, repeated(KindVersion, d.Version)...)
 	found = append(found, repeated(KindMove, d.Move)...)
+	found = append(found, repeated(KindRoute, d.Route)...)
 	return found
 }
 
--- a/pkg/declarer/place.go
+++ b/pkg/declarer/place.go
@@ -15,6 +15,8 @@
 	ClientBlocks []string `toml:",omitempty"`
 	// Links describes the way to other regions.
 	Links []Link `toml:",omitempty"`
+	// Evacuated says that nothing new is sent to the upstreams of the place.
+	Evacuated bool `toml:",omitempty"`
 }
 
 // Link is the way from a place's region to another region.
@@ -44,6 +46,12 @@
 	return p
 }
 
+// WithEvacuated returns a copy that is evacuated or not.
+func (p Place) WithEvacuated(evacuated bool) Place {
+	p.Evacuated = evacuated
+	return p
+}
+
 // LatencyMillisTo returns the one-way latency to a region, and false if no
 // link to it is declared. The own region is 0 away.
 func (p Place) LatencyMillisTo(region string) (int, bool) {
--- a/pkg/declarer/service.go
+++ b/pkg/declarer/service.go
@@ -13,7 +13,8 @@
 	// services.
 	Hosts []string `toml:",omitempty"`
 	// Version names the version that serves the requests. It belongs to this
-	// service.
+	// service. Empty means all versions but those that a move holds back; the
+	// checker admits that only where upstreams register themselves.
 	Version string
 	// TimeoutMillis is the longest a request may take, in milliseconds; 0 means
 	// DefaultTimeoutMillis.
@@ -21,7 +22,7 @@
 	// Routes refine how requests are treated. The longest matching prefix
 	// counts; without a match a request needs a key and is idempotent if its
 	// method is.
-	Routes []Route `toml:",omitempty"`
+	Routes []PathRule `toml:",omitempty"`
 }
 
 // Idempotence says how the idempotence of a route's requests is known.
@@ -37,11 +38,11 @@
 	Never Idempotence = "Never"
 )
 
-// Route is a part of a service, by path.
-type Route struct {
+// PathRule refines how the requests of a part of a service are treated, by path.
+type PathRule struct {
 	// Prefix starts with a slash. It matches whole path segments.
 	Prefix string
-	// Open says that anybody may use the route, without a key.
+	// Open says that anybody may use the part, without a key.
 	Open bool `toml:",omitempty"`
 	// Idempotence says how to know whether a request is idempotent.
 	Idempotence Idempotence `toml:",omitempty"`
@@ -75,7 +76,7 @@
 }
 
 // WithRoutes returns a copy with other routes.
-func (s Service) WithRoutes(routes ...Route) Service {
+func (s Service) WithRoutes(routes ...PathRule) Service {
 	s.Routes = routes
 	return s
 }
--- a/pkg/declarer/set.go
+++ b/pkg/declarer/set.go
@@ -18,11 +18,12 @@
 	KindKey     Kind = "Key"
 	KindVersion Kind = "Version"
 	KindMove    Kind = "Move"
+	KindRoute   Kind = "Route"
 )
 
 // Kinds lists all kinds in the order in which they are printed.
 func Kinds() []Kind {
-	return []Kind{KindPlace, KindService, KindTeam, KindKey, KindVersion, KindMove}
+	return []Kind{KindPlace, KindService, KindTeam, KindKey, KindVersion, KindMove, KindRoute}
 }
 
 // ParseKind returns the kind of that name.
@@ -43,6 +44,7 @@
 	Keys     Table[Key]
 	Versions Table[Version]
 	Moves    Table[Move]
+	Routes   Table[Route]
 }
 
 // WithPlace returns a set with the place added or replaced.
@@ -81,6 +83,30 @@
 	return s
 }
 
+// WithRoute returns a set with the route added or replaced.
+func (s Set) WithRoute(route Route) Set {
+	s.Routes = s.Routes.With(route)
+	return s
+}
+
+// WithVersions returns a set with other versions.
+func (s Set) WithVersions(versions Table[Version]) Set {
+	s.Versions = versions
+	return s
+}
+
+// WithMoves returns a set with other moves.
+func (s Set) WithMoves(moves Table[Move]) Set {
+	s.Moves = moves
+	return s
+}
+
+// WithPlaces returns a set with other places.
+func (s Set) WithPlaces(places Table[Place]) Set {
+	s.Places = places
+	return s
+}
+
 // WithAll returns a set in which every object of other is added or replaced.
 func (s Set) WithAll(other Set) Set {
 	return s.Document().WithDocument(other.Document()).Set()
@@ -103,6 +129,8 @@
 		s.Versions = s.Versions.Without(name)
 	case KindMove:
 		s.Moves = s.Moves.Without(name)
+	case KindRoute:
+		s.Routes = s.Routes.Without(name)
 	}
 	return s, s.Len() != before
 }
@@ -110,7 +138,7 @@
 // Len returns how many objects there are of all kinds.
 func (s Set) Len() int {
 	return s.Places.Len() + s.Services.Len() + s.Teams.Len() +
-		s.Keys.Len() + s.Versions.Len() + s.Moves.Len()
+		s.Keys.Len() + s.Versions.Len() + s.Moves.Len() + s.Routes.Len()
 }
 
 // Seats returns how many entry instances all places together have room for.
--- a/pkg/declarer/version.go
+++ b/pkg/declarer/version.go
@@ -1,5 +1,7 @@
 package declarer
 
+import "time"
+
 // DefaultConnections is the bound on open connections to an upstream when none
 // is declared.
 const DefaultConnections = 400
@@ -18,6 +20,9 @@
 type Upstream struct {
 	// Name is unique among the upstreams of the version.
 	Name string
+	// Incarnation names one start of an upstream that registers itself; empty for
+	// one that is declared by hand.
+	Incarnation string `toml:",omitempty"`
 	// Place is the failure domain that the upstream stands in.
 	Place string
 	// Address is an IP number and a port. No two upstreams share one.
@@ -26,6 +31,14 @@
 	Slots int
 	// Connections bounds the open connections; 0 means DefaultConnections.
 	Connections int `toml:",omitempty"`
+	// Leaving says that the upstream has announced its stop: it gets no new work.
+	Leaving bool `toml:",omitempty"`
+	// ColdUntil is the instant until which the upstream bears only ColdPerSecond;
+	// zero for one that is warm.
+	ColdUntil time.Time `toml:",omitzero"`
+	// ColdPerSecond is how many requests a second, of all instances together, the
+	// upstream bears while it is cold; 0 means no such limit.
+	ColdPerSecond float64 `toml:",omitempty"`
 }
 
 // ObjectName returns the version's name.
--- a/pkg/query/checker/checker.go
+++ b/pkg/query/checker/checker.go
@@ -36,6 +36,7 @@
 	pass.keys()
 	pass.versions()
 	pass.moves()
+	pass.hostRoutes()
 	return pass.faults
 }
 
--- a/pkg/query/checker/teams.go
+++ b/pkg/query/checker/teams.go
@@ -31,6 +31,8 @@
 		stop := team.KeysStopAfterMillis
 		o.require(stop == 0 || (stop >= minKeysStopMillis && stop <= maxKeysStopMillis),
 			"KeysStopAfterMillis", stop, "0, or 30000 to 86400000")
+		p.homes(o, team.Homes)
+		o.require(team.Priority >= 0, "Priority", team.Priority, "0 or more")
 		for i, name := range team.Services {
 			_, found := p.set.Services.Get(name)
 			o.require(found, fmt.Sprintf("Services[%d]", i), name, "the name of a declared Service")
--- a/pkg/query/router/table.go
+++ b/pkg/query/router/table.go
@@ -17,18 +17,20 @@
 	revision uint64
 	// set is the declaration that the table was made from.
 	set declarer.Set
-	// services holds each service under each of its hosts.
-	services map[string]*Service
+	// hosts holds the routes of each host under their prefixes. The empty prefix
+	// stands for all other paths of the host.
+	hosts map[string]map[string]*Route
 	// keys holds each key under its hash, the withdrawn ones too.
 	keys map[declarer.KeyHash]*Key
 }
 
-// Service is a service as requests see it.
-type Service struct {
-	// Declared is the operator's object.
-	Declared declarer.Service
-	// routes are sorted by falling length of prefix.
-	routes []declarer.Route
+// Route is a route as requests see it: one that is declared, or a part of a
+// service that is named by its host.
+type Route struct {
+	// Declared is the operator's object, or what follows from the service's.
+	Declared declarer.Route
+	// weight is the sum of the backends' weights; above 0.
+	weight uint64
 }
 
 // Key is a key as requests see it.
@@ -46,7 +48,7 @@
 	return &Table{
 		revision: revision,
 		set:      set,
-		services: indexServices(set),
+		hosts:    indexRoutes(set),
 		keys:     indexKeys(set),
 	}
 }
@@ -61,14 +63,17 @@
 	return t.set
 }
 
-// Service returns the service of a host, which may carry a port.
-func (t *Table) Service(host string) (*Service, bool) {
-	service, found := t.services[host]
-	if found {
-		return service, true
+// Route returns the route of a host, which may carry a port, with the longest
+// prefix that begins a path. Prefixes match whole segments.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	routes, found := t.hosts[host]
+	if !found {
+		routes, found = t.hosts[strings.ToLower(stripPort(host))]
+	}
+	if !found {
+		return nil, false
 	}
-	service, found = t.services[strings.ToLower(stripPort(host))]
-	return service, found
+	return longest(routes, path)
 }
 
 // Key returns the key with that hash. A withdrawn key is returned too.
@@ -98,19 +103,23 @@
 	return slices.Contains(k.Team.Services, service)
 }
 
-// Route returns the route with the longest prefix of path.
-func (s *Service) Route(path string) declarer.Route {
-	for _, route := range s.routes {
-		if matches(route.Prefix, path) {
-			return route
+// Service returns the service for a request. Random numbers spread evenly give
+// each backend its share.
+func (r *Route) Service(random uint64) string {
+	at := random % r.weight
+	for _, backend := range r.Declared.Backends {
+		weight := uint64(backend.Weight)
+		if at < weight {
+			return backend.Service
 		}
+		at -= weight
 	}
-	return declarer.Route{}
+	return ""
 }
 
-// Idempotent says whether a request with that method is idempotent on a route.
-func Idempotent(route declarer.Route, method string) bool {
-	switch route.Idempotence {
+// Idempotent says whether a request with that method is idempotent.
+func (r *Route) Idempotent(method string) bool {
+	switch r.Declared.Idempotence {
 	case declarer.Always:
 		return true
 	case declarer.Never:
@@ -125,13 +134,20 @@
 	}
 }
 
-// matches says whether prefix covers whole segments at the start of path.
-func matches(prefix, path string) bool {
-	rest, found := strings.CutPrefix(path, prefix)
-	if !found {
-		return false
+// longest returns the route with the longest prefix that begins a path.
+func longest(routes map[string]*Route, path string) (*Route, bool) {
+	if route, found := routes[path]; found {
+		return route, true
 	}
-	return rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/")
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route, found := routes[path[:end+1]]; found {
+			return route, true
+		}
+		if route, found := routes[path[:end]]; found {
+			return route, true
+		}
+	}
+	return nil, false
 }
 
 func stripPort(host string) string {
@@ -142,26 +158,66 @@
 	return host[:colon]
 }
 
-func indexServices(set declarer.Set) map[string]*Service {
-	services := map[string]*Service{}
-	for declared := range set.Services.All() {
-		service := &Service{
-			Declared: declared,
-			routes:   byFallingLength(declared.Routes),
-		}
-		for _, host := range declared.HostNames() {
-			services[host] = service
+func indexRoutes(set declarer.Set) map[string]map[string]*Route {
+	hosts := map[string]map[string]*Route{}
+	for service := range set.Services.All() {
+		for _, host := range service.HostNames() {
+			add(hosts, wholeHost(service, host))
+			for _, rule := range service.Routes {
+				add(hosts, wholeHost(service, host).with(rule))
+			}
 		}
 	}
-	return services
+	for route := range set.Routes.All() {
+		add(hosts, newRoute(route))
+	}
+	return hosts
+}
+
+// add files a route that has somewhere to go.
+func add(hosts map[string]map[string]*Route, route *Route) {
+	if route.weight == 0 {
+		return
+	}
+	host := route.Declared.Host
+	if hosts[host] == nil {
+		hosts[host] = map[string]*Route{}
+	}
+	hosts[host][route.Declared.Prefix] = route
 }
 
-func byFallingLength(routes []declarer.Route) []declarer.Route {
-	sorted := slices.Clone(routes)
-	slices.SortStableFunc(sorted, func(a, b declarer.Route) int {
-		return len(b.Prefix) - len(a.Prefix)
+func newRoute(declared declarer.Route) *Route {
+	route := &Route{
+		Declared: declared,
+	}
+	for _, backend := range declared.Backends {
+		route.weight += uint64(max(backend.Weight, 0))
+	}
+	return route
+}
+
+// wholeHost returns the route of all paths of a host that names a service.
+func wholeHost(service declarer.Service, host string) *Route {
+	return newRoute(declarer.Route{
+		Name:          service.Name,
+		Host:          host,
+		TimeoutMillis: service.TimeoutMillis,
+		Backends: []declarer.Backend{
+			{
+				Service: service.Name,
+				Weight:  1,
+			},
+		},
 	})
-	return sorted
+}
+
+// with returns a copy for the part of a service that a rule names.
+func (r *Route) with(rule declarer.PathRule) *Route {
+	next := *r
+	next.Declared.Prefix = rule.Prefix
+	next.Declared.Open = rule.Open
+	next.Declared.Idempotence = rule.Idempotence
+	return &next
 }
 
 func indexKeys(set declarer.Set) map[declarer.KeyHash]*Key {
