--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -1,19 +1,14 @@
 package adapter
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -24,50 +19,40 @@
 	callLimit = 5 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 5 * time.Second
-	// maxAnswerBytes bounds the answer to a list or watch, in bytes.
-	maxAnswerBytes = 64 << 20
 )
 
 // Adapter is a storer.Store and storer.Lister over HTTP. Safe for many
 // goroutines.
 type Adapter struct {
-	base   *url.URL
-	token  string
-	client *http.Client
+	caller *Caller
 }
 
 // New returns an adapter for the object API at an address such as
 // "http://127.0.0.1:7000". The token, if any, is shown with each call.
 func New(address, token string) (*Adapter, error) {
-	base, err := url.Parse(address)
+	caller, err := NewCaller(address, token, meaning)
 	if err != nil {
-		return nil, eris.Wrap(err, "platform address")
+		return nil, err
 	}
 	return &Adapter{
-		base:  base,
-		token: token,
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 4,
-			},
-		},
+		caller: caller,
 	}, nil
 }
 
 // Get returns one object, or storer.ErrNotFound.
 func (a *Adapter) Get(ctx context.Context, name string) (storer.Object[[]byte], error) {
-	answer, err := a.call(ctx, call{
-		method:   http.MethodGet,
-		path:     objectPath(name),
-		deadline: time.Now().Add(callLimit),
+	answer, err := a.caller.Call(ctx, Call{
+		Method:   http.MethodGet,
+		Path:     objectPath(name),
+		Deadline: time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
 	return storer.Object[[]byte]{
 		Name:     name,
-		Revision: answer.revision,
-		Value:    answer.body,
+		Revision: revisionOf(answer.Header),
+		Value:    answer.Body,
 	}, nil
 }
 
@@ -108,151 +93,85 @@
 	value []byte,
 	condition storer.Condition,
 ) (storer.Object[[]byte], error) {
-	answer, err := a.call(ctx, call{
-		method:    http.MethodPut,
-		path:      objectPath(name),
-		body:      value,
-		condition: condition,
-		deadline:  time.Now().Add(callLimit),
+	answer, err := a.caller.Call(ctx, Call{
+		Method:   http.MethodPut,
+		Path:     objectPath(name),
+		Body:     value,
+		Header:   conditions(condition),
+		Deadline: time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
 	return storer.Object[[]byte]{
 		Name:     name,
-		Revision: answer.revision,
+		Revision: revisionOf(answer.Header),
 		Value:    value,
 	}, nil
 }
 
 // Delete removes an object if the condition holds.
 func (a *Adapter) Delete(ctx context.Context, name string, condition storer.Condition) error {
-	_, err := a.call(ctx, call{
-		method:    http.MethodDelete,
-		path:      objectPath(name),
-		condition: condition,
-		deadline:  time.Now().Add(callLimit),
+	_, err := a.caller.Call(ctx, Call{
+		Method:   http.MethodDelete,
+		Path:     objectPath(name),
+		Header:   conditions(condition),
+		Deadline: time.Now().Add(callLimit),
 	})
 	return err
 }
 
 // Instances returns the platform's list of instances.
 func (a *Adapter) Instances(ctx context.Context) ([]storer.Instance, error) {
-	answer, err := a.call(ctx, call{
-		method:   http.MethodGet,
-		path:     PathInstances,
-		deadline: time.Now().Add(callLimit),
+	answer, err := a.caller.Call(ctx, Call{
+		Method:   http.MethodGet,
+		Path:     PathInstances,
+		Deadline: time.Now().Add(callLimit),
 	})
 	if err != nil {
 		return nil, err
 	}
-	return encoder.JSON[[]storer.Instance]{}.Decode(answer.body)
+	return encoder.JSON[[]storer.Instance]{}.Decode(answer.Body)
 }
 
 func (a *Adapter) changes(ctx context.Context, query url.Values, deadline time.Time) (storer.Changes[[]byte], error) {
-	answer, err := a.call(ctx, call{
-		method:   http.MethodGet,
-		path:     PathObjects,
-		query:    query,
-		deadline: deadline,
+	answer, err := a.caller.Call(ctx, Call{
+		Method:   http.MethodGet,
+		Path:     PathObjects,
+		Query:    query,
+		Deadline: deadline,
 	})
 	if err != nil {
 		return storer.Changes[[]byte]{}, err
 	}
-	return encoder.JSON[storer.Changes[[]byte]]{}.Decode(answer.body)
-}
-
-// call is one request to the platform.
-type call struct {
-	method    string
-	path      string
-	query     url.Values
-	body      []byte
-	condition storer.Condition
-	// deadline ends the call.
-	deadline time.Time
-}
-
-// answer is what the platform said.
-type answer struct {
-	revision uint64
-	body     []byte
-}
-
-func (a *Adapter) call(ctx context.Context, call call) (answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, call.deadline)
-	defer cancel()
-	exchange := &arbiter.Exchange{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { exchange.Connected() },
-	})
-	request, err := a.request(ctx, call)
-	if err != nil {
-		return answer{}, call.fail(arbiter.NotRun, err)
-	}
-	response, err := a.client.Do(request)
-	if err != nil {
-		return answer{}, call.fail(exchange.Verdict(), eris.Wrap(storer.ErrUnavailable, err.Error()))
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return answer{}, call.fail(arbiter.MayHaveRun, eris.Wrap(storer.ErrUnavailable, err.Error()))
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return answer{}, call.refused(response.StatusCode, body)
-	}
-	return answer{
-		revision: revisionOf(response.Header),
-		body:     body,
-	}, nil
-}
-
-func (a *Adapter) request(ctx context.Context, call call) (*http.Request, error) {
-	target := a.base.JoinPath(call.path)
-	target.RawQuery = call.query.Encode()
-	request, err := http.NewRequestWithContext(ctx, call.method, target.String(), bytes.NewReader(call.body))
-	if err != nil {
-		return nil, err
-	}
-	if a.token != "" {
-		request.Header.Set("Authorization", "Bearer "+a.token)
-	}
-	if call.condition.IsAbsent() {
-		request.Header.Set("If-None-Match", "*")
-	}
-	if revision := call.condition.Revision(); revision != 0 {
-		request.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(revision, 10)))
-	}
-	return request, nil
+	return encoder.JSON[storer.Changes[[]byte]]{}.Decode(answer.Body)
 }
 
-// fail returns the error of a call whose answer did not come.
-func (c call) fail(verdict arbiter.Verdict, err error) error {
-	if c.method == http.MethodGet {
-		verdict = arbiter.NotRun
+// conditions returns the header that asks for a condition.
+func conditions(condition storer.Condition) http.Header {
+	header := http.Header{}
+	if condition.IsAbsent() {
+		header.Set("If-None-Match", "*")
 	}
-	return &storer.Error{
-		Call:    c.method + " " + c.path,
-		Verdict: verdict,
-		Err:     err,
+	if revision := condition.Revision(); revision != 0 {
+		header.Set("If-Match", strconv.Quote(strconv.FormatUint(revision, 10)))
 	}
+	return header
 }
 
-// refused returns the error that an answer's status stands for.
-func (c call) refused(status int, body []byte) error {
+// meaning says what a failed status stands for.
+func meaning(status int) (error, arbiter.Verdict) {
 	switch status {
 	case http.StatusNotFound:
-		return c.fail(arbiter.NotRun, storer.ErrNotFound)
+		return storer.ErrNotFound, arbiter.NotRun
 	case http.StatusPreconditionFailed:
-		return c.fail(arbiter.NotRun, storer.ErrConflict)
+		return storer.ErrConflict, arbiter.NotRun
 	case http.StatusGone:
-		return c.fail(arbiter.NotRun, storer.ErrCompacted)
+		return storer.ErrCompacted, arbiter.NotRun
 	case http.StatusRequestEntityTooLarge:
-		return c.fail(arbiter.NotRun, storer.ErrTooLarge)
+		return storer.ErrTooLarge, arbiter.NotRun
 	default:
-		text := strings.TrimSpace(string(body))
-		return c.fail(arbiter.MayHaveRun, eris.Wrapf(storer.ErrUnavailable, "status %d: %s", status, text))
+		return storer.ErrUnavailable, arbiter.MayHaveRun
 	}
 }
 
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -15,6 +15,8 @@
 	minSecretBytes = 16
 	// maxMillis bounds every time in the settings, in milliseconds: one hour.
 	maxMillis = 3_600_000
+	// maxCost bounds the costs of Placing.
+	maxCost = 100
 	// maxCount bounds every count in the settings.
 	maxCount = 1_000_000
 )
@@ -31,6 +33,8 @@
 	p.listeners(s)
 	p.platform(s.Platform)
 	p.limits(s)
+	p.places(s)
+	p.placing(s.Placing)
 	p.log(s.Log)
 	return p.faults
 }
@@ -47,6 +51,10 @@
 	p.together("Peers", s.Peers.CertificateFile, s.Peers.KeyFile, s.Peers.AuthorityFile)
 	long := len(s.Peers.Secret) >= minSecretBytes
 	p.require(long, "Peers.Secret", "(not shown)", fmt.Sprintf("at least %d bytes", minSecretBytes))
+	if s.Platform.Adapter == AdapterThimblegate {
+		// Operators talk to the platform, and the listener serves metrics only.
+		return
+	}
 	_, valid := declarer.ParseKeyHash(s.Operators.KeyHash)
 	p.require(valid, "Operators.KeyHash", s.Operators.KeyHash,
 		"sha256: and 64 lower-case hexadecimal digits; hemlockport key makes one")
@@ -56,6 +64,8 @@
 	address, err := url.Parse(platform.Address)
 	valid := err == nil && address.Host != "" && (address.Scheme == "http" || address.Scheme == "https")
 	p.require(valid, "Platform.Address", platform.Address, "a URL such as http://10.0.0.1:7000")
+	known := platform.Adapter == AdapterOwn || platform.Adapter == AdapterThimblegate
+	p.require(known, "Platform.Adapter", platform.Adapter, AdapterOwn+" or "+AdapterThimblegate)
 	p.perSecond("Platform.ReadsPerSecond", platform.ReadsPerSecond)
 	p.perSecond("Platform.WritesPerSecond", platform.WritesPerSecond)
 }
@@ -68,6 +78,8 @@
 	p.millis("Upstreams.ProbeMillis", s.Upstreams.ProbeMillis, 10)
 	p.millis("Upstreams.DialMillis", s.Upstreams.DialMillis, 1)
 	p.count("Upstreams.MaxConnections", s.Upstreams.MaxConnections)
+	p.millis("Upstreams.IdleMillis", s.Upstreams.IdleMillis, 1)
+	p.millis("Upstreams.LapseMillis", s.Upstreams.LapseMillis, 0)
 	p.count("Retries.Attempts", s.Retries.Attempts)
 	ratio := s.Retries.Ratio
 	p.require(ratio >= 0 && ratio <= 1, "Retries.Ratio", fmt.Sprint(ratio), "0 to 1")
@@ -78,6 +90,51 @@
 	p.millis("Drain.LimitMillis", s.Drain.LimitMillis, 1)
 }
 
+// places checks what only an instance on another platform than our own needs.
+func (p *pass) places(s Settings) {
+	if s.Platform.Adapter != AdapterThimblegate {
+		return
+	}
+	found := false
+	for i, place := range s.Places {
+		field := fmt.Sprintf("Places[%d].", i)
+		p.require(place.Name != "", field+"Name", place.Name, "not empty")
+		p.require(place.Region != "", field+"Region", place.Region, "not empty")
+		found = found || place.Name == s.Place
+	}
+	p.require(found, "Place", s.Place, "the name of one of Places")
+	p.address("Lookups.Listen", s.Lookups.Listen)
+	p.address("Readiness.Listen", s.Readiness.Listen)
+}
+
+func (p *pass) placing(placing Placing) {
+	costs := []struct {
+		field string
+		value float64
+	}{
+		{
+			field: "Placing.OtherPlace",
+			value: placing.OtherPlace,
+		},
+		{
+			field: "Placing.OtherRegion",
+			value: placing.OtherRegion,
+		},
+		{
+			field: "Placing.FreeLoad",
+			value: placing.FreeLoad,
+		},
+		{
+			field: "Placing.LoadWeight",
+			value: placing.LoadWeight,
+		},
+	}
+	for _, cost := range costs {
+		ok := cost.value >= 0 && cost.value <= maxCost
+		p.require(ok, cost.field, fmt.Sprint(cost.value), "0 to 100")
+	}
+}
+
 func (p *pass) log(log Log) {
 	switch log.Level {
 	case "debug", "info", "warn", "error":
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
@@ -17,6 +18,9 @@
 	Name string
 	// Place is the failure domain that the instance stands in.
 	Place string
+	// Places are the failure domains of the deployment, where the platform does not
+	// hold them as objects.
+	Places []Place `toml:",omitempty"`
 
 	Callers   Callers
 	Peers     Peers
@@ -27,6 +31,35 @@
 	Lookups   Lookups
 	Drain     Drain
 	Log       Log
+	Readiness Readiness
+	Placing   Placing
+}
+
+// Place is one failure domain.
+type Place struct {
+	// Name is unique among places.
+	Name string
+	// Region groups failure domains that are near one another.
+	Region string
+}
+
+// Readiness is the listener that tells whether the instance takes requests.
+type Readiness struct {
+	// Listen is an IP number and a port. Empty means no such listener.
+	Listen string
+}
+
+// Placing says how upstreams are chosen by the object of a request. Its costs are
+// in parts of the whole range of the hash of keys.
+type Placing struct {
+	// OtherPlace and OtherRegion are the costs of the way to an upstream in another
+	// place of the own region and in another region.
+	OtherPlace  float64
+	OtherRegion float64
+	// FreeLoad is the part of an upstream's slots up to which it keeps its keys, and
+	// LoadWeight is the cost of each further whole of them.
+	FreeLoad   float64
+	LoadWeight float64
 }
 
 // Callers is the listener for callers.
@@ -73,8 +106,18 @@
 	KeyFile         string
 }
 
+// The adapters to platforms.
+const (
+	// AdapterOwn speaks the object API of this project's stand-in.
+	AdapterOwn = "Own"
+	// AdapterThimblegate speaks the API of the Thimblegate platform.
+	AdapterThimblegate = "Thimblegate"
+)
+
 // Platform is the object API.
 type Platform struct {
+	// Adapter is AdapterOwn or AdapterThimblegate.
+	Adapter string
 	// Address is a URL such as "http://10.0.0.1:7000".
 	Address string
 	// Token is shown with each call, unless empty. TokenFile names a file that
@@ -95,6 +138,11 @@
 	DialMillis int
 	// MaxConnections bounds the open connections to one upstream.
 	MaxConnections int
+	// IdleMillis ends a connection that no request has used for that long.
+	IdleMillis int
+	// LapseMillis is for how long after the platform's return an upstream is kept
+	// whose registration has lapsed meanwhile.
+	LapseMillis int
 }
 
 // Retries bounds how requests are sent again.
@@ -111,6 +159,9 @@
 type Lookups struct {
 	// ValidMillis is how long an answer is valid.
 	ValidMillis int
+	// Listen is an IP number and a port for look-ups in the platform's form. Empty
+	// means that they are answered on the callers' listener only.
+	Listen string
 }
 
 // Drain says how the instance stops.
@@ -147,6 +198,7 @@
 			Listen: "127.0.0.1:8082",
 		},
 		Platform: Platform{
+			Adapter:         AdapterOwn,
 			Address:         "http://127.0.0.1:7000",
 			ReadsPerSecond:  50,
 			WritesPerSecond: 20,
@@ -155,6 +207,8 @@
 			ProbeMillis:    500,
 			DialMillis:     1000,
 			MaxConnections: 64,
+			IdleMillis:     30_000,
+			LapseMillis:    1800,
 		},
 		Retries: Retries{
 			Attempts: 3,
@@ -172,9 +226,20 @@
 			Level: "info",
 			Form:  "json",
 		},
+		Placing: Placing{
+			OtherPlace:  0.1,
+			OtherRegion: 0.3,
+			FreeLoad:    0.8,
+			LoadWeight:  0.5,
+		},
 	}
 }
 
+// Equal says whether two settings are the same.
+func (s Settings) Equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
+
 // WithoutSecrets returns a copy that can be shown to anybody.
 func (s Settings) WithoutSecrets() Settings {
 	const hidden = "(not shown)"
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -177,7 +177,7 @@
 	}
 	guilty := false
 	switch refusal.Reason {
-	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken:
+	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
 		guilty = true
 	case arbiter.DeadlineExceeded:
 		guilty = !hurried
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -234,6 +234,12 @@
 	s.halt(ErrHalted)
 }
 
+// Reload says that the settings stay: an instance on the own platform takes over
+// changed settings when it starts again.
+func (s *Server) Reload(configurer.Settings) {
+	s.announce("Reloaded", s.self.Incarnation, "settings come into force at the next start")
+}
+
 // Run serves until ctx ends, then drains and returns nil, or ErrHalted if Halt
 // came first.
 func (s *Server) Run(ctx context.Context) error {
--- /dev/null
+++ b/internal/steerer/listen.go
@@ -0,0 +1,170 @@
+package steerer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/query/exporter"
+)
+
+// writeLimit bounds the writing of an answer whose request set no deadline of
+// its own.
+const writeLimit = time.Minute
+
+// pathMetrics is where collectors read counters.
+const pathMetrics = "/metrics"
+
+// listeners are the open listeners of an instance.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+	lookups   net.Listener
+	readiness net.Listener
+}
+
+func (l listeners) all() []net.Listener {
+	return []net.Listener{l.callers, l.peers, l.operators, l.lookups, l.readiness}
+}
+
+// listen opens the listeners that settings name.
+func listen(settings configurer.Settings) (listeners, error) {
+	var opened listeners
+	wanted := []struct {
+		field   string
+		address string
+		into    *net.Listener
+	}{
+		{
+			field:   "Callers.Listen",
+			address: settings.Callers.Listen,
+			into:    &opened.callers,
+		},
+		{
+			field:   "Peers.Listen",
+			address: settings.Peers.Listen,
+			into:    &opened.peers,
+		},
+		{
+			field:   "Operators.Listen",
+			address: settings.Operators.Listen,
+			into:    &opened.operators,
+		},
+		{
+			field:   "Lookups.Listen",
+			address: settings.Lookups.Listen,
+			into:    &opened.lookups,
+		},
+		{
+			field:   "Readiness.Listen",
+			address: settings.Readiness.Listen,
+			into:    &opened.readiness,
+		},
+	}
+	for _, want := range wanted {
+		listener, err := net.Listen("tcp", want.address)
+		if err != nil {
+			for _, done := range opened.all() {
+				if done != nil {
+					done.Close()
+				}
+			}
+			return listeners{}, eris.Wrap(err, want.field)
+		}
+		*want.into = listener
+	}
+	return opened, nil
+}
+
+// startListeners serves all listeners and returns how to stop: callers get until
+// the context's end to finish, the others are closed when work ends.
+func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
+	callers := s.httpServer(s.callerHandler())
+	callers.MaxHeaderBytes = s.settings.Callers.MaxHeaderBytes
+	serve(group, callers, s.listeners.callers)
+	links := http.NewServeMux()
+	links.Handle("GET "+linker.Path, s.hub)
+	counters := http.NewServeMux()
+	counters.HandleFunc("GET "+pathMetrics, s.serveMetrics)
+	others := []struct {
+		handler  http.Handler
+		listener net.Listener
+	}{
+		{
+			handler:  links,
+			listener: s.listeners.peers,
+		},
+		{
+			handler:  counters,
+			listener: s.listeners.operators,
+		},
+		{
+			handler:  s.platform.Lookups(s.lookup),
+			listener: s.listeners.lookups,
+		},
+		{
+			handler:  s.platform.Readiness(s.ready),
+			listener: s.listeners.readiness,
+		},
+	}
+	for _, other := range others {
+		server := s.httpServer(other.handler)
+		server.WriteTimeout = 0
+		serve(group, server, other.listener)
+		context.AfterFunc(work, func() { server.Close() })
+	}
+	return func(ctx context.Context) {
+		if callers.Shutdown(ctx) != nil {
+			callers.Close()
+		}
+	}
+}
+
+// callerHandler tells callers on open connections to go once the instance is
+// leaving. An idle connection is left open until the drain ends, so that none is
+// closed under a request that is just being sent.
+func (s *Steerer) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		s.receiver.ServeHTTP(w, request)
+	})
+}
+
+func (s *Steerer) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := exporter.Write(w, s.registry); err != nil {
+		s.log.Warn().Err(err).Msg("MetricsUnsent")
+	}
+}
+
+func (s *Steerer) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: time.Duration(s.settings.Callers.HeaderMillis) * time.Millisecond,
+		IdleTimeout:       time.Duration(s.settings.Callers.IdleMillis) * time.Millisecond,
+		WriteTimeout:      writeLimit,
+		// Lines are for changes of state only; broken connections are counted.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+func serve(group *errgroup.Group, server *http.Server, listener net.Listener) {
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/steerer/members.go
@@ -0,0 +1,271 @@
+package steerer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/query/reporter"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/query/watcher"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+const (
+	// refreshInterval is the time between two looks at what no event tells.
+	refreshInterval = 250 * time.Millisecond
+	// linkLimit is how long a newly listed instance is taken to live until it is
+	// linked.
+	linkLimit = 3 * time.Second
+	// buryAfter is how long a listed instance is left unlinked before its entry is
+	// removed. One that lives enters itself again.
+	buryAfter = 15 * time.Second
+	// enterInterval is the time between two tries to enter this instance.
+	enterInterval = time.Second
+	// fetchLimit bounds the reading of a peer's declaration.
+	fetchLimit = 2 * time.Second
+)
+
+// topicDeclaration is the name under which peers are asked for their declaration.
+const topicDeclaration = "Declaration"
+
+// declared is a declarer.Declaration on a link.
+type declared struct {
+	Revision uint64
+	Document declarer.Document
+}
+
+var (
+	nothings  = encoder.CBOR[reporter.Nothing]{}
+	declareds = encoder.CBOR[declared]{}
+)
+
+// handlePeers lets peers ask for the declaration in force here.
+func (s *Steerer) handlePeers() {
+	own := handler.QueryFunc[reporter.Nothing, declared](
+		func(context.Context, reporter.Nothing) (declared, error) {
+			s.planning.Lock()
+			defer s.planning.Unlock()
+			return declared{
+				Revision: s.inputs.declaration.Revision,
+				Document: s.inputs.declaration.Set.Document(),
+			}, nil
+		},
+	)
+	linker.Handle(s.hub, topicDeclaration, own, nothings, declareds)
+}
+
+// beat returns what to tell the peers.
+func (s *Steerer) beat() linker.Beat {
+	return linker.Beat{
+		Revision: s.plans.Load().Table().RevisionNumber(),
+		Leaving:  s.leaving.Load(),
+	}
+}
+
+func (s *Steerer) heard(linker.Beat) {}
+
+// peerChanged takes in a peer's beat that differs from its last. It is called on
+// the link's reading goroutine, which must go on reading for a fetch to succeed.
+func (s *Steerer) peerChanged(peer registrar.Member, before, beat linker.Beat) {
+	if before == (linker.Beat{}) {
+		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLinked")
+	}
+	if beat.Leaving && !before.Leaving {
+		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
+	}
+	if before == (linker.Beat{}) || beat.Leaving != before.Leaving {
+		s.locate()
+	}
+	if beat.Revision > s.beat().Revision && s.fetching.CompareAndSwap(false, true) {
+		s.hub.Go(func() {
+			defer s.fetching.Store(false)
+			s.fetchFrom(peer)
+		})
+	}
+}
+
+// fetchFrom reads the declaration of a peer that has a newer one.
+func (s *Steerer) fetchFrom(peer registrar.Member) {
+	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	defer cancel()
+	theirs, err := linker.Ask(ctx, s.hub, peer.Incarnation, topicDeclaration, reporter.Nothing{}, nothings, declareds)
+	if err != nil {
+		s.log.Warn().Str("Peer", peer.Name).Err(err).Msg("FetchFailed")
+		return
+	}
+	s.adopt(declarer.Declaration{
+		Revision: theirs.Revision,
+		Set:      theirs.Document.Set(),
+	}, "peer "+peer.Name)
+}
+
+func (s *Steerer) peerLost(peer registrar.Member) {
+	if s.work.Err() == nil {
+		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLost")
+	}
+	s.locate()
+}
+
+// members returns the typed view of the instances' entries.
+func (s *Steerer) members() storer.Typed[registrar.Member] {
+	return storer.NewTyped(s.platform.Store, s.platform.Members.Codec)
+}
+
+// followMembers enters this instance and follows the others.
+func (s *Steerer) followMembers(ctx context.Context) error {
+	return follow(ctx, s, s.platform.Members, func(view watcher.View[registrar.Member]) {
+		listed := make([]registrar.Member, 0, len(view.Objects))
+		for _, object := range view.Objects {
+			listed = append(listed, object.Value)
+		}
+		s.setRoster(ctx, registrar.NewRoster(view.Revision, listed...))
+	})
+}
+
+// setRoster puts a list of instances in use.
+func (s *Steerer) setRoster(ctx context.Context, roster registrar.Roster) {
+	s.noteRoster(roster)
+	if entered, found := byName(roster, s.self.Name); !found || entered.Incarnation != s.self.Incarnation {
+		s.enter(ctx)
+	}
+	s.linkPeers()
+	s.seat()
+	s.locate()
+	s.log.Info().Int("Members", len(roster.Members())).Uint64("Revision", roster.Revision()).Msg("MembersListed")
+}
+
+func (s *Steerer) noteRoster(roster registrar.Roster) {
+	s.locating.Lock()
+	defer s.locating.Unlock()
+	s.roster.Store(&roster)
+	seen := map[string]time.Time{}
+	for _, member := range roster.Members() {
+		at, found := s.rosterAt[member.Incarnation]
+		if !found {
+			at = time.Now()
+		}
+		seen[member.Incarnation] = at
+	}
+	s.rosterAt = seen
+}
+
+func byName(roster registrar.Roster, name string) (registrar.Member, bool) {
+	members := roster.Members()
+	at := slices.IndexFunc(members, func(member registrar.Member) bool { return member.Name == name })
+	if at < 0 {
+		return registrar.Member{}, false
+	}
+	return members[at], true
+}
+
+// enter writes this instance's entry, unless it is leaving.
+func (s *Steerer) enter(ctx context.Context) {
+	for !s.leaving.Load() {
+		_, err := s.members().Put(ctx, s.entryName(s.self.Name), s.self, storer.Always())
+		if err == nil {
+			return
+		}
+		s.storeFailed(err)
+		if retrier.Sleep(ctx, enterInterval) != nil {
+			return
+		}
+	}
+}
+
+func (s *Steerer) entryName(member string) string {
+	return s.platform.Members.Prefix + member
+}
+
+// linkPeers keeps links to all listed instances and to the seeds.
+func (s *Steerer) linkPeers() {
+	addresses := slices.Clone(s.settings.Peers.Seeds)
+	for _, member := range s.roster.Load().Members() {
+		addresses = append(addresses, member.PeerAddress)
+	}
+	slices.Sort(addresses)
+	_, entered := byName(*s.roster.Load(), s.self.Name)
+	s.hub.SetPeers(slices.Compact(addresses), !entered)
+}
+
+// live returns the instances that callers may be sent to. The caller holds
+// locating.
+func (s *Steerer) live() []registrar.Member {
+	var live []registrar.Member
+	if !s.leaving.Load() {
+		live = append(live, s.self)
+	}
+	for _, member := range s.roster.Load().Members() {
+		if member.Name == s.self.Name {
+			continue
+		}
+		peer, linked := s.hub.Peer(member.Incarnation)
+		recent := time.Since(s.rosterAt[member.Incarnation]) < linkLimit
+		if (linked && !peer.Beat.Leaving) || (!linked && recent) {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
+// refresh looks again and again at what no event tells.
+func (s *Steerer) refresh(ctx context.Context) error {
+	s.linkPeers()
+	rounds := 0
+	for retrier.Sleep(ctx, refreshInterval) == nil {
+		s.confirm()
+		rounds++
+		if rounds%int(time.Second/refreshInterval) == 0 {
+			s.locate()
+			s.bury(ctx)
+		}
+	}
+	return nil
+}
+
+// bury removes the entries of instances that nobody has reached for long, if it
+// falls to this instance: the first that lives, in the order of names.
+func (s *Steerer) bury(ctx context.Context) {
+	if s.leaving.Load() || s.storeLostNanos.Load() != 0 {
+		return
+	}
+	for _, member := range s.roster.Load().Members() {
+		if _, linked := s.hub.Peer(member.Incarnation); linked && member.Name < s.self.Name {
+			return
+		}
+	}
+	for _, member := range s.dead() {
+		err := s.members().Delete(ctx, s.entryName(member.Name), storer.Always())
+		if err != nil && !errors.Is(err, storer.ErrNotFound) {
+			s.storeFailed(err)
+			continue
+		}
+		s.log.Info().Str("Peer", member.Name).Str("Incarnation", member.Incarnation).Msg("EntryRemoved")
+	}
+}
+
+// dead returns the listed instances that have not been linked for long.
+func (s *Steerer) dead() []registrar.Member {
+	s.locating.Lock()
+	defer s.locating.Unlock()
+	now := time.Now()
+	var dead []registrar.Member
+	for _, member := range s.roster.Load().Members() {
+		_, linked := s.hub.Peer(member.Incarnation)
+		if linked || strings.EqualFold(member.Name, s.self.Name) {
+			s.rosterAt[member.Incarnation] = now.Add(-linkLimit)
+			continue
+		}
+		if now.Sub(s.rosterAt[member.Incarnation]) > buryAfter {
+			dead = append(dead, member)
+		}
+	}
+	return dead
+}
--- /dev/null
+++ b/internal/steerer/plan.go
@@ -0,0 +1,190 @@
+package steerer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/sharer"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+	"github.com/hemlockport/hemlockport/pkg/query/splitter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+// settleWait is how long larger parts of limits wait after a change of instances:
+// until the others have seen the change and all that they have lent has ended.
+const settleWait = sharer.Quarantine + time.Second
+
+// adopt puts a declaration in force if it is newer than the one in force, and says
+// whether it did. A declaration never goes back.
+func (s *Steerer) adopt(declaration declarer.Declaration, source string) bool {
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	before := s.inputs.declaration.Revision
+	if declaration.Revision <= before {
+		return false
+	}
+	s.replan(s.inputs.withDeclaration(declaration))
+	s.settle(before != 0)
+	s.receiver.Sweep()
+	s.hub.Nudge()
+	s.log.Info().
+		Uint64("Revision", declaration.Revision).
+		Uint64("Before", before).
+		Str("Source", source).
+		Msg("ConfigInForce")
+	return true
+}
+
+// replan puts the plan of changed inputs in force. The caller holds planning.
+func (s *Steerer) replan(next inputs) {
+	now := time.Now()
+	seated := slices.Equal(next.seats, s.inputs.seats)
+	s.inputs = next
+	plan := s.plans.Load()
+	if !seated {
+		plan = plan.WithSeats(next.seats, now)
+	}
+	if next.declaration.Revision != 0 {
+		plan = plan.WithTable(router.New(next.declaration.Revision, next.set()), now)
+	}
+	s.plans.Advance(*plan)
+	s.pointDesks(plan)
+	s.locate()
+}
+
+// settle puts larger parts of limits in force: later, if others may still use what
+// they take over. The caller holds planning.
+func (s *Steerer) settle(shared bool) {
+	at := time.Now()
+	if shared {
+		at = at.Add(settleWait)
+	}
+	if at.After(s.confirmAt) {
+		s.confirmAt = at
+	}
+}
+
+// confirm puts larger parts in force whose time has come, and ends lapses.
+func (s *Steerer) confirm() {
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	now := time.Now()
+	if !s.confirmAt.IsZero() && !now.Before(s.confirmAt) {
+		s.confirmAt = time.Time{}
+		s.plans.Load().Confirm(now)
+	}
+	if !s.lapsesAt.IsZero() && !now.Before(s.lapsesAt) {
+		s.lapsesAt = time.Time{}
+		s.replan(s.inputs.withRegistrations(s.registered))
+	}
+}
+
+// register takes in what the platform lists. For a while after the platform's
+// return, upstreams that it has forgotten meanwhile are kept.
+func (s *Steerer) register(listed []registrar.Registration) {
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.registered = listed
+	if !s.lapsesAt.IsZero() {
+		listed = merge(s.inputs.registrations, listed)
+	}
+	s.replan(s.inputs.withRegistrations(listed))
+}
+
+// seat takes this instance's seat among those that are listed.
+func (s *Steerer) seat() {
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	members := s.roster.Load().Members()
+	var seats []splitter.Seat
+	for i, member := range members {
+		if member.Name == s.self.Name {
+			seats = append(seats, splitter.Seat{
+				Index: i,
+				Of:    len(members),
+			})
+		}
+	}
+	if slices.Equal(seats, s.inputs.seats) {
+		s.pointDesks(s.plans.Load())
+		return
+	}
+	s.settle(true)
+	s.replan(s.inputs.withSeats(seats))
+}
+
+// pointDesks tells each team's desk from whom it can borrow, the nearest first.
+func (s *Steerer) pointDesks(plan *admitter.Plan) {
+	set := plan.Table().Set()
+	home, _ := set.Places.Get(s.self.Place)
+	members := s.roster.Load().Members()
+	for team := range set.Teams.All() {
+		desk, found := plan.Desk(team.Name)
+		if !found {
+			continue
+		}
+		var lenders []registrar.Member
+		for i, member := range members {
+			seat := splitter.Seat{
+				Index: i,
+				Of:    len(members),
+			}
+			if member.Name != s.self.Name && admitter.Part(team, seat).Burst > 0 {
+				lenders = append(lenders, member)
+			}
+		}
+		slices.SortStableFunc(lenders, func(a, b registrar.Member) int {
+			return home.Distance(set.Places, a.Place) - home.Distance(set.Places, b.Place)
+		})
+		incarnations := make([]string, 0, len(lenders))
+		for _, lender := range lenders {
+			incarnations = append(incarnations, lender.Incarnation)
+		}
+		desk.SetHolders(incarnations, team.RatePerSecond)
+	}
+}
+
+// locate puts a locator of the instances that live in force.
+func (s *Steerer) locate() {
+	s.locating.Lock()
+	defer s.locating.Unlock()
+	s.generation++
+	set := s.plans.Load().Table().Set()
+	s.locators.Advance(*locator.New(locator.Source{
+		Generation:  s.generation,
+		Revision:    s.plans.Load().Table().RevisionNumber(),
+		Set:         set,
+		Blocks:      locator.DeclaredBlocks(set),
+		Members:     s.live(),
+		Home:        s.self.Place,
+		ValidMillis: s.settings.Lookups.ValidMillis,
+	}))
+}
+
+// lookup answers a caller who asks which instances to use.
+func (s *Steerer) lookup(_, place string) (Located, bool) {
+	found := s.locators.Load()
+	if found == nil {
+		return Located{}, false
+	}
+	answer := found.Nearest(place, time.Now())
+	if len(answer.Entries) == 0 {
+		return Located{}, false
+	}
+	addresses := make([]string, 0, len(answer.Entries))
+	for _, entry := range answer.Entries {
+		addresses = append(addresses, entry.Address)
+	}
+	return Located{
+		Addresses:  addresses,
+		ValidUntil: answer.ValidUntil,
+	}, true
+}
+
+// ready says whether the instance takes requests.
+func (s *Steerer) ready() bool {
+	return !s.leaving.Load() && s.plans.Load().Table().RevisionNumber() != 0
+}
--- /dev/null
+++ b/internal/steerer/platform.go
@@ -0,0 +1,73 @@
+// Package steerer runs an entry instance whose objects come from a platform that
+// keeps the operators' declaration whole, and where upstreams register themselves.
+package steerer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/translator"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// Platform is a platform in this project's terms. An adapter makes one.
+type Platform struct {
+	// Store holds all that the feeds name.
+	Store storer.Store
+	// Declarations holds the operators' declaration in one object.
+	Declarations Feed[Read[declarer.Declaration]]
+	// Registrations holds an object for each upstream, under its name.
+	Registrations Feed[Read[registrar.Registration]]
+	// Moves holds the moves that operators ask for. From is empty: a move is away
+	// from all other versions of its service.
+	Moves Feed[Read[declarer.Move]]
+	// Evacuations holds an object for each evacuated place, under the place's name.
+	Evacuations Feed[Read[Evacuation]]
+	// Members holds an object for each entry instance, under its name.
+	Members Feed[registrar.Member]
+	// Translator speaks to callers and upstreams.
+	Translator translator.Translator
+	// Lookups returns the front end for look-ups, and Readiness that for whether the
+	// instance takes requests.
+	Lookups   func(locate Locate) http.Handler
+	Readiness func(ready func() bool) http.Handler
+}
+
+// Feed is where objects of one kind are stored, and how.
+type Feed[T any] struct {
+	// Prefix starts the names of the objects in the store.
+	Prefix string
+	Codec  handler.Codec[T]
+}
+
+// Read is an object that somebody else wrote. It may make no sense.
+type Read[T any] struct {
+	Value T
+	// Fault says why the object cannot be used; nil if it can.
+	Fault error
+}
+
+// Unread returns an object that cannot be used.
+func Unread[T any](fault error) Read[T] {
+	return Read[T]{
+		Fault: fault,
+	}
+}
+
+// Evacuation asks that nothing more be sent to the upstreams of a place.
+type Evacuation struct{}
+
+// Locate answers a caller who asks for a host from a place. It returns false while
+// no instance can be named.
+type Locate func(host, place string) (Located, bool)
+
+// Located names entry instances that are equally good for a caller.
+type Located struct {
+	// Addresses are those of the callers' listeners.
+	Addresses []string
+	// ValidUntil is the instant after which the caller asks again.
+	ValidUntil time.Time
+}
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -29,6 +29,7 @@
 	UpstreamShed      Reason = "UpstreamShed"
 	UpstreamBroken    Reason = "UpstreamBroken"
 	UpstreamFailed    Reason = "UpstreamFailed"
+	UpstreamReplaced  Reason = "UpstreamReplaced"
 	AnswerBroken      Reason = "AnswerBroken"
 )
 
@@ -54,6 +55,7 @@
 		UpstreamShed,
 		UpstreamBroken,
 		UpstreamFailed,
+		UpstreamReplaced,
 		AnswerBroken,
 	}
 }
--- a/pkg/declarer/service.go
+++ b/pkg/declarer/service.go
@@ -13,12 +13,21 @@
 	// services.
 	Hosts []string `toml:",omitempty"`
 	// Version names the version that serves the requests. It belongs to this
-	// service. Empty means all versions but those that a move holds back; the
-	// checker admits that only where upstreams register themselves.
+	// service. Empty, where upstreams register themselves, means all versions
+	// but those that a move holds back.
 	Version string
 	// TimeoutMillis is the longest a request may take, in milliseconds; 0 means
 	// DefaultTimeoutMillis.
 	TimeoutMillis int `toml:",omitempty"`
+	// Registered says that upstreams register themselves; then Version is empty and
+	// no host leads to the service but by a Route.
+	Registered bool `toml:",omitempty"`
+	// Connections bounds the open connections to each registered upstream, of all
+	// instances together; 0 means DefaultConnections.
+	Connections int `toml:",omitempty"`
+	// ColdPerSecond is how many requests a second, of all instances together, a
+	// registered upstream bears while it is cold; 0 means no such limit.
+	ColdPerSecond float64 `toml:",omitempty"`
 	// Routes refine how requests are treated. The longest matching prefix
 	// counts; without a match a request needs a key and is idempotent if its
 	// method is.
@@ -55,6 +64,9 @@
 
 // HostNames returns the host names that lead to the service.
 func (s Service) HostNames() []string {
+	if s.Registered {
+		return nil
+	}
 	if len(s.Hosts) == 0 {
 		return []string{s.Name}
 	}
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -63,6 +63,8 @@
 	blocks   *Blocks
 	// sites holds the prepared orders of each place, in the order of names.
 	sites []site
+	// places holds the number of each place's site under its name.
+	places map[string]int
 	// fallback serves clients that no block is declared for.
 	fallback int
 }
@@ -72,6 +74,8 @@
 // Invariant: no order is longer than MaxEntries.
 type site struct {
 	orders [][]Entry
+	// nearest are all instances that are as near as the nearest one.
+	nearest []Entry
 }
 
 // Source is what a locator is made from.
@@ -101,6 +105,7 @@
 		revision:    source.Revision,
 		validMillis: source.ValidMillis,
 		services:    map[string]bool{},
+		places:      map[string]int{},
 		blocks:      source.Blocks,
 	}
 	for service := range source.Set.Services.All() {
@@ -110,6 +115,7 @@
 		}
 	}
 	for i, place := range places {
+		locator.places[place.Name] = i
 		locator.sites = append(locator.sites, newSite(place, source.Set.Places, source.Members))
 		if place.Name == source.Home {
 			locator.fallback = i
@@ -143,6 +149,23 @@
 	return answer, true
 }
 
+// Nearest answers a caller who names the place where it is. All entries are
+// equally good. A place that is not declared counts as the home.
+func (l *Locator) Nearest(place string, now time.Time) Answer {
+	answer := Answer{
+		ValidUntil: now.Add(time.Duration(l.validMillis) * time.Millisecond),
+		Revision:   l.revision,
+	}
+	at, found := l.places[place]
+	if !found {
+		at = l.fallback
+	}
+	if at < len(l.sites) {
+		answer.Entries = l.sites[at].nearest
+	}
+	return answer
+}
+
 // DeclaredBlocks returns the table of the client blocks that a set declares. A
 // site's number is its place's, in the order of names.
 func DeclaredBlocks(set declarer.Set) *Blocks {
@@ -183,6 +206,9 @@
 		turns = max(turns, min(len(group), maxRotations))
 	}
 	prepared := site{}
+	if len(groups) > 0 {
+		prepared.nearest = entriesOf(groups[0])
+	}
 	for turn := range turns {
 		prepared.orders = append(prepared.orders, order(groups, turn))
 	}
@@ -210,13 +236,24 @@
 			if len(entries) == MaxEntries {
 				return entries
 			}
-			member := group[(i+turn)%len(group)]
-			entries = append(entries, Entry{
-				Address:     member.CallerAddress,
-				Place:       member.Place,
-				Incarnation: member.Incarnation,
-			})
+			entries = append(entries, entryOf(group[(i+turn)%len(group)]))
 		}
 	}
 	return entries
 }
+
+func entriesOf(members []registrar.Member) []Entry {
+	entries := make([]Entry, 0, len(members))
+	for _, member := range members {
+		entries = append(entries, entryOf(member))
+	}
+	return entries
+}
+
+func entryOf(member registrar.Member) Entry {
+	return Entry{
+		Address:     member.CallerAddress,
+		Place:       member.Place,
+		Incarnation: member.Incarnation,
+	}
+}
--- a/pkg/query/picker/policy_test.go
+++ b/pkg/query/picker/policy_test.go
@@ -16,8 +16,8 @@
 // nothing is the ask of requests that are all alike.
 type nothing struct{}
 
-func (s *server) Usable(nothing) bool { return !s.broken }
-func (s *server) Load(nothing) float64       { return float64(s.queue) }
+func (s *server) Usable(nothing) bool  { return !s.broken }
+func (s *server) Load(nothing) float64 { return float64(s.queue) }
 
 var policies = []struct {
 	name   string
