Split teams' limits by demand that all confirm

Change: apportioner: each instance reports its demand and claims the least of its reports since the last that all others have confirmed; its part is that over the sum with the newest reports of the others. Watches pause after an answer with changes, so that starts of many servers come in one answer.

--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -16,7 +16,8 @@
 func follow[T any](ctx context.Context, s *Steerer, feed Feed[T], update func(watcher.View[T])) error {
 	reader := storer.NewTyped(s.platform.Store, feed.Codec)
 	always := func() bool { return true }
-	return watcher.New[T](reader, feed.Prefix, always).Run(ctx, func(view watcher.View[T]) {
+	pause := time.Duration(feed.PauseMillis) * time.Millisecond
+	return watcher.New[T](reader, feed.Prefix, always).WithPause(pause).Run(ctx, func(view watcher.View[T]) {
 		s.storeAnswered()
 		update(view)
 	}, s.storeAnswered, s.storeFailed)
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -60,6 +60,7 @@
 		},
 	)
 	linker.Handle(s.hub, topicDeclaration, own, nothings, declareds)
+	s.handleDemand()
 }
 
 // beat returns what to tell the peers.
@@ -221,6 +222,7 @@
 	rounds := 0
 	for retrier.Sleep(ctx, refreshInterval) == nil {
 		s.confirm()
+		s.share()
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
 			s.locate()
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -50,6 +50,7 @@
 	if next.declaration.Revision != 0 {
 		plan = plan.WithTable(router.New(next.declaration.Revision, next.set()), now)
 	}
+	s.apportion(plan, now)
 	s.plans.Advance(*plan)
 	s.pointDesks(plan)
 	s.locate()
@@ -108,6 +109,7 @@
 			})
 		}
 	}
+	s.apportioner.SetMembers(namesOf(members), time.Now())
 	if slices.Equal(seats, s.inputs.seats) {
 		s.pointDesks(s.plans.Load())
 		return
@@ -127,12 +129,8 @@
 			continue
 		}
 		var lenders []registrar.Member
-		for i, member := range members {
-			seat := splitter.Seat{
-				Index: i,
-				Of:    len(members),
-			}
-			if member.Name != s.self.Name && admitter.Part(team, seat).Burst > 0 {
+		for _, member := range members {
+			if member.Name != s.self.Name {
 				lenders = append(lenders, member)
 			}
 		}
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -41,6 +41,9 @@
 	// Prefix starts the names of the objects in the store.
 	Prefix string
 	Codec  handler.Codec[T]
+	// PauseMillis is the time between an answer with changes and the next watch, in
+	// milliseconds. Changes in quick succession then come in one answer.
+	PauseMillis int
 }
 
 // Read is an object that somebody else wrote. It may make no sense.
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -20,6 +20,7 @@
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -63,6 +64,8 @@
 	// confirmAt is when the larger parts of limits come into force; zero if they are
 	// in force.
 	confirmAt time.Time
+	// apportioner splits teams' limits by demand.
+	apportioner *apportioner.Apportioner
 
 	// locating orders the writers of locators and guards their generation.
 	locating   sync.Mutex
@@ -114,6 +117,7 @@
 		},
 		rosterAt: map[string]time.Time{},
 	}
+	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
 	s.journal = newJournal(s.log, s.registry)
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -182,15 +182,23 @@
 	}
 }
 
+// objectiveParts is which part of its route's objective a request waits for its
+// team's rate at most.
+const objectiveParts = 8
+
 // Wait lets a request that was refused for its team's rate wait for it, until
-// sharer.LongestWait or the request's deadline has passed. It returns false if the
+// sharer.LongestWait, a part of its route's objective or its deadline has passed. It returns false if the
 // request cannot wait; otherwise admitted is called once. Someone pumps the desk
 // meanwhile.
 func (a Admission) Wait(now time.Time, admitted func(bool)) bool {
 	if a.desk == nil {
 		return false
 	}
-	deadline := now.Add(sharer.LongestWait)
+	wait := sharer.LongestWait
+	if objective := a.Route.Declared.ObjectiveMillis; objective > 0 {
+		wait = min(wait, time.Duration(objective)*time.Millisecond/objectiveParts)
+	}
+	deadline := now.Add(wait)
 	if a.Deadline.Before(deadline) {
 		deadline = a.Deadline
 	}
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -60,8 +60,8 @@
 }
 
 // WithKeyed returns the plan in which upstreams are chosen by the object of a
-// request. They are not probed: a suspicion lapses by itself. It is called before
-// the first WithTable.
+// request. They are not probed: a suspicion lapses by itself. Teams' limits follow
+// Apportion and not the seats. It is called before the first WithTable.
 func (p *Plan) WithKeyed(keyed Keyed) *Plan {
 	next := *p
 	next.generation++
@@ -106,6 +106,23 @@
 	}
 }
 
+// Apportion sets this instance's parts of the teams' limits, each from 0 to 1.
+// What it gives adds up to at most 1 over all instances.
+func (p *Plan) Apportion(part func(team string) float64, now time.Time) {
+	for team := range p.table.Set().Teams.All() {
+		desk, found := p.desks[team.Name]
+		if !found {
+			continue
+		}
+		fraction := part(team.Name)
+		desk.Account.SetOwned(limiter.Limit{
+			RatePerSecond: team.RatePerSecond * fraction,
+			Burst:         int(float64(team.Burst) * fraction),
+		}, now)
+		desk.Account.Confirm(now)
+	}
+}
+
 // Desk returns the desk of a team.
 func (p *Plan) Desk(team string) (*sharer.Desk, bool) {
 	desk, found := p.desks[team]
@@ -178,7 +195,9 @@
 		if !found {
 			desk = sharer.NewDesk(team.Name, p.incarnation, now)
 		}
-		desk.Account.SetOwned(Part(team, seats...), now)
+		if p.keyed == nil {
+			desk.Account.SetOwned(Part(team, seats...), now)
+		}
 		desks[team.Name] = desk
 	}
 	for name, desk := range p.desks {
--- /dev/null
+++ b/pkg/command/apportioner/apportioner.go
@@ -0,0 +1,235 @@
+// Package apportioner splits limits over instances by their demand. Every instance
+// computes the same parts from the same reports, so that nobody is asked.
+package apportioner
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// LeaveWait is for how long a member that has left is counted on: it may go on
+	// with what it has until its drain ends.
+	LeaveWait = 6 * time.Second
+	// floorShare is the part of a limit that is split evenly, whatever the demand, so
+	// that an instance with its first callers has something.
+	floorShare = 0.25
+	// demandMemory is how far back demand is averaged.
+	demandMemory = time.Second
+	// leastChange is by which part demand changes until it is reported anew.
+	leastChange = 0.1
+	// repeatAfter is when a report is made again that not everybody has confirmed.
+	repeatAfter = 500 * time.Millisecond
+)
+
+// Demand is how many requests a second an instance gets for a resource.
+type Demand struct {
+	Resource  string
+	PerSecond float64
+}
+
+// Report is what one instance tells all others.
+type Report struct {
+	// Start names the start of the instance's process, and Number grows with each of
+	// its reports.
+	Start  string
+	Number uint64
+	// Demands are in the order of their resources.
+	Demands []Demand
+}
+
+// Apportioner knows the demand of all instances and the parts of one of them. Used
+// by one goroutine at a time.
+//
+// What an instance claims is the least of its reports since the last one that all
+// others have confirmed. Its part is that over the sum of it and of the newest
+// reports that it has of all others. The newest report that it has of another is
+// never below what that one claims: a claim grows only once everybody has it.
+//
+// Invariant: the parts of all members together are at most the whole.
+type Apportioner struct {
+	self  string
+	start string
+	// countedUntil holds the instances among which limits are split. The value is
+	// zero for a member, and for one that has left the end of its counting on.
+	countedUntil map[string]time.Time
+	// reports holds the newest report of each other instance. An instance that has
+	// gone silent keeps its report, and so its part.
+	reports map[string]claim
+	// own measures this instance's demand.
+	own map[string]*meter
+	// confirmed is the newest report that all others have, and pending are those
+	// after it, in order.
+	confirmed *claim
+	pending   []claim
+}
+
+// claim is a report by resource.
+type claim struct {
+	start     string
+	number    uint64
+	perSecond map[string]float64
+	sentAt    time.Time
+}
+
+// meter averages how many requests a second come.
+type meter struct {
+	perSecond float64
+	counted   uint64
+	at        time.Time
+}
+
+// New returns an apportioner of the instance with that name. Start names the start
+// of its process.
+func New(self, start string) *Apportioner {
+	return &Apportioner{
+		start:        start,
+		self:         self,
+		countedUntil: map[string]time.Time{},
+		reports:      map[string]claim{},
+		own:          map[string]*meter{},
+	}
+}
+
+// SetMembers says among which instances limits are split.
+func (a *Apportioner) SetMembers(members []string, now time.Time) {
+	for name, until := range a.countedUntil {
+		if !slices.Contains(members, name) && until.IsZero() {
+			a.countedUntil[name] = now.Add(LeaveWait)
+		}
+	}
+	for _, name := range members {
+		a.countedUntil[name] = time.Time{}
+	}
+}
+
+// Hear takes in the report of another instance. One that is not a member yet is
+// counted on as if it had just left. An older report than the newest of the same
+// start changes nothing.
+func (a *Apportioner) Hear(member string, report Report, now time.Time) {
+	if before, found := a.reports[member]; found && report.Start == before.start && report.Number <= before.number {
+		return
+	}
+	if _, counted := a.countedUntil[member]; !counted {
+		a.countedUntil[member] = now.Add(LeaveWait)
+	}
+	a.reports[member] = newClaim(report, now)
+}
+
+func newClaim(report Report, now time.Time) claim {
+	next := claim{
+		start:     report.Start,
+		number:    report.Number,
+		perSecond: make(map[string]float64, len(report.Demands)),
+		sentAt:    now,
+	}
+	for _, demand := range report.Demands {
+		next.perSecond[demand.Resource] = demand.PerSecond
+	}
+	return next
+}
+
+// Measure takes in how many requests for a resource this instance has got so far.
+func (a *Apportioner) Measure(resource string, counted uint64, now time.Time) {
+	m, found := a.own[resource]
+	if !found {
+		m = &meter{
+			counted: counted,
+			at:      now,
+		}
+		a.own[resource] = m
+		return
+	}
+	elapsed := now.Sub(m.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed/demandMemory.Seconds())
+	m.perSecond += weight * (float64(counted-m.counted)/elapsed - m.perSecond)
+	m.counted = counted
+	m.at = now
+}
+
+// Report returns what to tell all other members, and false if nothing has changed
+// enough.
+func (a *Apportioner) Report(now time.Time) (Report, bool) {
+	last := a.last()
+	due := last == nil || (len(a.pending) > 0 && now.Sub(last.sentAt) >= repeatAfter)
+	report := Report{
+		Start:  a.start,
+		Number: 1,
+	}
+	if last != nil {
+		report.Number = last.number + 1
+	}
+	for _, resource := range slices.Sorted(maps.Keys(a.own)) {
+		demand := Demand{
+			Resource:  resource,
+			PerSecond: a.own[resource].perSecond,
+		}
+		report.Demands = append(report.Demands, demand)
+		before := 0.0
+		if last != nil {
+			before = last.perSecond[resource]
+		}
+		due = due || math.Abs(demand.PerSecond-before) > leastChange*max(before, 1)
+	}
+	if !due {
+		return Report{}, false
+	}
+	a.pending = append(a.pending, newClaim(report, now))
+	return report, true
+}
+
+// Confirm takes in that all other members have a report.
+func (a *Apportioner) Confirm(number uint64) {
+	for len(a.pending) > 0 && a.pending[0].number <= number {
+		a.confirmed = &a.pending[0]
+		a.pending = a.pending[1:]
+	}
+}
+
+// last returns the last report made, or nil.
+func (a *Apportioner) last() *claim {
+	if len(a.pending) > 0 {
+		return &a.pending[len(a.pending)-1]
+	}
+	return a.confirmed
+}
+
+// claims returns what this instance claims of a resource.
+func (a *Apportioner) claims(resource string) float64 {
+	least := a.confirmed.perSecond[resource]
+	for _, later := range a.pending {
+		least = min(least, later.perSecond[resource])
+	}
+	return least
+}
+
+// Part returns which part of a resource, from 0 to 1, this instance may use now.
+// Before all others know of it, that is nothing.
+func (a *Apportioner) Part(resource string, now time.Time) float64 {
+	if until, counted := a.countedUntil[a.self]; a.confirmed == nil || !counted || !until.IsZero() {
+		return 0
+	}
+	count := 0.0
+	others := 0.0
+	for name, until := range a.countedUntil {
+		if !until.IsZero() && !now.Before(until) {
+			delete(a.countedUntil, name)
+			delete(a.reports, name)
+			continue
+		}
+		count++
+		if name != a.self {
+			others += a.reports[name].perSecond[resource]
+		}
+	}
+	own := a.claims(resource)
+	if own+others == 0 {
+		return 1 / count
+	}
+	return floorShare/count + (1-floorShare)*own/(own+others)
+}
--- /dev/null
+++ b/pkg/command/apportioner/apportioner_test.go
@@ -0,0 +1,245 @@
+package apportioner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+)
+
+const (
+	// step is the time between two reports.
+	step = 250 * time.Millisecond
+	// resource is the team that all ask for.
+	resource = "quilters"
+)
+
+// fleet is instances that hear each other's reports.
+type fleet struct {
+	names []string
+	parts []*apportioner.Apportioner
+	// counted holds the requests of each instance so far.
+	counted []float64
+	now     time.Time
+	// pending are the reports under way, in the order of their sending.
+	pending []*pending
+	// lag returns how long a report or its confirmation is under way, and lost
+	// whether it never comes.
+	lag  func() time.Duration
+	lost func(from, to int) bool
+}
+
+// pending is a report under way to one instance, or its confirmation.
+type pending struct {
+	from      int
+	to        int
+	report    apportioner.Report
+	confirms  bool
+	deliverAt time.Time
+	// missing counts the instances that have not confirmed the report.
+	missing *int
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{
+		now:     time.Now(),
+		counted: make([]float64, count),
+		lag:     func() time.Duration { return 0 },
+		lost:    func(int, int) bool { return false },
+	}
+	for i := range count {
+		f.names = append(f.names, fmt.Sprintf("entry-%d", i))
+	}
+	for _, name := range f.names {
+		part := apportioner.New(name, "1")
+		part.SetMembers(f.names, f.now)
+		f.parts = append(f.parts, part)
+	}
+	return f
+}
+
+// play lets each instance get requests for one step, and returns the sum of all
+// parts after it.
+func (f *fleet) play(perSecond []float64) float64 {
+	f.now = f.now.Add(step)
+	f.deliver()
+	for i, part := range f.parts {
+		f.counted[i] += perSecond[i] * step.Seconds()
+		part.Measure(resource, uint64(f.counted[i]), f.now)
+		if report, changed := part.Report(f.now); changed {
+			f.send(i, report)
+		}
+	}
+	f.deliver()
+	sum := 0.0
+	for _, part := range f.parts {
+		sum += part.Part(resource, f.now)
+	}
+	return sum
+}
+
+// send puts a report on its way to all others.
+func (f *fleet) send(from int, report apportioner.Report) {
+	missing := len(f.parts) - 1
+	for to := range f.parts {
+		if to == from {
+			continue
+		}
+		f.post(&pending{
+			from:    from,
+			to:      to,
+			report:  report,
+			missing: &missing,
+		})
+	}
+}
+
+func (f *fleet) post(on *pending) {
+	if f.lost(on.from, on.to) {
+		return
+	}
+	on.deliverAt = f.now.Add(f.lag())
+	f.pending = append(f.pending, on)
+}
+
+// deliver hands over what has come.
+func (f *fleet) deliver() {
+	for {
+		var left []*pending
+		due := f.pending
+		f.pending = nil
+		for _, on := range due {
+			if on.deliverAt.After(f.now) {
+				left = append(left, on)
+				continue
+			}
+			f.hand(on)
+		}
+		arrived := len(due) - len(left)
+		f.pending = append(left, f.pending...)
+		if arrived == 0 {
+			return
+		}
+	}
+}
+
+func (f *fleet) hand(on *pending) {
+	if on.confirms {
+		*on.missing--
+		if *on.missing == 0 {
+			f.parts[on.to].Confirm(on.report.Number)
+		}
+		return
+	}
+	f.parts[on.to].Hear(f.names[on.from], on.report, f.now)
+	f.post(&pending{
+		from:     on.to,
+		to:       on.from,
+		report:   on.report,
+		confirms: true,
+		missing:  on.missing,
+	})
+}
+
+func TestPartsFollowDemand(t *testing.T) {
+	cases := []struct {
+		name   string
+		demand []float64
+		// least is the least part of each instance after ten seconds.
+		least []float64
+	}{
+		{
+			name:   "even",
+			demand: []float64{10, 10, 10, 10},
+			least:  []float64{0.24, 0.24, 0.24, 0.24},
+		},
+		{
+			name:   "one has most",
+			demand: []float64{2, 2, 2, 18},
+			least:  []float64{0.1, 0.1, 0.1, 0.6},
+		},
+		{
+			name:   "nobody has any",
+			demand: make([]float64, 4),
+			least:  []float64{0.25, 0.25, 0.25, 0.25},
+		},
+	}
+	for _, c := range cases {
+		f := newFleet(len(c.demand))
+		for range 40 {
+			f.play(c.demand)
+		}
+		for i, part := range f.parts {
+			if got := part.Part(resource, f.now); got < c.least[i] {
+				t.Errorf("%s: instance %d has %.3f, want at least %.3f", c.name, i, got, c.least[i])
+			}
+		}
+	}
+}
+
+// longestLag is how long a report or a confirmation is under way at most.
+const longestLag = 3 * time.Second
+
+// The sum of parts stays within the whole while demand jumps, reports and
+// confirmations lag, overtake one another and are lost, and ways are cut.
+func TestPartsNeverExceedTheWhole(t *testing.T) {
+	const tolerance = 1e-9
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		f := newFleet(2 + random.IntN(12))
+		cut := -1
+		f.lag = func() time.Duration { return time.Duration(random.Int64N(int64(longestLag))) }
+		f.lost = func(from, to int) bool {
+			return from == cut || to == cut || random.IntN(50) == 0
+		}
+		demand := make([]float64, len(f.parts))
+		for range 80 {
+			if random.IntN(4) == 0 {
+				demand[random.IntN(len(demand))] = random.Float64() * 100
+			}
+			if random.IntN(20) == 0 {
+				cut = random.IntN(len(demand)+1) - 1
+			}
+			if sum := f.play(demand); sum > 1+tolerance {
+				t.Fatalf("seed %d: parts add up to %v", seed, sum)
+			}
+		}
+	}
+}
+
+// Within a second of steady demand nearly all of a limit is in use.
+func TestPartsUseTheWhole(t *testing.T) {
+	f := newFleet(12)
+	f.lag = func() time.Duration { return 60 * time.Millisecond }
+	demand := make([]float64, len(f.parts))
+	for i := range demand {
+		demand[i] = float64(1 + i)
+	}
+	sum := 0.0
+	for range 16 {
+		sum = f.play(demand)
+	}
+	if sum < 0.9 {
+		t.Fatalf("parts add up to %.3f after four seconds, want 0.9", sum)
+	}
+}
+
+// An instance has nothing until all others have heard of it.
+func TestNewcomerWaits(t *testing.T) {
+	now := time.Now()
+	part := apportioner.New("entry-0", "1")
+	part.SetMembers([]string{"entry-0", "entry-1"}, now)
+	report, changed := part.Report(now)
+	if !changed {
+		t.Fatal("the first report is not made")
+	}
+	if got := part.Part(resource, now); got != 0 {
+		t.Fatalf("part %v before anybody knows, want 0", got)
+	}
+	part.Confirm(report.Number)
+	if got := part.Part(resource, now); got != 0.5 {
+		t.Fatalf("part %v, want 0.5", got)
+	}
+}
--- a/pkg/command/sharer/desk.go
+++ b/pkg/command/sharer/desk.go
@@ -152,6 +152,11 @@
 	return retryAt, false
 }
 
+// Requests returns how many requests have asked for the resource so far.
+func (d *Desk) Requests() uint64 {
+	return d.requests.Load()
+}
+
 // SetHolders says which other instances own parts, the nearest first, and the
 // whole rate, by which the number of those who wait is bounded.
 func (d *Desk) SetHolders(holders []string, wholePerSecond float64) {
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -33,6 +33,9 @@
 	prefix string
 	// due says whether it falls to this process to watch now.
 	due func() bool
+	// pause is the time between an answer with changes and the next watch, so that
+	// changes in quick succession come in one answer.
+	pause time.Duration
 	// objects holds the objects of the view under their names.
 	objects  map[string]storer.Object[T]
 	revision uint64
@@ -50,6 +53,13 @@
 	}
 }
 
+// WithPause returns the watcher with a time between an answer with changes and the
+// next watch. It is called before Run.
+func (w *Watcher[T]) WithPause(pause time.Duration) *Watcher[T] {
+	w.pause = pause
+	return w
+}
+
 // Run calls update with each new view until ctx ends, answered after each answer
 // of the store, and failed with each of its errors. It lists anew when changes
 // were lost.
@@ -75,6 +85,9 @@
 			update(w.view())
 		}
 		answered()
+		if changed && w.pause > 0 && retrier.Sleep(ctx, w.pause) != nil {
+			break
+		}
 	}
 	return nil
 }
