Wait a third of the objective for a team's rate

Cause: with parts of a few requests of burst, a request within its team's limit finds its part empty and the nearest lender too.

--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -184,7 +184,7 @@
 
 // objectiveParts is which part of its route's objective a request waits for its
 // team's rate at most.
-const objectiveParts = 8
+const objectiveParts = 3
 
 // Wait lets a request that was refused for its team's rate wait for it, until
 // sharer.LongestWait, a part of its route's objective or its deadline has passed. It returns false if the
