Relay what the platform tells between instances

Change: every kind of objects is followed by a feeder, whose newest change travels in the beats; an instance that a peer is ahead of asks the peer after 300 ms and offers the view to its watcher. Objects are decoded once for each revision; one that cannot be used is logged and left out.

Excluded: shorter watches, which cost calls and still leave seconds.

--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -42,6 +42,9 @@
 	Body []byte `cbor:",omitempty"`
 }
 
+// MaxFeeds is how many kinds of objects an instance follows at most.
+const MaxFeeds = 5
+
 // Beat is what an instance tells its peers regularly, and at once when it
 // changes.
 type Beat struct {
@@ -54,6 +57,9 @@
 	AgeMillis int64
 	// Leaving says that the sender has begun its stop.
 	Leaving bool `cbor:",omitempty"`
+	// Feeds holds, for each kind of objects that the sender follows, the store's
+	// revision of the last change that it knows.
+	Feeds [MaxFeeds]uint64
 	// Seatless says that the sender has a configuration and looks for a seat.
 	Seatless bool `cbor:",omitempty"`
 }
--- /dev/null
+++ b/internal/steerer/feed.go
@@ -0,0 +1,183 @@
+package steerer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/query/reporter"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/query/watcher"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+const (
+	// relayAfter is how long an instance that a peer is ahead of waits for the
+	// platform to tell it, before it asks the peer.
+	relayAfter = 300 * time.Millisecond
+	// fetchLimit bounds the reading of a peer's view.
+	fetchLimit = 2 * time.Second
+)
+
+var (
+	nothings = encoder.CBOR[reporter.Nothing]{}
+	views    = encoder.CBOR[watcher.View[[]byte]]{}
+)
+
+// follower follows one kind of objects: from the platform and, where that does not
+// answer or does not tell, from peers.
+type follower interface {
+	// run follows until ctx ends.
+	run(ctx context.Context) error
+	// changedAt returns the store's revision of the last change that is known here.
+	changedAt() uint64
+	// catchUp asks a peer that knows of a later change, unless the platform tells of
+	// it meanwhile.
+	catchUp(peer registrar.Member, theirs uint64)
+}
+
+// feeder is a follower of objects of type T.
+type feeder[T any] struct {
+	steerer *Steerer
+	feed    Feed[T]
+	topic   string
+	watcher *watcher.Watcher[[]byte]
+	// update is told of each change.
+	update func(entries []entry[T], revision uint64)
+	// latest is the newest view, or nil before the first.
+	latest atomic.Pointer[watcher.View[[]byte]]
+	// changed is the revision of the newest view that brought a change.
+	changed atomic.Uint64
+	// fetching is set while a view is fetched from a peer.
+	fetching atomic.Bool
+
+	// reading guards known.
+	reading sync.Mutex
+	// known holds the decoded objects under their names.
+	known map[string]entry[T]
+}
+
+// entry is a decoded object.
+type entry[T any] struct {
+	// name lacks the feed's prefix.
+	name     string
+	revision uint64
+	value    T
+	// fault says why the value cannot be used, or is nil.
+	fault error
+}
+
+var _ follower = (*feeder[int])(nil)
+
+// newFeeder returns a feeder and lets peers ask for its view. Its topic tells it
+// from others.
+func newFeeder[T any](s *Steerer, feed Feed[T], update func([]entry[T], uint64)) *feeder[T] {
+	always := func() bool { return true }
+	f := &feeder[T]{
+		steerer: s,
+		feed:    feed,
+		topic:   "Feed/" + feed.Prefix,
+		watcher: watcher.New[[]byte](s.platform.Store, feed.Prefix, always),
+		update:  update,
+		known:   map[string]entry[T]{},
+	}
+	f.watcher.WithPause(time.Duration(feed.PauseMillis) * time.Millisecond)
+	own := handler.QueryFunc[reporter.Nothing, watcher.View[[]byte]](
+		func(context.Context, reporter.Nothing) (watcher.View[[]byte], error) {
+			if latest := f.latest.Load(); latest != nil {
+				return *latest, nil
+			}
+			return watcher.View[[]byte]{}, nil
+		},
+	)
+	linker.Handle(s.hub, f.topic, own, nothings, views)
+	return f
+}
+
+func (f *feeder[T]) run(ctx context.Context) error {
+	return f.watcher.Run(ctx, f.take, f.steerer.storeAnswered, f.steerer.storeFailed)
+}
+
+func (f *feeder[T]) changedAt() uint64 {
+	return f.changed.Load()
+}
+
+// take takes in a new view.
+func (f *feeder[T]) take(view watcher.View[[]byte]) {
+	f.latest.Store(&view)
+	f.changed.Store(view.Revision)
+	f.update(f.decode(view), view.Revision)
+}
+
+// decode decodes the objects that have changed. Those that cannot be used are
+// logged once and left out.
+func (f *feeder[T]) decode(view watcher.View[[]byte]) []entry[T] {
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	next := make(map[string]entry[T], len(view.Objects))
+	usable := make([]entry[T], 0, len(view.Objects))
+	for _, object := range view.Objects {
+		read, found := f.known[object.Name]
+		if !found || read.revision != object.Revision {
+			read = f.read(object)
+		}
+		next[object.Name] = read
+		if read.fault == nil {
+			usable = append(usable, read)
+		}
+	}
+	f.known = next
+	return usable
+}
+
+func (f *feeder[T]) read(object storer.Object[[]byte]) entry[T] {
+	value, err := f.feed.Codec.Decode(object.Value)
+	if err != nil {
+		f.steerer.log.Warn().
+			Str("Object", object.Name).
+			Uint64("Revision", object.Revision).
+			Err(err).
+			Msg("ObjectUnusable")
+	}
+	return entry[T]{
+		name:     object.Name[len(f.feed.Prefix):],
+		revision: object.Revision,
+		value:    value,
+		fault:    err,
+	}
+}
+
+func (f *feeder[T]) catchUp(peer registrar.Member, theirs uint64) {
+	if theirs <= f.changedAt() || !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	f.steerer.hub.Go(func() {
+		defer f.fetching.Store(false)
+		f.fetch(peer, theirs)
+	})
+}
+
+func (f *feeder[T]) fetch(peer registrar.Member, theirs uint64) {
+	s := f.steerer
+	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	defer cancel()
+	if !sleep(ctx, relayAfter) || theirs <= f.changedAt() {
+		return
+	}
+	view, err := linker.Ask(ctx, s.hub, peer.Incarnation, f.topic, reporter.Nothing{}, nothings, views)
+	if err != nil {
+		s.log.Warn().Str("Peer", peer.Name).Str("Topic", f.topic).Err(err).Msg("RelayFailed")
+		return
+	}
+	s.log.Info().
+		Str("Peer", peer.Name).
+		Str("Topic", f.topic).
+		Uint64("Revision", view.Revision).
+		Uint64("Before", f.changedAt()).
+		Msg("Relayed")
+	f.watcher.Offer(view)
+}
--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -3,93 +3,76 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/query/watcher"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
-// follow calls update with each new view of a feed until ctx ends.
-func follow[T any](ctx context.Context, s *Steerer, feed Feed[T], update func(watcher.View[T])) error {
-	reader := storer.NewTyped(s.platform.Store, feed.Codec)
-	always := func() bool { return true }
-	pause := time.Duration(feed.PauseMillis) * time.Millisecond
-	return watcher.New[T](reader, feed.Prefix, always).WithPause(pause).Run(ctx, func(view watcher.View[T]) {
-		s.storeAnswered()
-		update(view)
-	}, s.storeAnswered, s.storeFailed)
+// follow returns the followers of all that the platform tells, in the order of
+// linker.Beat's Feeds.
+func (s *Steerer) follow() [linker.MaxFeeds]follower {
+	return [linker.MaxFeeds]follower{
+		newFeeder(s, s.platform.Declarations, s.declared),
+		newFeeder(s, s.platform.Registrations, s.registrationsListed),
+		newFeeder(s, s.platform.Moves, s.movesListed),
+		newFeeder(s, s.platform.Evacuations, s.evacuationsListed),
+		newFeeder(s, s.platform.Members, s.membersListed),
+	}
 }
 
-// followDeclarations follows the operators' declaration.
-func (s *Steerer) followDeclarations(ctx context.Context) error {
-	return follow(ctx, s, s.platform.Declarations, func(view watcher.View[Read[declarer.Declaration]]) {
-		for _, object := range view.Objects {
-			if s.usable(object.Name, object.Revision, object.Value.Fault) {
-				s.adopt(object.Value.Value, "platform")
-			}
-		}
-		s.fresh.Confirm(time.Now())
-	})
+// declared takes in the operators' declaration.
+func (s *Steerer) declared(entries []entry[declarer.Declaration], _ uint64) {
+	for _, entry := range entries {
+		s.adopt(entry.value)
+	}
+	s.fresh.Confirm(time.Now())
 }
 
-// followRegistrations follows the upstreams.
-func (s *Steerer) followRegistrations(ctx context.Context) error {
-	feed := s.platform.Registrations
-	return follow(ctx, s, feed, func(view watcher.View[Read[registrar.Registration]]) {
-		listed := make([]registrar.Registration, 0, len(view.Objects))
-		for _, object := range view.Objects {
-			if s.usable(object.Name, object.Revision, object.Value.Fault) {
-				name := strings.TrimPrefix(object.Name, feed.Prefix)
-				listed = append(listed, object.Value.Value.WithName(name))
-			}
-		}
-		s.register(listed)
-		s.log.Info().Int("Upstreams", len(listed)).Uint64("Revision", view.Revision).Msg("UpstreamsListed")
-	})
+// registrationsListed takes in the upstreams.
+func (s *Steerer) registrationsListed(entries []entry[registrar.Registration], revision uint64) {
+	listed := make([]registrar.Registration, 0, len(entries))
+	for _, entry := range entries {
+		listed = append(listed, entry.value.WithName(entry.name))
+	}
+	s.register(listed)
+	s.log.Info().Int("Upstreams", len(listed)).Uint64("Revision", revision).Msg("UpstreamsListed")
 }
 
-// followMoves follows the moves that operators ask for.
-func (s *Steerer) followMoves(ctx context.Context) error {
-	return follow(ctx, s, s.platform.Moves, func(view watcher.View[Read[declarer.Move]]) {
-		var moves []declarer.Move
-		for _, object := range view.Objects {
-			if s.usable(object.Name, object.Revision, object.Value.Fault) {
-				moves = append(moves, object.Value.Value)
-			}
-		}
-		s.planning.Lock()
-		defer s.planning.Unlock()
-		s.replan(s.inputs.withMoves(moves))
-		s.log.Info().Int("Moves", len(moves)).Uint64("Revision", view.Revision).Msg("MovesListed")
-	})
+// movesListed takes in the moves that operators ask for.
+func (s *Steerer) movesListed(entries []entry[declarer.Move], revision uint64) {
+	moves := make([]declarer.Move, 0, len(entries))
+	for _, entry := range entries {
+		moves = append(moves, entry.value)
+	}
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.replan(s.inputs.withMoves(moves))
+	s.log.Info().Int("Moves", len(moves)).Uint64("Revision", revision).Msg("MovesListed")
 }
 
-// followEvacuations follows the evacuated places.
-func (s *Steerer) followEvacuations(ctx context.Context) error {
-	feed := s.platform.Evacuations
-	return follow(ctx, s, feed, func(view watcher.View[Read[Evacuation]]) {
-		var places []string
-		for _, object := range view.Objects {
-			places = append(places, strings.TrimPrefix(object.Name, feed.Prefix))
-		}
-		s.planning.Lock()
-		defer s.planning.Unlock()
-		s.replan(s.inputs.withEvacuated(places))
-		s.log.Info().Strs("Places", places).Uint64("Revision", view.Revision).Msg("EvacuationsListed")
-	})
+// evacuationsListed takes in the evacuated places.
+func (s *Steerer) evacuationsListed(entries []entry[Evacuation], revision uint64) {
+	places := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		places = append(places, entry.name)
+	}
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.replan(s.inputs.withEvacuated(places))
+	s.log.Info().Strs("Places", places).Uint64("Revision", revision).Msg("EvacuationsListed")
 }
 
-// usable says whether an object that somebody else wrote can be used, and logs why
-// if it cannot.
-func (s *Steerer) usable(name string, revision uint64, fault error) bool {
-	if fault == nil {
-		return true
+// membersListed takes in the instances.
+func (s *Steerer) membersListed(entries []entry[registrar.Member], revision uint64) {
+	listed := make([]registrar.Member, 0, len(entries))
+	for _, entry := range entries {
+		listed = append(listed, entry.value)
 	}
-	s.log.Warn().Str("Object", name).Uint64("Revision", revision).Err(fault).Msg("ObjectUnusable")
-	return false
+	s.setRoster(registrar.NewRoster(revision, listed...))
 }
 
 func (s *Steerer) storeAnswered() {
@@ -116,3 +99,8 @@
 		s.log.Warn().Err(err).Msg("PlatformLost")
 	}
 }
+
+// sleep waits for a time and says whether ctx lives on.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	return retrier.Sleep(ctx, wait) == nil
+}
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -7,13 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
-	"github.com/hemlockport/hemlockport/pkg/command/retrier"
-	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/handler"
-	"github.com/hemlockport/hemlockport/pkg/query/watcher"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
@@ -27,48 +21,20 @@
 	// buryAfter is how long a listed instance is left unlinked before its entry is
 	// removed. One that lives enters itself again.
 	buryAfter = 15 * time.Second
-	// enterInterval is the time between two tries to enter this instance.
+	// enterInterval is the time between two writes of this instance's entry.
 	enterInterval = time.Second
-	// fetchLimit bounds the reading of a peer's declaration.
-	fetchLimit = 2 * time.Second
 )
 
-// topicDeclaration is the name under which peers are asked for their declaration.
-const topicDeclaration = "Declaration"
-
-// declared is a declarer.Declaration on a link.
-type declared struct {
-	Revision uint64
-	Document declarer.Document
-}
-
-var (
-	nothings  = encoder.CBOR[reporter.Nothing]{}
-	declareds = encoder.CBOR[declared]{}
-)
-
-// handlePeers lets peers ask for the declaration in force here.
-func (s *Steerer) handlePeers() {
-	own := handler.QueryFunc[reporter.Nothing, declared](
-		func(context.Context, reporter.Nothing) (declared, error) {
-			s.planning.Lock()
-			defer s.planning.Unlock()
-			return declared{
-				Revision: s.inputs.declaration.Revision,
-				Document: s.inputs.declaration.Set.Document(),
-			}, nil
-		},
-	)
-	linker.Handle(s.hub, topicDeclaration, own, nothings, declareds)
-	s.handleDemand()
-}
-
 // beat returns what to tell the peers.
 func (s *Steerer) beat() linker.Beat {
-	return linker.Beat{
+	beat := linker.Beat{
 		Revision: s.plans.Load().Table().RevisionNumber(),
 		Leaving:  s.leaving.Load(),
 	}
+	for i, follower := range s.followers {
+		beat.Feeds[i] = follower.changedAt()
+	}
+	return beat
 }
 
 func (s *Steerer) heard(linker.Beat) {}
@@ -85,27 +51,21 @@
 	if before == (linker.Beat{}) || beat.Leaving != before.Leaving {
 		s.locate()
 	}
-	if beat.Revision > s.beat().Revision && s.fetching.CompareAndSwap(false, true) {
-		s.hub.Go(func() {
-			defer s.fetching.Store(false)
-			s.fetchFrom(peer)
-		})
+	s.catchUp(peer, beat)
+}
+
+// catchUp asks a peer for what it is ahead in.
+func (s *Steerer) catchUp(peer registrar.Member, beat linker.Beat) {
+	for i, follower := range s.followers {
+		follower.catchUp(peer, beat.Feeds[i])
 	}
 }
 
-// fetchFrom reads the declaration of a peer that has a newer one.
-func (s *Steerer) fetchFrom(peer registrar.Member) {
-	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
-	defer cancel()
-	theirs, err := linker.Ask(ctx, s.hub, peer.Incarnation, topicDeclaration, reporter.Nothing{}, nothings, declareds)
-	if err != nil {
-		s.log.Warn().Str("Peer", peer.Name).Err(err).Msg("FetchFailed")
-		return
+// catchUpWithAll asks the peers that are ahead still.
+func (s *Steerer) catchUpWithAll() {
+	for _, peer := range s.hub.Peers() {
+		s.catchUp(peer.Member, peer.Beat)
 	}
-	s.adopt(declarer.Declaration{
-		Revision: theirs.Revision,
-		Set:      theirs.Document.Set(),
-	}, "peer "+peer.Name)
 }
 
 func (s *Steerer) peerLost(peer registrar.Member) {
@@ -120,23 +80,10 @@
 	return storer.NewTyped(s.platform.Store, s.platform.Members.Codec)
 }
 
-// followMembers enters this instance and follows the others.
-func (s *Steerer) followMembers(ctx context.Context) error {
-	return follow(ctx, s, s.platform.Members, func(view watcher.View[registrar.Member]) {
-		listed := make([]registrar.Member, 0, len(view.Objects))
-		for _, object := range view.Objects {
-			listed = append(listed, object.Value)
-		}
-		s.setRoster(ctx, registrar.NewRoster(view.Revision, listed...))
-	})
-}
-
 // setRoster puts a list of instances in use.
-func (s *Steerer) setRoster(ctx context.Context, roster registrar.Roster) {
+func (s *Steerer) setRoster(roster registrar.Roster) {
 	s.noteRoster(roster)
-	if entered, found := byName(roster, s.self.Name); !found || entered.Incarnation != s.self.Incarnation {
-		s.enter(ctx)
-	}
+	s.enter(roster)
 	s.linkPeers()
 	s.seat()
 	s.locate()
@@ -167,16 +114,37 @@
 	return members[at], true
 }
 
-// enter writes this instance's entry, unless it is leaving.
-func (s *Steerer) enter(ctx context.Context) {
-	for !s.leaving.Load() {
-		_, err := s.members().Put(ctx, s.entryName(s.self.Name), s.self, storer.Always())
-		if err == nil {
-			return
+// enter asks for this instance's entry to be written if a list lacks it.
+func (s *Steerer) enter(roster registrar.Roster) {
+	entered, found := byName(roster, s.self.Name)
+	if found && entered.Incarnation == s.self.Incarnation {
+		return
+	}
+	select {
+	case s.unlisted <- struct{}{}:
+	default:
+		// It is asked for already.
+	}
+}
+
+// keepEntry writes this instance's entry each time it is missing, until the
+// instance leaves.
+func (s *Steerer) keepEntry(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.unlisted:
 		}
-		s.storeFailed(err)
-		if retrier.Sleep(ctx, enterInterval) != nil {
-			return
+		if s.leaving.Load() {
+			return nil
+		}
+		if _, err := s.members().Put(ctx, s.entryName(s.self.Name), s.self, storer.Always()); err != nil {
+			s.storeFailed(err)
+		}
+		// The entry is to come back from the platform before it is missed again.
+		if !sleep(ctx, enterInterval) {
+			return nil
 		}
 	}
 }
@@ -220,13 +188,17 @@
 func (s *Steerer) refresh(ctx context.Context) error {
 	s.linkPeers()
 	rounds := 0
-	for retrier.Sleep(ctx, refreshInterval) == nil {
+	for sleep(ctx, refreshInterval) {
 		s.confirm()
 		s.share()
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
 			s.locate()
 			s.bury(ctx)
+			if roster := s.roster.Load(); roster.Revision() != 0 {
+				s.enter(*roster)
+			}
+			s.catchUpWithAll()
 		}
 	}
 	return nil
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -17,14 +17,14 @@
 // until the others have seen the change and all that they have lent has ended.
 const settleWait = sharer.Quarantine + time.Second
 
-// adopt puts a declaration in force if it is newer than the one in force, and says
-// whether it did. A declaration never goes back.
-func (s *Steerer) adopt(declaration declarer.Declaration, source string) bool {
+// adopt puts a declaration in force if it is newer than the one in force. A
+// declaration never goes back.
+func (s *Steerer) adopt(declaration declarer.Declaration) {
 	s.planning.Lock()
 	defer s.planning.Unlock()
 	before := s.inputs.declaration.Revision
 	if declaration.Revision <= before {
-		return false
+		return
 	}
 	s.replan(s.inputs.withDeclaration(declaration))
 	s.settle(before != 0)
@@ -33,9 +33,7 @@
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
 		Uint64("Before", before).
-		Str("Source", source).
 		Msg("ConfigInForce")
-	return true
 }
 
 // replan puts the plan of changed inputs in force. The caller holds planning.
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -18,14 +18,14 @@
 	// Store holds all that the feeds name.
 	Store storer.Store
 	// Declarations holds the operators' declaration in one object.
-	Declarations Feed[Read[declarer.Declaration]]
+	Declarations Feed[declarer.Declaration]
 	// Registrations holds an object for each upstream, under its name.
-	Registrations Feed[Read[registrar.Registration]]
+	Registrations Feed[registrar.Registration]
 	// Moves holds the moves that operators ask for. From is empty: a move is away
 	// from all other versions of its service.
-	Moves Feed[Read[declarer.Move]]
+	Moves Feed[declarer.Move]
 	// Evacuations holds an object for each evacuated place, under the place's name.
-	Evacuations Feed[Read[Evacuation]]
+	Evacuations Feed[Evacuation]
 	// Members holds an object for each entry instance, under its name.
 	Members Feed[registrar.Member]
 	// Translator speaks to callers and upstreams.
@@ -46,20 +46,6 @@
 	PauseMillis int
 }
 
-// Read is an object that somebody else wrote. It may make no sense.
-type Read[T any] struct {
-	Value T
-	// Fault says why the object cannot be used; nil if it can.
-	Fault error
-}
-
-// Unread returns an object that cannot be used.
-func Unread[T any](fault error) Read[T] {
-	return Read[T]{
-		Fault: fault,
-	}
-}
-
 // Evacuation asks that nothing more be sent to the upstreams of a place.
 type Evacuation struct{}
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -76,8 +76,10 @@
 	// rosterAt is when each listed incarnation was first seen there. Guarded by
 	// locating.
 	rosterAt map[string]time.Time
-	// fetching is set while a declaration is fetched from a peer.
-	fetching atomic.Bool
+	// followers are complete before Run.
+	followers [linker.MaxFeeds]follower
+	// unlisted asks for this instance's entry to be written.
+	unlisted chan struct{}
 	// leaving is set once the drain has begun.
 	leaving atomic.Bool
 	// storeLostNanos is when the platform stopped answering, in nanoseconds since
@@ -116,6 +118,7 @@
 			places: placesOf(settings),
 		},
 		rosterAt: map[string]time.Time{},
+		unlisted: make(chan struct{}, 1),
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.work, s.halt = context.WithCancelCause(context.Background())
@@ -154,7 +157,8 @@
 		Changed: s.peerChanged,
 		Lost:    s.peerLost,
 	})
-	s.handlePeers()
+	s.handleDemand()
+	s.followers = s.follow()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
@@ -196,12 +200,11 @@
 	tasks := []func(context.Context) error{
 		s.hub.Run,
 		s.borrower.Run,
-		s.followDeclarations,
-		s.followRegistrations,
-		s.followMoves,
-		s.followEvacuations,
-		s.followMembers,
 		s.refresh,
+		s.keepEntry,
+	}
+	for _, follower := range s.followers {
+		tasks = append(tasks, follower.run)
 	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(work) })
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -27,7 +28,7 @@
 	Objects []storer.Object[T]
 }
 
-// Watcher follows one prefix. Used by one goroutine.
+// Watcher follows one prefix. Run is used by one goroutine, Offer by any.
 type Watcher[T any] struct {
 	reader storer.Reader[T]
 	prefix string
@@ -41,6 +42,13 @@
 	revision uint64
 	// listed says that the view is complete.
 	listed bool
+
+	// offering guards offered and interrupt.
+	offering sync.Mutex
+	// offered is a view from elsewhere that has not been taken in, or nil.
+	offered *View[T]
+	// interrupt ends the call that is under way, or is nil.
+	interrupt context.CancelFunc
 }
 
 // New returns a watcher of a prefix, which watches while due says so.
@@ -60,18 +68,37 @@
 	return w
 }
 
+// Offer hands over a view that somebody else got from the store. If it is newer
+// than the own one, it replaces that and the watch goes on from there.
+func (w *Watcher[T]) Offer(view View[T]) {
+	w.offering.Lock()
+	defer w.offering.Unlock()
+	if w.offered == nil || w.offered.Revision < view.Revision {
+		w.offered = &view
+	}
+	if w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
 // Run calls update with each new view until ctx ends, answered after each answer
 // of the store, and failed with each of its errors. It lists anew when changes
 // were lost.
 func (w *Watcher[T]) Run(ctx context.Context, update func(View[T]), answered func(), failed func(error)) error {
 	backoff := retrier.NewBackoff(firstWaitMillis, longestWaitMillis)
 	for ctx.Err() == nil {
+		if w.takeOffer() {
+			update(w.view())
+		}
 		if !w.due() {
 			// The error is that ctx has ended, which ends the loop.
 			_ = retrier.Sleep(ctx, dueInterval)
 			continue
 		}
 		changed, err := w.step(ctx)
+		if err != nil && w.hasOffer() {
+			continue
+		}
 		if err != nil {
 			w.listed = false
 			failed(err)
@@ -92,8 +119,32 @@
 	return nil
 }
 
+// hasOffer says whether a view waits to be taken in.
+func (w *Watcher[T]) hasOffer() bool {
+	w.offering.Lock()
+	defer w.offering.Unlock()
+	return w.offered != nil
+}
+
+// takeOffer takes in the offered view if it is newer, and says whether it was.
+func (w *Watcher[T]) takeOffer() bool {
+	w.offering.Lock()
+	defer w.offering.Unlock()
+	offered := w.offered
+	w.offered = nil
+	if offered == nil || offered.Revision <= w.revision {
+		return false
+	}
+	w.replace(*offered)
+	return true
+}
+
 // step lists if the view is not complete, else waits for changes.
 func (w *Watcher[T]) step(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.setInterrupt(cancel)
+	defer w.setInterrupt(nil)
 	if !w.listed {
 		return true, w.list(ctx)
 	}
@@ -111,18 +162,32 @@
 	return len(changes.Objects)+len(changes.Removed) > 0, nil
 }
 
+func (w *Watcher[T]) setInterrupt(interrupt context.CancelFunc) {
+	w.offering.Lock()
+	defer w.offering.Unlock()
+	w.interrupt = interrupt
+}
+
 func (w *Watcher[T]) list(ctx context.Context) error {
 	changes, err := w.reader.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
+	w.replace(View[T]{
+		Revision: changes.Revision,
+		Objects:  changes.Objects,
+	})
+	return nil
+}
+
+// replace puts a complete view in place of the own one.
+func (w *Watcher[T]) replace(view View[T]) {
 	clear(w.objects)
-	for _, object := range changes.Objects {
+	for _, object := range view.Objects {
 		w.objects[object.Name] = object
 	}
-	w.revision = changes.Revision
+	w.revision = view.Revision
 	w.listed = true
-	return nil
 }
 
 func (w *Watcher[T]) view() View[T] {
