Let closed connections linger until the last answer has arrived

Cause: an answer that ends its connection was lost where the caller had sent a further request ahead: closing with unread bytes resets the connection.

Change: lingerer ends the sending, reads on for half a second and then closes; below TLS, since net/http looks for TLS connections by type.

--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/lingerer"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -30,6 +31,8 @@
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
+	// lingering is below callers.
+	lingering *lingerer.Listener
 	// dialing, if not nil, is how peers are dialed.
 	dialing *tls.Config
 }
@@ -80,7 +83,7 @@
 // secure adds TLS to the listeners for which certificates are named.
 func secure(settings configurer.Settings, opened Listeners) (listeners, error) {
 	secured := listeners{
-		callers:   opened.Callers,
+		lingering: lingerer.New(opened.Callers),
 		peers:     opened.Peers,
 		operators: opened.Operators,
 	}
@@ -96,7 +99,7 @@
 	if err != nil {
 		return secured, eris.Wrap(err, "Peers.CertificateFile")
 	}
-	secured.callers = withTLS(opened.Callers, callers)
+	secured.callers = withTLS(secured.lingering, callers)
 	secured.operators = withTLS(opened.Operators, operators)
 	secured.peers = withTLS(opened.Peers, peers)
 	secured.dialing, err = dialTLS(settings.Peers.AuthorityFile)
@@ -165,6 +168,7 @@
 		if callers.Shutdown(ctx) != nil {
 			callers.Close()
 		}
+		s.listeners.lingering.Wait()
 	}
 }
 
--- a/internal/steerer/listen.go
+++ b/internal/steerer/listen.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/lingerer"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 )
@@ -91,7 +92,8 @@
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
 	callers := s.httpServer(s.callerHandler())
 	callers.MaxHeaderBytes = s.settings.Callers.MaxHeaderBytes
-	serve(group, callers, s.listeners.callers)
+	lingering := lingerer.New(s.listeners.callers)
+	serve(group, callers, lingering)
 	links := http.NewServeMux()
 	links.Handle("GET "+linker.Path, s.hub)
 	counters := http.NewServeMux()
@@ -127,6 +129,7 @@
 		if callers.Shutdown(ctx) != nil {
 			callers.Close()
 		}
+		lingering.Wait()
 	}
 }
 
