Report demand seldom, ask empty lenders seldom, allow the users' slack

Change: demand is averaged over 3 s and reported when it changes by more than chance does, in a compact form; a lender with nothing rests twice as long each time; Teams.Slack, from the users' quota_slack, is added to the parts' bursts.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -35,6 +35,8 @@
 	p.limits(s)
 	p.places(s)
 	p.placing(s.Placing)
+	slack := s.Teams.Slack
+	p.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	p.log(s.Log)
 	return p.faults
 }
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -33,6 +33,15 @@
 	Log       Log
 	Readiness Readiness
 	Placing   Placing
+	Teams     Teams
+}
+
+// Teams says how teams' limits are kept.
+type Teams struct {
+	// Slack is how many requests beyond a team's burst all instances together may
+	// admit, so that a request within the rate is not refused where an instance's part
+	// is less than one.
+	Slack int
 }
 
 // Place is one failure domain.
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -17,19 +18,69 @@
 // topicDemand is the name under which peers report their demand.
 const topicDemand = "Demand"
 
-var demands = encoder.CBOR[apportioner.Report]{}
+// report is an apportioner.Report on a link.
+type report struct {
+	_       struct{} `cbor:",toarray"`
+	Start   string
+	Number  uint64
+	Demands []demand
+}
+
+// demand is an apportioner.Demand on a link.
+type demand struct {
+	_        struct{} `cbor:",toarray"`
+	Resource string
+	// Tenths is how many requests come in ten seconds.
+	Tenths uint32
+}
+
+// tenths is how many tenths are in a whole.
+const tenths = 10
+
+var reports = encoder.CBOR[report]{}
+
+// onLink returns a report as it travels.
+func onLink(made apportioner.Report) report {
+	sent := report{
+		Start:  made.Start,
+		Number: made.Number,
+	}
+	for _, one := range made.Demands {
+		sent.Demands = append(sent.Demands, demand{
+			Resource: one.Resource,
+			// Rounded up: what others count is never below what is claimed.
+			Tenths: uint32(math.Ceil(one.PerSecond * tenths)),
+		})
+	}
+	return sent
+}
+
+// heard returns a report as it was made.
+func (r report) heard() apportioner.Report {
+	made := apportioner.Report{
+		Start:  r.Start,
+		Number: r.Number,
+	}
+	for _, one := range r.Demands {
+		made.Demands = append(made.Demands, apportioner.Demand{
+			Resource:  one.Resource,
+			PerSecond: float64(one.Tenths) / tenths,
+		})
+	}
+	return made
+}
 
 // handleDemand takes in the reports of peers.
 func (s *Steerer) handleDemand() {
-	hear := handler.CommandFunc[apportioner.Report, reporter.Nothing](
-		func(ctx context.Context, report apportioner.Report) (reporter.Nothing, error) {
+	hear := handler.CommandFunc[report, reporter.Nothing](
+		func(ctx context.Context, sent report) (reporter.Nothing, error) {
 			s.planning.Lock()
 			defer s.planning.Unlock()
-			s.apportioner.Hear(linker.PeerOf(ctx).Name, report, time.Now())
+			s.apportioner.Hear(linker.PeerOf(ctx).Name, sent.heard(), time.Now())
 			return reporter.Nothing{}, nil
 		},
 	)
-	linker.HandleCommand(s.hub, topicDemand, hear, demands, nothings)
+	linker.HandleCommand(s.hub, topicDemand, hear, reports, nothings)
 }
 
 // share measures this instance's demand, reports it and takes its parts.
@@ -52,7 +103,8 @@
 
 // apportion sets the parts of all limits. The caller holds planning.
 func (s *Steerer) apportion(plan *admitter.Plan, now time.Time) {
-	plan.Apportion(func(team string) float64 { return s.apportioner.Part(team, now) }, now)
+	extra := s.settings.Teams.Slack / max(len(s.roster.Load().Members()), 1)
+	plan.Apportion(func(team string) float64 { return s.apportioner.Part(team, now) }, extra, now)
 }
 
 // confirmLimit bounds the wait for the confirmation of a report.
@@ -61,6 +113,7 @@
 // tellDemand tells all other instances, and takes in that all have confirmed. If
 // one does not, the report is made again.
 func (s *Steerer) tellDemand(report apportioner.Report) {
+	sent := onLink(report)
 	others := s.others()
 	if len(others) == 0 {
 		s.confirmDemand(report.Number)
@@ -72,7 +125,7 @@
 		s.hub.Go(func() {
 			ctx, cancel := context.WithTimeout(s.work, confirmLimit)
 			defer cancel()
-			_, err := linker.Ask(ctx, s.hub, other.Incarnation, topicDemand, report, demands, nothings)
+			_, err := linker.Ask(ctx, s.hub, other.Incarnation, topicDemand, sent, reports, nothings)
 			if err != nil {
 				s.log.Debug().Str("Peer", other.Name).Err(err).Msg("DemandUntold")
 				return
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -107,8 +107,9 @@
 }
 
 // Apportion sets this instance's parts of the teams' limits, each from 0 to 1.
-// What it gives adds up to at most 1 over all instances.
-func (p *Plan) Apportion(part func(team string) float64, now time.Time) {
+// What it gives adds up to at most 1 over all instances. Extra is added to each
+// part's burst.
+func (p *Plan) Apportion(part func(team string) float64, extra int, now time.Time) {
 	for team := range p.table.Set().Teams.All() {
 		desk, found := p.desks[team.Name]
 		if !found {
@@ -117,7 +118,7 @@
 		fraction := part(team.Name)
 		desk.Account.SetOwned(limiter.Limit{
 			RatePerSecond: team.RatePerSecond * fraction,
-			Burst:         int(float64(team.Burst) * fraction),
+			Burst:         int(float64(team.Burst)*fraction) + extra,
 		}, now)
 		desk.Account.Confirm(now)
 	}
--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -17,9 +17,12 @@
 	// that an instance with its first callers has something.
 	floorShare = 0.25
 	// demandMemory is how far back demand is averaged.
-	demandMemory = time.Second
-	// leastChange is by which part demand changes until it is reported anew.
-	leastChange = 0.1
+	demandMemory = 3 * time.Second
+	// leastChange is by which part demand changes until it is reported anew, and
+	// leastPerSecond by how many requests a second: chance alone changes small demand
+	// by that.
+	leastChange    = 0.2
+	leastPerSecond = 0.7
 	// repeatAfter is when a report is made again that not everybody has confirmed.
 	repeatAfter = 500 * time.Millisecond
 )
@@ -79,6 +82,7 @@
 	perSecond float64
 	counted   uint64
 	at        time.Time
+	startedAt time.Time
 }
 
 // New returns an apportioner of the instance with that name. Start names the start
@@ -136,8 +140,9 @@
 	m, found := a.own[resource]
 	if !found {
 		m = &meter{
-			counted: counted,
-			at:      now,
+			counted:   counted,
+			at:        now,
+			startedAt: now,
 		}
 		a.own[resource] = m
 		return
@@ -146,7 +151,10 @@
 	if elapsed <= 0 {
 		return
 	}
-	weight := 1 - math.Exp(-elapsed/demandMemory.Seconds())
+	// What came before the first measurement is not known, so the first average is
+	// over the time since.
+	memory := min(demandMemory.Seconds(), now.Sub(m.startedAt).Seconds())
+	weight := 1 - math.Exp(-elapsed/memory)
 	m.perSecond += weight * (float64(counted-m.counted)/elapsed - m.perSecond)
 	m.counted = counted
 	m.at = now
@@ -174,7 +182,7 @@
 		if last != nil {
 			before = last.perSecond[resource]
 		}
-		due = due || math.Abs(demand.PerSecond-before) > leastChange*max(before, 1)
+		due = due || math.Abs(demand.PerSecond-before) > max(leastChange*before, leastPerSecond)
 	}
 	if !due {
 		return Report{}, false
--- a/pkg/command/sharer/asking.go
+++ b/pkg/command/sharer/asking.go
@@ -11,8 +11,11 @@
 	patience = 800 * time.Millisecond
 	// AnswerLimit is how long an answer is waited for: patience and the way.
 	AnswerLimit = patience + 300*time.Millisecond
-	// restAfterNothing is how long a holder that had nothing is left alone.
+	// restAfterNothing is how long a holder that had nothing is left alone. Each time
+	// in a row doubles that, maxRestDoublings times at most: a limit that is used up
+	// everywhere is not asked for again and again.
 	restAfterNothing = 50 * time.Millisecond
+	maxRestDoublings = 5
 	// restAfterSilence is how long a holder that did not answer is left alone.
 	restAfterSilence = time.Second
 )
--- a/pkg/command/sharer/desk.go
+++ b/pkg/command/sharer/desk.go
@@ -98,6 +98,8 @@
 	// restUntil holds, for each holder that did not answer or had nothing, when to
 	// ask it again.
 	restUntil map[string]time.Time
+	// empties counts how often in a row each holder had nothing.
+	empties map[string]int
 	// turn is the holder whose turn it is.
 	turn   int
 	number uint64
@@ -136,6 +138,7 @@
 		borrower:   borrower,
 		maxWaiters: leastWaiters,
 		restUntil:  map[string]time.Time{},
+		empties:    map[string]int{},
 		open:       map[uint64]openAsk{},
 		missed:     map[uint64]time.Time{},
 	}
@@ -167,6 +170,7 @@
 	for holder := range d.restUntil {
 		if !slices.Contains(holders, holder) {
 			delete(d.restUntil, holder)
+			delete(d.empties, holder)
 		}
 	}
 }
@@ -258,9 +262,11 @@
 		return nil
 	}
 	if grant.Units == 0 {
-		d.restUntil[holder] = now.Add(restAfterNothing)
+		d.restUntil[holder] = now.Add(restAfterNothing << min(d.empties[holder], maxRestDoublings))
+		d.empties[holder]++
 		return nil
 	}
+	delete(d.empties, holder)
 	b := &batch{
 		holder:   holder,
 		serial:   grant.Serial,
