Keep keys at the first two upstreams of their order

Cause: load moved keys to any upstream.

Change: picker.ByKey lets load decide only among the first Choices candidates by hash and distance.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/checker"
+	"github.com/hemlockport/hemlockport/pkg/query/picker"
 )
 
 const (
@@ -110,6 +111,9 @@
 }
 
 func (p *pass) placing(placing Placing) {
+	choices := placing.Choices
+	p.require(choices >= 1 && choices <= picker.MaxChoices, "Placing.Choices", fmt.Sprint(choices),
+		fmt.Sprintf("1 to %d", picker.MaxChoices))
 	costs := []struct {
 		field string
 		value float64
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -65,6 +65,9 @@
 	// place of the own region and in another region.
 	OtherPlace  float64
 	OtherRegion float64
+	// Choices is among how many upstreams load decides, those that the object's hash
+	// and the distance prefer.
+	Choices int
 	// FreeLoad is the part of an upstream's slots up to which it keeps its keys, and
 	// LoadWeight is the cost of each further whole of them.
 	FreeLoad   float64
@@ -238,6 +241,7 @@
 		Placing: Placing{
 			OtherPlace:  0.1,
 			OtherRegion: 0.3,
+			Choices:     2,
 			FreeLoad:    0.8,
 			LoadWeight:  0.5,
 		},
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -127,6 +127,7 @@
 	s.plans.Advance(*admitter.First(s.self.Place, s.self.Incarnation).WithKeyed(admitter.Keyed{
 		OtherPlace:  settings.Placing.OtherPlace,
 		OtherRegion: settings.Placing.OtherRegion,
+		Choices:     settings.Placing.Choices,
 		FreeLoad:    settings.Placing.FreeLoad,
 		LoadWeight:  settings.Placing.LoadWeight,
 	}))
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -45,7 +45,8 @@
 	// OtherPlace and OtherRegion are the costs of the way.
 	OtherPlace  float64
 	OtherRegion float64
-	// FreeLoad and LoadWeight are those of picker.ByKey.
+	// Choices, FreeLoad and LoadWeight are those of picker.ByKey.
+	Choices    int
 	FreeLoad   float64
 	LoadWeight float64
 }
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -130,6 +130,7 @@
 func newKeyed(upstreams []*Upstream, view view, keyed Keyed) *Pool {
 	pool := &Pool{
 		policy: picker.ByKey[*sited, ask]{
+			Choices:    keyed.Choices,
 			FreeLoad:   keyed.FreeLoad,
 			LoadWeight: keyed.LoadWeight,
 		},
--- a/pkg/query/picker/keyed.go
+++ b/pkg/query/picker/keyed.go
@@ -7,15 +7,21 @@
 	Candidate[A]
 	// Seed names the candidate. It is the same at all instances.
 	Seed() uint64
-	// Far is the cost of the way to the candidate, in the unit of load.
+	// Far is the cost of the way to the candidate, in parts of the range of the hash.
 	Far() float64
 }
 
-// ByKey chooses by rendezvous hashing (Thaler and Ravishankar, 1998) with load and
-// distance: all instances that ask for the same key prefer the same candidates in
-// the same order, and one that is loaded or far gives way to the next. The random
-// number is the hash of the key.
+// MaxChoices bounds ByKey.Choices.
+const MaxChoices = 8
+
+// ByKey chooses by rendezvous hashing (Thaler and Ravishankar, 1998) with distance
+// and bounded choices: all instances that ask for the same key from the same place
+// prefer the same candidates in the same order. Load decides only among the first
+// few of them, so that a key stays with those that know it, also while all are
+// loaded. The random number is the hash of the key.
 type ByKey[C Keyed[A], A any] struct {
+	// Choices is among how many candidates load decides; 1 to MaxChoices.
+	Choices int
 	// FreeLoad is the load up to which a candidate keeps its keys.
 	FreeLoad float64
 	// LoadWeight is what each unit of load beyond FreeLoad costs, where the whole
@@ -23,29 +29,64 @@
 	LoadWeight float64
 }
 
+// choice is a candidate and its cost.
+type choice[C any] struct {
+	candidate C
+	cost      float64
+}
+
 // Pick returns the usable candidate with the lowest cost for the key.
 func (p ByKey[C, A]) Pick(candidates []C, key uint64, ask A) (C, bool) {
-	var best C
-	lowest := 0.0
-	found := false
+	var first [MaxChoices]choice[C]
+	count := 0
 	for _, candidate := range candidates {
 		if !candidate.Usable(ask) {
 			continue
 		}
-		cost := p.cost(candidate, key, ask)
-		if !found || cost < lowest {
-			best = candidate
+		next := choice[C]{
+			candidate: candidate,
+			cost:      position(key, candidate.Seed()) + candidate.Far(),
+		}
+		if count < p.Choices {
+			count++
+		} else if next.cost >= first[count-1].cost {
+			continue
+		}
+		insert(first[:count], next)
+	}
+	if count == 0 {
+		var none C
+		return none, false
+	}
+	return p.lightest(first[:count], ask), true
+}
+
+// insert puts a choice in its place in the order of costs. The last one is lost.
+func insert[C any](sorted []choice[C], next choice[C]) {
+	at := len(sorted) - 1
+	for at > 0 && sorted[at-1].cost > next.cost {
+		sorted[at] = sorted[at-1]
+		at--
+	}
+	sorted[at] = next
+}
+
+// lightest returns the choice with the lowest cost when load counts too.
+func (p ByKey[C, A]) lightest(choices []choice[C], ask A) C {
+	best := choices[0].candidate
+	lowest := choices[0].cost + p.loadCost(best, ask)
+	for _, other := range choices[1:] {
+		cost := other.cost + p.loadCost(other.candidate, ask)
+		if cost < lowest {
+			best = other.candidate
 			lowest = cost
-			found = true
 		}
 	}
-	return best, found
+	return best
 }
 
-func (p ByKey[C, A]) cost(candidate C, key uint64, ask A) float64 {
-	return position(key, candidate.Seed()) +
-		p.LoadWeight*max(candidate.Load(ask)-p.FreeLoad, 0) +
-		candidate.Far()
+func (p ByKey[C, A]) loadCost(candidate C, ask A) float64 {
+	return p.LoadWeight * max(candidate.Load(ask)-p.FreeLoad, 0)
 }
 
 // unit is the number of positions in the range of the hash.
