Work on requests sent ahead side by side

Cause: net/http's server begins a request only after the answer to the one before on its connection.

Change: pipeliner serves callers: net/http parses, requests that change nothing run side by side, answers are written in order, what changes something runs alone; a connection is told to end only with the last answer that was begun.

--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -16,6 +16,7 @@
 // older answers for a while, finish what runs.
 func (s *Steerer) drain(work context.Context, stopServing func(context.Context)) {
 	s.leaving.Store(true)
+	s.callers.Leave()
 	s.log.Info().Int("InFlight", s.flights.Count()).Msg("DrainBegun")
 	s.locate()
 	s.hub.Nudge()
--- a/internal/steerer/listen.go
+++ b/internal/steerer/listen.go
@@ -15,12 +15,17 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/lingerer"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 )
 
-// writeLimit bounds the writing of an answer whose request set no deadline of
-// its own.
-const writeLimit = time.Minute
+const (
+	// writeMillis bounds the writing of an answer whose request set no deadline of
+	// its own, in milliseconds.
+	writeMillis = 60_000
+	// aheadOnConnection is how many requests of one connection are worked on at once.
+	aheadOnConnection = 16
+)
 
 // pathMetrics is where collectors read counters.
 const pathMetrics = "/metrics"
@@ -90,10 +95,15 @@
 // startListeners serves all listeners and returns how to stop: callers get until
 // the context's end to finish, the others are closed when work ends.
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	callers := s.httpServer(s.callerHandler())
-	callers.MaxHeaderBytes = s.settings.Callers.MaxHeaderBytes
+	s.callers = pipeliner.New(s.receiver, pipeliner.Limits{
+		HeaderBytes:  s.settings.Callers.MaxHeaderBytes,
+		HeaderMillis: s.settings.Callers.HeaderMillis,
+		IdleMillis:   s.settings.Callers.IdleMillis,
+		WriteMillis:  writeMillis,
+		Ahead:        aheadOnConnection,
+	}, func(reason any) { s.log.Error().Interface("Reason", reason).Msg("HandlerPanicked") })
 	lingering := lingerer.New(s.listeners.callers)
-	serve(group, callers, lingering)
+	group.Go(func() error { return s.callers.Serve(lingering) })
 	links := http.NewServeMux()
 	links.Handle("GET "+linker.Path, s.hub)
 	counters := http.NewServeMux()
@@ -121,30 +131,18 @@
 	}
 	for _, other := range others {
 		server := s.httpServer(other.handler)
-		server.WriteTimeout = 0
 		serve(group, server, other.listener)
 		context.AfterFunc(work, func() { server.Close() })
 	}
 	return func(ctx context.Context) {
-		if callers.Shutdown(ctx) != nil {
-			callers.Close()
+		s.listeners.callers.Close()
+		if err := s.callers.Shutdown(ctx); err != nil {
+			s.log.Warn().Err(err).Int("InFlight", s.flights.Count()).Msg("RequestsBrokenOff")
 		}
 		lingering.Wait()
 	}
 }
 
-// callerHandler tells callers on open connections to go once the instance is
-// leaving. An idle connection is left open until the drain ends, so that none is
-// closed under a request that is just being sent.
-func (s *Steerer) callerHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		s.receiver.ServeHTTP(w, request)
-	})
-}
-
 func (s *Steerer) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if err := exporter.Write(w, s.registry); err != nil {
@@ -157,7 +155,6 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(s.settings.Callers.HeaderMillis) * time.Millisecond,
 		IdleTimeout:       time.Duration(s.settings.Callers.IdleMillis) * time.Millisecond,
-		WriteTimeout:      writeLimit,
 		// Lines are for changes of state only; broken connections are counted.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
@@ -43,6 +44,7 @@
 
 	self      registrar.Member
 	listeners listeners
+	callers   *pipeliner.Server
 	plans     *holder.Cell[admitter.Plan]
 	locators  *holder.Cell[locator.Locator]
 	fresh     *admitter.Freshness
