Watch callers to the end, and close the listener after saying so

Change: Shutdown closes the listener itself; after the last request of a connection the reader goes on watching.

Test: TestCallerGone with the last request of a connection fails without it.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -129,7 +129,7 @@
 		if before != nil && (!next.safe || !before.safe) {
 			<-before.written
 		}
-		if c.ctx.Err() != nil || !c.begin(next, group) || last {
+		if c.ctx.Err() != nil || !c.begin(next, group) {
 			return
 		}
 		<-next.bodyRead
@@ -137,10 +137,22 @@
 			// Somebody may be reading it still.
 			return
 		}
+		if last {
+			c.watch()
+			return
+		}
 		before = next
 	}
 }
 
+// watch ends the last request if its caller goes. It returns when the answer has
+// been written.
+func (c *conn) watch() {
+	if _, err := c.reader.Peek(1); err != nil {
+		c.callerGone(err)
+	}
+}
+
 // awaitRequest waits for the first byte of the next request.
 func (c *conn) awaitRequest() error {
 	if c.open.Load() == 0 {
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -49,6 +49,9 @@
 	serving errgroup.Group
 	// stopped says that no further connection is served.
 	stopped atomic.Bool
+	// listening guards listener, which Shutdown closes.
+	listening sync.Mutex
+	listener  net.Listener
 }
 
 // New returns a server. Failed is told of each panic of the handler but
@@ -64,9 +67,11 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed. It returns nil once
-// Shutdown has been called.
+// Serve accepts connections until Shutdown closes the listener; then it returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	s.listening.Lock()
+	s.listener = listener
+	s.listening.Unlock()
 	for {
 		accepted, err := listener.Accept()
 		switch {
@@ -118,12 +123,13 @@
 	s.leaving.Store(true)
 }
 
-// Shutdown ends idle connections, and the others after the answers to what has
-// been begun. When ctx ends, it breaks off what is left and returns its error.
-// The listener is closed before.
+// Shutdown closes the listener, ends idle connections, and ends the others after the
+// answers to what has been begun. When ctx ends, it breaks off what is left and
+// returns its error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopped.Store(true)
 	s.leaving.Store(true)
+	s.closeListener()
 	s.conns.Range(func(key, _ any) bool {
 		key.(*conn).stop()
 		return true
@@ -148,3 +154,11 @@
 	<-ended
 	return ctx.Err()
 }
+
+func (s *Server) closeListener() {
+	s.listening.Lock()
+	defer s.listening.Unlock()
+	if s.listener != nil {
+		s.listener.Close()
+	}
+}
--- a/internal/pipeliner/server_test.go
+++ b/internal/pipeliner/server_test.go
@@ -42,7 +42,6 @@
 		if err := server.Shutdown(ctx); err != nil {
 			t.Error(err)
 		}
-		listener.Close()
 		if err := group.Wait(); err != nil {
 			t.Error(err)
 		}
@@ -288,23 +287,50 @@
 
 // A caller that goes ends its requests.
 func TestCallerGone(t *testing.T) {
-	ended := make(chan struct{}, 2)
-	begun := make(chan struct{}, 2)
-	_, caller := start(t, func(_ http.ResponseWriter, request *http.Request) {
-		begun <- struct{}{}
-		<-request.Context().Done()
-		ended <- struct{}{}
-	})
-	send(t, caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
-	<-begun
-	<-begun
-	caller.Close()
-	for range 2 {
-		select {
-		case <-ended:
-		case <-time.After(2 * time.Second):
-			t.Fatal("a request goes on without its caller")
-		}
+	cases := []struct {
+		name     string
+		requests string
+		count    int
+	}{
+		{
+			name:     "two ahead",
+			requests: "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+			count:    2,
+		},
+		{
+			name:     "the last one of its connection",
+			requests: "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+			count:    1,
+		},
+		{
+			name:     "one that changes something",
+			requests: "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi",
+			count:    1,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{}, c.count)
+			begun := make(chan struct{}, c.count)
+			_, caller := start(t, func(_ http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				begun <- struct{}{}
+				<-request.Context().Done()
+				ended <- struct{}{}
+			})
+			send(t, caller, c.requests)
+			for range c.count {
+				<-begun
+			}
+			caller.Close()
+			for range c.count {
+				select {
+				case <-ended:
+				case <-time.After(2 * time.Second):
+					t.Fatal("a request goes on without its caller")
+				}
+			}
+		})
 	}
 }
 
--- a/internal/steerer/listen.go
+++ b/internal/steerer/listen.go
@@ -135,7 +135,6 @@
 		context.AfterFunc(work, func() { server.Close() })
 	}
 	return func(ctx context.Context) {
-		s.listeners.callers.Close()
 		if err := s.callers.Shutdown(ctx); err != nil {
 			s.log.Warn().Err(err).Int("InFlight", s.flights.Count()).Msg("RequestsBrokenOff")
 		}
