--- a/pkg/prover/prover.go
+++ b/pkg/prover/prover.go
@@ -30,6 +30,12 @@
 
 // Cases returns the whole contract.
 func Cases() []Case {
+	return CasesUpTo(storer.MaxValueBytes)
+}
+
+// CasesUpTo returns the whole contract for a platform that holds smaller values,
+// in bytes: one of that size is held, one above storer.MaxValueBytes is refused.
+func CasesUpTo(limit int) []Case {
 	return []Case{
 		{
 			Name:  "get of nothing is not found",
@@ -65,7 +71,7 @@
 		},
 		{
 			Name:  "a value over the limit is refused",
-			Prove: proveLimit,
+			Prove: func(ctx context.Context, store storer.Store) error { return proveLimit(ctx, store, limit) },
 		},
 	}
 }
@@ -220,12 +226,12 @@
 	return nil
 }
 
-func proveLimit(ctx context.Context, store storer.Store) error {
+func proveLimit(ctx context.Context, store storer.Store, limit int) error {
 	_, err := store.Put(ctx, "Proof/large", make([]byte, storer.MaxValueBytes+1), storer.Always())
 	if err = expect(err, storer.ErrTooLarge); err != nil {
 		return err
 	}
-	_, err = store.Put(ctx, "Proof/large", make([]byte, storer.MaxValueBytes), storer.Always())
+	_, err = store.Put(ctx, "Proof/large", make([]byte, limit), storer.Always())
 	return err
 }
 
