--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -160,18 +160,18 @@
 }
 
 // meaning says what a failed status stands for.
-func meaning(status int) (error, arbiter.Verdict) {
+func meaning(status int) (arbiter.Verdict, error) {
 	switch status {
 	case http.StatusNotFound:
-		return storer.ErrNotFound, arbiter.NotRun
+		return arbiter.NotRun, storer.ErrNotFound
 	case http.StatusPreconditionFailed:
-		return storer.ErrConflict, arbiter.NotRun
+		return arbiter.NotRun, storer.ErrConflict
 	case http.StatusGone:
-		return storer.ErrCompacted, arbiter.NotRun
+		return arbiter.NotRun, storer.ErrCompacted
 	case http.StatusRequestEntityTooLarge:
-		return storer.ErrTooLarge, arbiter.NotRun
+		return arbiter.NotRun, storer.ErrTooLarge
 	default:
-		return storer.ErrUnavailable, arbiter.MayHaveRun
+		return arbiter.MayHaveRun, storer.ErrUnavailable
 	}
 }
 
--- a/internal/adapter/caller.go
+++ b/internal/adapter/caller.go
@@ -42,7 +42,7 @@
 
 // Meaning says which error a failed status stands for, and whether the call may
 // have taken effect.
-type Meaning func(status int) (error, arbiter.Verdict)
+type Meaning func(status int) (arbiter.Verdict, error)
 
 // NewCaller returns a caller for the API at an address such as
 // "http://127.0.0.1:7000". The token, if any, is shown with each call.
@@ -138,7 +138,7 @@
 
 // refused returns the error that an answer's status stands for.
 func (c *Caller) refused(call Call, status int, body []byte) error {
-	err, verdict := c.meaning(status)
+	verdict, err := c.meaning(status)
 	text := strings.TrimSpace(string(body))
 	return call.fail(verdict, eris.Wrapf(err, "status %d: %s", status, text))
 }
