Carry out moves, and take back what fails

Change: mover brings a share of objects to the new version by the time since the order, judges by route on the sums of all instances, and is done once the old versions have finished; a fault settles a move at once and travels over links, so that it holds without the store. The platform is told under the order's revision. The new version's first requests go to few of its upstreams, so that a fault under load shows.

--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -52,3 +52,16 @@
 	o.Upstream = upstream.Declared().Name
 	o.Attempts++
 }
+
+// Sending is how one sending to an upstream ended.
+type Sending struct {
+	Admission admitter.Admission
+	Upstream  *admitter.Upstream
+	// SentAt and EndedAt are instants; EndedAt is that of the answer's header.
+	SentAt  time.Time
+	EndedAt time.Time
+	// Status is that of the answer, or 0.
+	Status int
+	// Err is why there is no answer, or nil.
+	Err error
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -36,8 +36,9 @@
 	metrics       *exporter.Requests
 	translator    translator.Translator
 	lookups       http.Handler
-	// ended is told how each request ended.
-	ended func(Outcome)
+	// ended is told how each request ended, and observed how each sending did.
+	ended    func(Outcome)
+	observed func(Sending)
 	// waiting is told of each request that waits for its team's rate.
 	waiting func()
 	// suspected is told of an upstream that has just failed.
@@ -61,8 +62,10 @@
 	Translator translator.Translator
 	// Lookups answers PathLookup, unless it is nil.
 	Lookups http.Handler
-	// Ended, if not nil, is told how each request ended.
-	Ended func(Outcome)
+	// Ended, if not nil, is told how each request ended, and Observed how each
+	// sending to an upstream did.
+	Ended    func(Outcome)
+	Observed func(Sending)
 	// Waiting is told of each request that waits for its team's rate.
 	Waiting func()
 	// Suspected is told of an upstream that has just failed.
@@ -75,6 +78,10 @@
 	if ended == nil {
 		ended = func(Outcome) {}
 	}
+	observed := parts.Observed
+	if observed == nil {
+		observed = func(Sending) {}
+	}
 	return &Receiver{
 		admitter:      parts.Admitter,
 		forwarder:     parts.Forwarder,
@@ -86,6 +93,7 @@
 		translator:    parts.Translator,
 		lookups:       parts.Lookups,
 		ended:         ended,
+		observed:      observed,
 		waiting:       parts.Waiting,
 		suspected:     parts.Suspected,
 	}
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -157,7 +157,18 @@
 		Name:    upstream.Declared().Name,
 		Address: upstream.Address(),
 	}
+	sending := Sending{
+		Admission: admission,
+		Upstream:  upstream,
+		SentAt:    time.Now(),
+	}
 	response, err := r.forwarder.Send(ctx, target, outbound)
+	sending.EndedAt = time.Now()
+	sending.Err = err
+	if err == nil {
+		sending.Status = response.StatusCode
+	}
+	r.observed(sending)
 	if err != nil {
 		r.blame(upstream, err, admission.Hurried)
 		return nil, err
--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -42,18 +42,6 @@
 	s.log.Info().Int("Upstreams", len(listed)).Uint64("Revision", revision).Msg("UpstreamsListed")
 }
 
-// movesListed takes in the moves that operators ask for.
-func (s *Steerer) movesListed(entries []entry[declarer.Move], revision uint64) {
-	moves := make([]declarer.Move, 0, len(entries))
-	for _, entry := range entries {
-		moves = append(moves, entry.value)
-	}
-	s.planning.Lock()
-	defer s.planning.Unlock()
-	s.replan(s.inputs.withMoves(moves))
-	s.log.Info().Int("Moves", len(moves)).Uint64("Revision", revision).Msg("MovesListed")
-}
-
 // evacuationsListed takes in the evacuated places.
 func (s *Steerer) evacuationsListed(entries []entry[Evacuation], revision uint64) {
 	places := make([]string, 0, len(entries))
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -191,6 +191,7 @@
 	for sleep(ctx, refreshInterval) {
 		s.confirm()
 		s.share()
+		s.advanceMoves(ctx)
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
 			s.locate()
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -3,10 +3,12 @@
 package steerer
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/translator"
+	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -23,7 +25,10 @@
 	Registrations Feed[registrar.Registration]
 	// Moves holds the moves that operators ask for. From is empty: a move is away
 	// from all other versions of its service.
-	Moves Feed[declarer.Move]
+	Moves Feed[Order]
+	// Report tells the platform how far a move has come, if the order has not changed
+	// since a revision.
+	Report func(ctx context.Context, move declarer.Move, state mover.State, revision uint64) error
 	// Evacuations holds an object for each evacuated place, under the place's name.
 	Evacuations Feed[Evacuation]
 	// Members holds an object for each entry instance, under its name.
@@ -46,6 +51,13 @@
 	PauseMillis int
 }
 
+// Order is a move that an operator asks for.
+type Order struct {
+	Move declarer.Move
+	// State is what was reported of it last; empty before the first report.
+	State mover.State
+}
+
 // Evacuation asks that nothing more be sent to the upstreams of a place.
 type Evacuation struct{}
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -78,6 +78,11 @@
 	// rosterAt is when each listed incarnation was first seen there. Guarded by
 	// locating.
 	rosterAt map[string]time.Time
+	// moving holds the moves under the names of their services. Guarded by planning.
+	moving map[string]*moving
+	// tallies holds what is counted for the running moves, under the names of their
+	// services; never nil.
+	tallies atomic.Pointer[map[string]*tally]
 	// followers are complete before Run.
 	followers [linker.MaxFeeds]follower
 	// unlisted asks for this instance's entry to be written.
@@ -121,10 +126,12 @@
 		},
 		rosterAt: map[string]time.Time{},
 		unlisted: make(chan struct{}, 1),
+		moving:   map[string]*moving{},
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
+	s.tallies.Store(&map[string]*tally{})
 	s.journal = newJournal(s.log, s.registry)
 	s.plans.Advance(*admitter.First(s.self.Place, s.self.Incarnation).WithKeyed(admitter.Keyed{
 		OtherPlace:  settings.Placing.OtherPlace,
@@ -161,6 +168,7 @@
 		Lost:    s.peerLost,
 	})
 	s.handleDemand()
+	s.handleMoves()
 	s.followers = s.follow()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
@@ -179,6 +187,7 @@
 		Metrics:       exporter.NewRequests(s.registry),
 		Translator:    s.platform.Translator,
 		Ended:         s.journal.ended,
+		Observed:      s.observed,
 		Waiting:       s.borrower.Wake,
 		Suspected:     s.suspected,
 	})
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -63,7 +63,7 @@
 
 	// object is the hash of Request.Object, or 0.
 	object uint64
-	pool   *Pool
+	pools  parted
 	desk   *sharer.Desk
 }
 
@@ -108,7 +108,7 @@
 		Deadline:   deadline,
 		Hurried:    hurried,
 		object:     hashOf(request.Object),
-		pool:       plan.pools[service],
+		pools:      plan.pools[service],
 	}
 	if !request.Now.Before(admission.Deadline) {
 		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
@@ -145,15 +145,21 @@
 	if a.object != 0 {
 		random = a.object
 	}
-	upstream, found := a.pool.Acquire(random, ask{
+	asked := ask{
 		now:       now,
 		avoid:     avoid,
 		homes:     a.Route.Declared.Homes,
 		teamHomes: a.teamHomes(),
-	})
-	if found {
+	}
+	first, second := a.pools.choose(random)
+	if upstream, found := first.Acquire(random, asked); found {
 		return upstream, nil
 	}
+	if second != nil {
+		if upstream, found := second.Acquire(random, asked); found {
+			return upstream, nil
+		}
+	}
 	refusal := arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot")
 	return nil, refusal.WithRetryAt(now.Add(NoRoomMillis * time.Millisecond))
 }
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -25,8 +25,8 @@
 	// desks holds each team's desk under its name, and those of teams that are gone
 	// but have lent something.
 	desks map[string]*sharer.Desk
-	// pools holds the pool of each service under its name.
-	pools map[string]*Pool
+	// pools holds the upstreams of each service under its name.
+	pools map[string]parted
 	// upstreams holds each upstream under its address and incarnation.
 	upstreams map[identity]*Upstream
 	// keyed, if not nil, is how upstreams are chosen by the object of a request.
@@ -171,17 +171,17 @@
 		incarnation: p.incarnation,
 		seats:       seats,
 		desks:       p.desksFor(set, seats, now),
-		pools:       map[string]*Pool{},
+		pools:       map[string]parted{},
 		upstreams:   map[identity]*Upstream{},
 		keyed:       p.keyed,
 	}
 	for version := range set.Versions.All() {
 		for _, declared := range version.Upstreams {
-			next.upstreams[identify(declared)] = p.upstream(declared, seats, now)
+			next.upstreams[identify(declared)] = p.upstream(declared, version.Name, seats, now)
 		}
 	}
 	for service := range set.Services.All() {
-		next.pools[service.Name] = next.pool(service)
+		next.pools[service.Name] = next.parted(service)
 	}
 	return next
 }
@@ -225,11 +225,11 @@
 // instances together.
 const coldBurst = 4
 
-func (p *Plan) upstream(declared declarer.Upstream, seats []splitter.Seat, now time.Time) *Upstream {
+func (p *Plan) upstream(declared declarer.Upstream, version string, seats []splitter.Seat, now time.Time) *Upstream {
 	upstream, found := p.upstreams[identify(declared)]
 	switch {
 	case !found:
-		upstream = newUpstream(declared, p.keyed != nil, now)
+		upstream = newUpstream(declared, version, p.keyed != nil, now)
 	case upstream.Declared() != declared:
 		upstream.redeclare(declared)
 	}
@@ -255,41 +255,3 @@
 	}
 	return part
 }
-
-func (p *Plan) pool(service declarer.Service) *Pool {
-	set := p.table.Set()
-	upstreams := make([]*Upstream, 0, len(p.upstreams))
-	for version := range set.Versions.All() {
-		if !serves(set, service, version) {
-			continue
-		}
-		for _, declared := range version.Upstreams {
-			upstreams = append(upstreams, p.upstreams[identify(declared)])
-		}
-	}
-	seen := view{
-		places: set.Places,
-		home:   p.home,
-	}
-	if p.keyed != nil {
-		return newKeyed(upstreams, seen, *p.keyed)
-	}
-	return newNearest(upstreams, seen)
-}
-
-// serves says whether a version serves a service's requests: the one that the
-// service names, or else all that no move holds back.
-func serves(set declarer.Set, service declarer.Service, version declarer.Version) bool {
-	if service.Version != "" {
-		return version.Name == service.Version
-	}
-	if version.Service != service.Name {
-		return false
-	}
-	for move := range set.Moves.All() {
-		if move.To == version.Name {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -160,6 +160,10 @@
 // over the upstream to avoid as long as there is another. Suspect upstreams are
 // tried last, leaving ones never.
 func (p *Pool) Acquire(random uint64, ask ask) (*Upstream, bool) {
+	if p == nil {
+		// A service without upstreams.
+		return nil, false
+	}
 	if upstream, found := p.acquire(random, ask); found {
 		return upstream, true
 	}
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -48,6 +48,8 @@
 // goroutines.
 type Upstream struct {
 	declared atomic.Pointer[declarer.Upstream]
+	// version names the version that the upstream runs.
+	version string
 	// seed names the upstream for picker.Keyed.
 	seed uint64
 	// slots bounds the requests of this instance at the upstream.
@@ -67,10 +69,11 @@
 	others atomic.Pointer[sighting]
 }
 
-func newUpstream(declared declarer.Upstream, unprobed bool, now time.Time) *Upstream {
+func newUpstream(declared declarer.Upstream, version string, unprobed bool, now time.Time) *Upstream {
 	hash := fnv.New64a()
 	hash.Write([]byte(declared.Name))
 	upstream := &Upstream{
+		version:  version,
 		seed:     hash.Sum64(),
 		slots:    limiter.NewSlots(declared.Slots),
 		cold:     limiter.NewBucket(limiter.Limit{}, now),
@@ -93,6 +96,11 @@
 	return *u.declared.Load()
 }
 
+// Version returns the name of the version that the upstream runs.
+func (u *Upstream) Version() string {
+	return u.version
+}
+
 // Address returns the upstream's IP number and port.
 func (u *Upstream) Address() string {
 	return u.declared.Load().Address
--- a/pkg/declarer/move.go
+++ b/pkg/declarer/move.go
@@ -14,6 +14,10 @@
 	To   string
 	// Deadline is the instant by which the move is done or taken back.
 	Deadline time.Time
+	// Share is the part of the objects that requests are about, from 0 to 1, whose
+	// requests To serves. It is the progress of a move that is being carried out, and
+	// never declared by hand.
+	Share float64 `toml:",omitempty"`
 	// CanaryPercent is the share of requests on the new version at first; above 0
 	// and at most 100.
 	CanaryPercent float64
@@ -24,6 +28,12 @@
 	return m.Name
 }
 
+// WithShare returns a copy with another share.
+func (m Move) WithShare(share float64) Move {
+	m.Share = share
+	return m
+}
+
 // WithDeadline returns a copy with another deadline.
 func (m Move) WithDeadline(deadline time.Time) Move {
 	m.Deadline = deadline
