Send a request that a new version failed to the others

Cause: with one upstream of the new version in use, the second try of a request went to the same one again, before the versions that are known to be sound. Found by TestMoves of platform/ (bad: status 500 at request 7).

Change: the upstream to avoid is passed over in both parts of a service before it is tried again.

Measured: TestMoves passes, good and bad, with the race detector.

--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -151,12 +151,13 @@
 		homes:     a.Route.Declared.Homes,
 		teamHomes: a.teamHomes(),
 	}
-	first, second := a.pools.choose(random)
-	if upstream, found := first.Acquire(random, asked); found {
+	if upstream, found := a.pools.acquire(random, asked); found {
 		return upstream, nil
 	}
-	if second != nil {
-		if upstream, found := second.Acquire(random, asked); found {
+	if avoid != nil {
+		// There is no other one.
+		asked.avoid = nil
+		if upstream, found := a.pools.acquire(random, asked); found {
 			return upstream, nil
 		}
 	}
--- a/pkg/command/admitter/parted.go
+++ b/pkg/command/admitter/parted.go
@@ -17,6 +17,15 @@
 	share float64
 }
 
+// acquire claims a slot of the best upstream with room for an object.
+func (p parted) acquire(object uint64, ask ask) (*Upstream, bool) {
+	first, second := p.choose(object)
+	if upstream, found := first.Acquire(object, ask); found {
+		return upstream, true
+	}
+	return second.Acquire(object, ask)
+}
+
 // choose returns the pool for an object, and the one that serves in its place if it
 // has no room, which may be nil.
 func (p parted) choose(object uint64) (first, second *Pool) {
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -157,8 +157,7 @@
 }
 
 // Acquire claims a slot of the best upstream with room and returns it. It passes
-// over the upstream to avoid as long as there is another. Suspect upstreams are
-// tried last, leaving ones never.
+// over the upstream to avoid. Suspect upstreams are tried last, leaving ones never.
 func (p *Pool) Acquire(random uint64, ask ask) (*Upstream, bool) {
 	if p == nil {
 		// A service without upstreams.
@@ -168,10 +167,6 @@
 		return upstream, true
 	}
 	ask.suspects = true
-	if upstream, found := p.acquire(random, ask); found || ask.avoid == nil {
-		return upstream, found
-	}
-	ask.avoid = nil
 	return p.acquire(random, ask)
 }
 
