Give a restarted instance its even part, and re-tell only who has not heard

Cause: after all processes were killed no team had a part until each instance had told all others and the report had been made again half a second later: 429 for two seconds.

Change: an instance whose name was listed when it started uses its even part at once; reports are told again only to those who have not confirmed, each look; an instance that starts uses no more than its even part until it has heard all others, or for four seconds.

--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
@@ -93,12 +92,13 @@
 			s.apportioner.Measure(team.Name, desk.Requests(), now)
 		}
 	}
-	report, changed := s.apportioner.Report(now)
+	if report, changed := s.apportioner.Report(); changed {
+		s.demand = newAnnouncement(report)
+	}
+	asks := s.demand.due(s.others())
 	s.apportion(plan, now)
 	s.planning.Unlock()
-	if changed {
-		s.tellDemand(report)
-	}
+	s.tellDemand(asks)
 }
 
 // apportion sets the parts of all limits. The caller holds planning.
@@ -110,38 +110,80 @@
 // confirmLimit bounds the wait for the confirmation of a report.
 const confirmLimit = 2 * time.Second
 
-// tellDemand tells all other instances, and takes in that all have confirmed. If
-// one does not, the report is made again.
-func (s *Steerer) tellDemand(report apportioner.Report) {
-	sent := onLink(report)
-	others := s.others()
-	if len(others) == 0 {
-		s.confirmDemand(report.Number)
-		return
+// announcement is this instance's newest report and who has it. Guarded by planning.
+type announcement struct {
+	number uint64
+	sent   report
+	// confirmed and asking hold incarnations: those that have the report, and those
+	// whose confirmation is waited for.
+	confirmed map[string]bool
+	asking    map[string]bool
+}
+
+func newAnnouncement(made apportioner.Report) *announcement {
+	return &announcement{
+		number:    made.Number,
+		sent:      onLink(made),
+		confirmed: map[string]bool{},
+		asking:    map[string]bool{},
 	}
-	var missing atomic.Int64
-	missing.Store(int64(len(others)))
+}
+
+// due returns the instances that are to be asked for their confirmation now.
+func (a *announcement) due(others []registrar.Member) []registrar.Member {
+	var due []registrar.Member
+	for _, other := range others {
+		if a.confirmed[other.Incarnation] || a.asking[other.Incarnation] {
+			continue
+		}
+		a.asking[other.Incarnation] = true
+		due = append(due, other)
+	}
+	return due
+}
+
+// known says whether all other instances have the report.
+func (a *announcement) known(others []registrar.Member) bool {
 	for _, other := range others {
+		if !a.confirmed[other.Incarnation] {
+			return false
+		}
+	}
+	return true
+}
+
+// tellDemand tells instances of the newest report and takes in their confirmations.
+func (s *Steerer) tellDemand(due []registrar.Member) {
+	s.planning.Lock()
+	told := s.demand
+	s.planning.Unlock()
+	for _, other := range due {
 		s.hub.Go(func() {
 			ctx, cancel := context.WithTimeout(s.work, confirmLimit)
 			defer cancel()
-			_, err := linker.Ask(ctx, s.hub, other.Incarnation, topicDemand, sent, reports, nothings)
-			if err != nil {
-				s.log.Debug().Str("Peer", other.Name).Err(err).Msg("DemandUntold")
-				return
-			}
-			if missing.Add(-1) == 0 {
-				s.confirmDemand(report.Number)
-			}
+			_, err := linker.Ask(ctx, s.hub, other.Incarnation, topicDemand, told.sent, reports, nothings)
+			s.demandTold(told, other, err)
 		})
 	}
+	if len(due) == 0 {
+		s.demandTold(told, s.self, nil)
+	}
 }
 
-func (s *Steerer) confirmDemand(number uint64) {
+// demandTold takes in what came of telling an instance.
+func (s *Steerer) demandTold(told *announcement, other registrar.Member, err error) {
 	s.planning.Lock()
 	defer s.planning.Unlock()
-	s.apportioner.Confirm(number)
-	s.apportion(s.plans.Load(), time.Now())
+	delete(told.asking, other.Incarnation)
+	if err != nil {
+		s.log.Debug().Str("Peer", other.Name).Err(err).Msg("DemandUntold")
+		return
+	}
+	told.confirmed[other.Incarnation] = true
+	if told.known(s.others()) {
+		s.apportioner.Confirm(told.number)
+		s.apportion(s.plans.Load(), time.Now())
+	}
 }
 
 // others returns the other listed instances.
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -91,6 +91,12 @@
 }
 
 func (s *Steerer) noteRoster(roster registrar.Roster) {
+	before, found := byName(roster, s.self.Name)
+	if found && before.Incarnation != s.self.Incarnation {
+		s.planning.Lock()
+		s.apportioner.Restart()
+		s.planning.Unlock()
+	}
 	s.locating.Lock()
 	defer s.locating.Unlock()
 	s.roster.Store(&roster)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -66,8 +66,10 @@
 	// confirmAt is when the larger parts of limits come into force; zero if they are
 	// in force.
 	confirmAt time.Time
-	// apportioner splits teams' limits by demand.
+	// apportioner splits teams' limits by demand, and demand is what the others are
+	// told of it; never nil.
 	apportioner *apportioner.Apportioner
+	demand      *announcement
 
 	// locating orders the writers of locators and guards their generation.
 	locating   sync.Mutex
@@ -129,6 +131,7 @@
 		moving:   map[string]*moving{},
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
+	s.demand = newAnnouncement(apportioner.Report{})
 	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
 	s.tallies.Store(&map[string]*tally{})
--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -13,6 +13,10 @@
 	// LeaveWait is for how long a member that has left is counted on: it may go on
 	// with what it has until its drain ends.
 	LeaveWait = 6 * time.Second
+	// HearWait is how long an instance that has started waits for the reports of all
+	// others. After that, one that says nothing is taken to be like the others: most
+	// likely it has ended.
+	HearWait = 4 * time.Second
 	// floorShare is the part of a limit that is split evenly, whatever the demand, so
 	// that an instance with its first callers has something.
 	floorShare = 0.25
@@ -23,8 +27,6 @@
 	// by that.
 	leastChange    = 0.2
 	leastPerSecond = 0.7
-	// repeatAfter is when a report is made again that not everybody has confirmed.
-	repeatAfter = 500 * time.Millisecond
 )
 
 // Demand is how many requests a second an instance gets for a resource.
@@ -51,7 +53,8 @@
 // reports that it has of all others. The newest report that it has of another is
 // never below what that one claims: a claim grows only once everybody has it.
 //
-// Invariant: the parts of all members together are at most the whole.
+// Invariant: the parts of all members together are at most the whole, unless an
+// instance that starts is cut off from one that lives for longer than HearWait.
 type Apportioner struct {
 	self  string
 	start string
@@ -67,6 +70,11 @@
 	// after it, in order.
 	confirmed *claim
 	pending   []claim
+	// hearUntil is until when the reports of all others are waited for; zero before
+	// this instance is a member.
+	hearUntil time.Time
+	// restarted says that the others count this instance among the members already.
+	restarted bool
 }
 
 // claim is a report by resource.
@@ -74,7 +82,6 @@
 	start     string
 	number    uint64
 	perSecond map[string]float64
-	sentAt    time.Time
 }
 
 // meter averages how many requests a second come.
@@ -97,6 +104,12 @@
 	}
 }
 
+// Restart says that an instance of this name was a member when this one started, so
+// that the others leave it its even part.
+func (a *Apportioner) Restart() {
+	a.restarted = true
+}
+
 // SetMembers says among which instances limits are split.
 func (a *Apportioner) SetMembers(members []string, now time.Time) {
 	for name, until := range a.countedUntil {
@@ -107,6 +120,9 @@
 	for _, name := range members {
 		a.countedUntil[name] = time.Time{}
 	}
+	if a.hearUntil.IsZero() && slices.Contains(members, a.self) {
+		a.hearUntil = now.Add(HearWait)
+	}
 }
 
 // Hear takes in the report of another instance. One that is not a member yet is
@@ -119,15 +135,14 @@
 	if _, counted := a.countedUntil[member]; !counted {
 		a.countedUntil[member] = now.Add(LeaveWait)
 	}
-	a.reports[member] = newClaim(report, now)
+	a.reports[member] = newClaim(report)
 }
 
-func newClaim(report Report, now time.Time) claim {
+func newClaim(report Report) claim {
 	next := claim{
 		start:     report.Start,
 		number:    report.Number,
 		perSecond: make(map[string]float64, len(report.Demands)),
-		sentAt:    now,
 	}
 	for _, demand := range report.Demands {
 		next.perSecond[demand.Resource] = demand.PerSecond
@@ -162,9 +177,9 @@
 
 // Report returns what to tell all other members, and false if nothing has changed
 // enough.
-func (a *Apportioner) Report(now time.Time) (Report, bool) {
+func (a *Apportioner) Report() (Report, bool) {
 	last := a.last()
-	due := last == nil || (len(a.pending) > 0 && now.Sub(last.sentAt) >= repeatAfter)
+	due := last == nil
 	report := Report{
 		Start:  a.start,
 		Number: 1,
@@ -187,7 +202,7 @@
 	if !due {
 		return Report{}, false
 	}
-	a.pending = append(a.pending, newClaim(report, now))
+	a.pending = append(a.pending, newClaim(report))
 	return report, true
 }
 
@@ -217,27 +232,64 @@
 }
 
 // Part returns which part of a resource, from 0 to 1, this instance may use now.
-// Before all others know of it, that is nothing.
+// Before all others have its first report, that is its even part if they know of it,
+// and else nothing.
 func (a *Apportioner) Part(resource string, now time.Time) float64 {
-	if until, counted := a.countedUntil[a.self]; a.confirmed == nil || !counted || !until.IsZero() {
+	until, counted := a.countedUntil[a.self]
+	switch {
+	case !counted || !until.IsZero():
 		return 0
+	case a.confirmed == nil && a.restarted:
+		return floorShare / float64(len(a.countedUntil))
+	case a.confirmed == nil:
+		return 0
+	}
+	a.forget(now)
+	count := float64(len(a.countedUntil))
+	others, all := a.othersClaim(resource, now)
+	if !all {
+		return floorShare / count
 	}
-	count := 0.0
-	others := 0.0
+	own := a.claims(resource)
+	if own+others == 0 {
+		return 1 / count
+	}
+	return floorShare/count + (1-floorShare)*own/(own+others)
+}
+
+// forget stops counting on members that have left long enough ago.
+func (a *Apportioner) forget(now time.Time) {
 	for name, until := range a.countedUntil {
 		if !until.IsZero() && !now.Before(until) {
 			delete(a.countedUntil, name)
 			delete(a.reports, name)
+		}
+	}
+}
+
+// othersClaim returns what all others together may claim of a resource, and false
+// while some have not reported that may yet.
+func (a *Apportioner) othersClaim(resource string, now time.Time) (float64, bool) {
+	sum := 0.0
+	heard := 0
+	missing := 0
+	for name := range a.countedUntil {
+		if name == a.self {
 			continue
 		}
-		count++
-		if name != a.self {
-			others += a.reports[name].perSecond[resource]
+		report, found := a.reports[name]
+		if !found {
+			missing++
+			continue
 		}
+		heard++
+		sum += report.perSecond[resource]
 	}
-	own := a.claims(resource)
-	if own+others == 0 {
-		return 1 / count
+	if missing == 0 {
+		return sum, true
 	}
-	return floorShare/count + (1-floorShare)*own/(own+others)
+	if now.Before(a.hearUntil) || heard == 0 {
+		return 0, false
+	}
+	return sum * float64(heard+missing) / float64(heard), true
 }
