--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -78,6 +78,7 @@
 	p.count("Callers.MaxHeaderBytes", s.Callers.MaxHeaderBytes)
 	p.millis("Callers.HeaderMillis", s.Callers.HeaderMillis, 1)
 	p.millis("Callers.IdleMillis", s.Callers.IdleMillis, 1)
+	p.millis("Callers.FinishMillis", s.Callers.FinishMillis, 0)
 	p.millis("Upstreams.ProbeMillis", s.Upstreams.ProbeMillis, 10)
 	p.millis("Upstreams.DialMillis", s.Upstreams.DialMillis, 1)
 	p.count("Upstreams.MaxConnections", s.Upstreams.MaxConnections)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -89,6 +89,9 @@
 	HeaderMillis int
 	// IdleMillis ends a connection without requests.
 	IdleMillis int
+	// FinishMillis is how long a request that has begun may go on after its key was
+	// withdrawn.
+	FinishMillis int
 }
 
 // Peers is the listener for other instances.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -30,6 +30,9 @@
 	flights   *tracker.Tracker[Flight]
 	budgets   *retrier.Budgets
 	attempts  int
+	// finishMillis is how long a request that has begun may go on after its key was
+	// withdrawn, in milliseconds.
+	finishMillis int
 	// retryFailures says that an idempotent request is sent again after an answer
 	// that tells of a failure.
 	retryFailures bool
@@ -54,6 +57,9 @@
 	// Attempts is how often one request is sent at most, where its route does not
 	// say; at least 1.
 	Attempts int
+	// FinishMillis is how long a request that has begun may go on after its key was
+	// withdrawn, in milliseconds.
+	FinishMillis int
 	// RetryFailures says that an idempotent request is sent again after an answer
 	// that tells of a failure.
 	RetryFailures bool
@@ -88,6 +94,7 @@
 		flights:       parts.Flights,
 		budgets:       parts.Budgets,
 		attempts:      parts.Attempts,
+		finishMillis:  parts.FinishMillis,
 		retryFailures: parts.RetryFailures,
 		metrics:       parts.Metrics,
 		translator:    parts.Translator,
@@ -99,12 +106,19 @@
 	}
 }
 
-// Sweep ends the requests in flight whose key no longer works. It is called
-// after each change of the plan.
+// Sweep ends the requests in flight whose key no longer works, once they have had
+// their time to finish. It is called after each change of the plan.
 func (r *Receiver) Sweep() {
 	r.flights.Each(func(flight *Flight) {
-		if refusal := r.admitter.Recheck(flight.admission, time.Now()); refusal != nil {
+		refusal := r.admitter.Recheck(flight.admission, time.Now())
+		switch {
+		case refusal == nil:
+		case r.finishMillis == 0:
 			flight.cancel(refusal)
+		default:
+			// A request that has ended by then does not notice.
+			wait := time.Duration(r.finishMillis) * time.Millisecond
+			time.AfterFunc(wait, func() { flight.cancel(refusal) })
 		}
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -191,16 +191,17 @@
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 	)
 	s.receiver = receiver.New(receiver.Parts{
-		Admitter:   admitter.New(s.plans, s.fresh),
-		Forwarder:  s.forwarder,
-		Flights:    s.flights,
-		Budgets:    retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
-		Attempts:   s.settings.Retries.Attempts,
-		Metrics:    exporter.NewRequests(s.registry),
-		Translator: translator.Own{},
-		Lookups:    receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
-		Waiting:    s.borrower.Wake,
-		Suspected:  s.suspected,
+		Admitter:     admitter.New(s.plans, s.fresh),
+		Forwarder:    s.forwarder,
+		Flights:      s.flights,
+		Budgets:      retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Attempts:     s.settings.Retries.Attempts,
+		FinishMillis: s.settings.Callers.FinishMillis,
+		Metrics:      exporter.NewRequests(s.registry),
+		Translator:   translator.Own{},
+		Lookups:      receiver.NewLookups(s.locators, func() { s.gauges.lookups.Inc(1) }),
+		Waiting:      s.borrower.Wake,
+		Suspected:    s.suspected,
 	})
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -186,6 +186,7 @@
 		Flights:       s.flights,
 		Budgets:       retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
 		Attempts:      s.settings.Retries.Attempts,
+		FinishMillis:  s.settings.Callers.FinishMillis,
 		RetryFailures: true,
 		Metrics:       exporter.NewRequests(s.registry),
 		Translator:    s.platform.Translator,
