Be careful with upstreams that come back, and let one instance watch often

Change: upstreams of a place that returns, and those that could not be reached twice in a row, are taken to be cold for their service's time; the first living instance watches with waits of 2 s, and relays what it finds.

--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -132,7 +132,7 @@
 			r.suspect(upstream, errAnswerFailed)
 			return last, truly(errAnswerFailed)
 		}
-		upstream.Succeeded()
+		upstream.Succeeded(time.Now())
 		return last, nil
 	})
 }
@@ -188,7 +188,10 @@
 	}
 	guilty := false
 	switch refusal.Reason {
-	case arbiter.UpstreamUnreached, arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
+	case arbiter.UpstreamUnreached:
+		upstream.Unreached()
+		guilty = true
+	case arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
 		guilty = true
 	case arbiter.DeadlineExceeded:
 		guilty = !hurried
--- a/internal/steerer/feed.go
+++ b/internal/steerer/feed.go
@@ -33,6 +33,8 @@
 type follower interface {
 	// run follows until ctx ends.
 	run(ctx context.Context) error
+	// renew makes the watch under way anew.
+	renew()
 	// changedAt returns the store's revision of the last change that is known here.
 	changedAt() uint64
 	// catchUp asks a peer that knows of a later change, unless the platform tells of
@@ -85,7 +87,7 @@
 		update:  update,
 		known:   map[string]entry[T]{},
 	}
-	f.watcher.WithPause(time.Duration(feed.PauseMillis) * time.Millisecond)
+	f.watcher.WithWait(s.watchWait).WithPause(time.Duration(feed.PauseMillis) * time.Millisecond)
 	own := handler.QueryFunc[reporter.Nothing, watcher.View[[]byte]](
 		func(context.Context, reporter.Nothing) (watcher.View[[]byte], error) {
 			if latest := f.latest.Load(); latest != nil {
@@ -102,6 +104,10 @@
 	return f.watcher.Run(ctx, f.take, f.steerer.storeAnswered, f.steerer.storeFailed)
 }
 
+func (f *feeder[T]) renew() {
+	f.watcher.Renew()
+}
+
 func (f *feeder[T]) changedAt() uint64 {
 	return f.changed.Load()
 }
--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -50,7 +50,7 @@
 	}
 	s.planning.Lock()
 	defer s.planning.Unlock()
-	s.replan(s.inputs.withEvacuated(places))
+	s.replan(s.inputs.withEvacuated(places, time.Now()))
 	s.log.Info().Strs("Places", places).Uint64("Revision", revision).Msg("EvacuationsListed")
 }
 
--- a/internal/steerer/inputs.go
+++ b/internal/steerer/inputs.go
@@ -1,8 +1,10 @@
 package steerer
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/splitter"
@@ -20,6 +22,9 @@
 	moves         []declarer.Move
 	// evacuated are names of places.
 	evacuated []string
+	// returnedAt holds, for each place whose evacuation has ended, when that was: its
+	// upstreams may be cold before they have said so.
+	returnedAt map[string]time.Time
 	// seats are this instance's parts of all limits.
 	seats []splitter.Seat
 }
@@ -43,7 +48,17 @@
 }
 
 // withEvacuated returns inputs with other evacuated places.
-func (i inputs) withEvacuated(places []string) inputs {
+func (i inputs) withEvacuated(places []string, now time.Time) inputs {
+	returned := maps.Clone(i.returnedAt)
+	if returned == nil {
+		returned = map[string]time.Time{}
+	}
+	for _, place := range i.evacuated {
+		if !slices.Contains(places, place) {
+			returned[place] = now
+		}
+	}
+	i.returnedAt = returned
 	i.evacuated = places
 	return i
 }
@@ -87,6 +102,10 @@
 		upstream := registration.Upstream
 		upstream.Connections = service.Connections
 		upstream.ColdPerSecond = service.ColdPerSecond
+		upstream.ColdMillis = service.ColdMillis
+		if returned, found := i.returnedAt[upstream.Place]; found {
+			upstream.ColdUntil = later(upstream.ColdUntil, returned.Add(time.Duration(service.ColdMillis)*time.Millisecond))
+		}
 		version.Upstreams = append(version.Upstreams, upstream)
 		byName[name] = version
 	}
@@ -97,6 +116,13 @@
 	return declarer.NewTable(versions...)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // versionName names a service's version among those of all services.
 func versionName(service, version string) string {
 	return service + "@" + version
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -202,6 +202,7 @@
 		if rounds%int(time.Second/refreshInterval) == 0 {
 			s.locate()
 			s.bury(ctx)
+			s.chooseSentinel()
 			if roster := s.roster.Load(); roster.Revision() != 0 {
 				s.enter(*roster)
 			}
--- /dev/null
+++ b/internal/steerer/sentinel.go
@@ -0,0 +1,38 @@
+package steerer
+
+import "time"
+
+const (
+	// longWait is how long a watch waits at most, and sentinelWait how long the
+	// watches of the sentinel do. A watch may stay silent though something has
+	// changed; the sentinel finds out, and the others hear of it over links.
+	longWait     = 30 * time.Second
+	sentinelWait = 2 * time.Second
+)
+
+// watchWait returns how long a watch of this instance waits at most.
+func (s *Steerer) watchWait() time.Duration {
+	if s.sentinel.Load() {
+		return sentinelWait
+	}
+	return longWait
+}
+
+// chooseSentinel makes this instance the sentinel if it is the first of those that
+// live, in the order of names, and lets another one be it.
+func (s *Steerer) chooseSentinel() {
+	first := s.storeLostNanos.Load() == 0 && !s.leaving.Load()
+	for _, other := range s.others() {
+		peer, linked := s.hub.Peer(other.Incarnation)
+		if linked && !peer.Beat.Leaving && other.Name < s.self.Name {
+			first = false
+		}
+	}
+	if s.sentinel.Swap(first) == first || !first {
+		return
+	}
+	s.log.Info().Msg("SentinelTaken")
+	for _, follower := range s.followers {
+		follower.renew()
+	}
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -87,6 +87,8 @@
 	tallies atomic.Pointer[map[string]*tally]
 	// followers are complete before Run.
 	followers [linker.MaxFeeds]follower
+	// sentinel says that this instance watches with short waits.
+	sentinel atomic.Bool
 	// unlisted asks for this instance's entry to be written.
 	unlisted chan struct{}
 	// leaving is set once the drain has begun.
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -62,6 +62,11 @@
 	// suspectUntil is the instant before which no report clears a suspicion, in
 	// nanoseconds since the Unix epoch.
 	suspectUntil atomic.Int64
+	// unreached counts the connections in a row that could not be made.
+	unreached atomic.Int32
+	// coldUntil is until when the upstream is taken to be cold because it was away, in
+	// nanoseconds since the Unix epoch.
+	coldUntil atomic.Int64
 	// unprobed says that no report ever clears a suspicion, so that it lapses.
 	unprobed bool
 	// others is what all other instances together had at the upstream, as its last
@@ -127,7 +132,26 @@
 // isCold says whether the upstream bears only few requests now.
 func (u *Upstream) isCold(now time.Time) bool {
 	declared := u.declared.Load()
-	return declared.ColdPerSecond > 0 && now.Before(declared.ColdUntil)
+	if declared.ColdPerSecond == 0 {
+		return false
+	}
+	return now.Before(declared.ColdUntil) || u.isAway() || now.UnixNano() < u.coldUntil.Load()
+}
+
+// awayAfter is from how many connections in a row that could not be made on an
+// upstream is taken to be away. When it comes back it is cold, and says so only a
+// while later.
+const awayAfter = 2
+
+// isAway says whether the upstream could not be reached so often that it is taken to
+// be away.
+func (u *Upstream) isAway() bool {
+	return u.unreached.Load() >= awayAfter
+}
+
+// Unreached records that no connection to the upstream could be made.
+func (u *Upstream) Unreached() {
+	u.unreached.Add(1)
 }
 
 // claim takes a slot, and a request of the cold rate while the upstream is cold.
@@ -221,7 +245,14 @@
 }
 
 // Succeeded records that the upstream has answered a request.
-func (u *Upstream) Succeeded() {
+func (u *Upstream) Succeeded(now time.Time) {
+	if u.isAway() {
+		cold := time.Duration(u.declared.Load().ColdMillis) * time.Millisecond
+		u.coldUntil.Store(now.Add(cold).UnixNano())
+	}
+	if u.unreached.Load() != 0 {
+		u.unreached.Store(0)
+	}
 	if u.failures.Load() != 0 {
 		u.failures.Store(0)
 	}
--- a/pkg/declarer/service.go
+++ b/pkg/declarer/service.go
@@ -28,6 +28,9 @@
 	// ColdPerSecond is how many requests a second, of all instances together, a
 	// registered upstream bears while it is cold; 0 means no such limit.
 	ColdPerSecond float64 `toml:",omitempty"`
+	// ColdMillis is how long a registered upstream is cold after it has started or
+	// come back, in milliseconds.
+	ColdMillis int `toml:",omitempty"`
 	// Routes refine how requests are treated. The longest matching prefix
 	// counts; without a match a request needs a key and is idempotent if its
 	// method is.
--- a/pkg/declarer/version.go
+++ b/pkg/declarer/version.go
@@ -39,6 +39,9 @@
 	// ColdPerSecond is how many requests a second, of all instances together, the
 	// upstream bears while it is cold; 0 means no such limit.
 	ColdPerSecond float64 `toml:",omitempty"`
+	// ColdMillis is how long the upstream is cold after it has been away, in
+	// milliseconds.
+	ColdMillis int `toml:",omitempty"`
 }
 
 // ObjectName returns the version's name.
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -37,12 +38,16 @@
 	// pause is the time between an answer with changes and the next watch, so that
 	// changes in quick succession come in one answer.
 	pause time.Duration
+	// wait returns how long one watch waits at most; nil leaves it to the store.
+	wait func() time.Duration
 	// objects holds the objects of the view under their names.
 	objects  map[string]storer.Object[T]
 	revision uint64
 	// listed says that the view is complete.
 	listed bool
 
+	// renewed says that the call under way was ended to make it anew.
+	renewed atomic.Bool
 	// offering guards offered and interrupt.
 	offering sync.Mutex
 	// offered is a view from elsewhere that has not been taken in, or nil.
@@ -68,6 +73,23 @@
 	return w
 }
 
+// WithWait returns the watcher with a bound of one watch, which may change. It is
+// called before Run.
+func (w *Watcher[T]) WithWait(wait func() time.Duration) *Watcher[T] {
+	w.wait = wait
+	return w
+}
+
+// Renew ends the watch under way and makes it anew, with a bound of now.
+func (w *Watcher[T]) Renew() {
+	w.offering.Lock()
+	defer w.offering.Unlock()
+	if w.interrupt != nil {
+		w.renewed.Store(true)
+		w.interrupt()
+	}
+}
+
 // Offer hands over a view that somebody else got from the store. If it is newer
 // than the own one, it replaces that and the watch goes on from there.
 func (w *Watcher[T]) Offer(view View[T]) {
@@ -96,7 +118,7 @@
 			continue
 		}
 		changed, err := w.step(ctx)
-		if err != nil && w.hasOffer() {
+		if err != nil && (w.hasOffer() || w.renewed.Swap(false)) {
 			continue
 		}
 		if err != nil {
@@ -148,6 +170,11 @@
 	if !w.listed {
 		return true, w.list(ctx)
 	}
+	if w.wait != nil {
+		var end context.CancelFunc
+		ctx, end = context.WithTimeout(ctx, w.wait())
+		defer end()
+	}
 	changes, err := w.reader.Watch(ctx, w.prefix, w.revision)
 	if err != nil {
 		return false, err
