Hold doubtful moves, and keep evidence coming

Cause: an upstream that answers failures was passed over twice as long each time, so that one of a new version gave too few counts; its share grew all the same, and at the whole share its requests had nowhere else to go (TestMoves of platform/ under the race detector, bad: status 500 at request 1280, 1330 and 1254, three of three).

--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -129,7 +129,9 @@
 		}
 		if r.isFailure(response) {
 			failed = upstream
-			r.suspect(upstream, errAnswerFailed)
+			if upstream.Failed(time.Now()) {
+				r.suspected(upstream, errAnswerFailed)
+			}
 			return last, truly(errAnswerFailed)
 		}
 		upstream.Succeeded(time.Now())
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -247,10 +247,18 @@
 	}
 	elapsed := now.Sub(m.began)
 	total := m.order.Move.Deadline.Sub(m.began)
-	if route, faulty := mover.Faulty(mover.Merge(m.allEvidence()...)); faulty {
+	evidence := mover.Merge(m.allEvidence()...)
+	if route, faulty := mover.Faulty(evidence); faulty {
 		s.settleMove(m, mover.TakenBack, "evidence on "+route)
 		return true
 	}
+	if mover.Doubtful(evidence) {
+		if mover.Overdue(elapsed, total) {
+			s.settleMove(m, mover.TakenBack, "doubt until the end")
+			return true
+		}
+		return false
+	}
 	if mover.Finished(elapsed, total) {
 		s.settleMove(m, mover.Done, "time")
 		return true
--- a/pkg/command/admitter/parted.go
+++ b/pkg/command/admitter/parted.go
@@ -32,9 +32,7 @@
 	switch {
 	case p.next == nil:
 		return p.stable, nil
-	case p.share >= 1:
-		return p.next, nil
-	case part(object) < p.share:
+	case p.share >= 1 || part(object) < p.share:
 		return p.next, p.stable
 	default:
 		return p.stable, nil
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -244,6 +244,16 @@
 	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
 }
 
+// Failed records that the upstream has answered that it failed: it is passed over
+// for a moment. It lives, so that is not longer each time.
+func (u *Upstream) Failed(now time.Time) bool {
+	if !u.unprobed {
+		return false
+	}
+	u.suspectUntil.Store(now.Add(firstSuspicion).UnixNano())
+	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
+}
+
 // Succeeded records that the upstream has answered a request.
 func (u *Upstream) Succeeded(now time.Time) {
 	if u.isAway() {
--- a/pkg/command/mover/mover.go
+++ b/pkg/command/mover/mover.go
@@ -62,6 +62,12 @@
 	latest = 0.9
 )
 
+// Overdue says whether a move that is doubtful still has no time left to become
+// sure, and is to be taken back.
+func Overdue(elapsed, total time.Duration) bool {
+	return elapsed >= time.Duration(float64(total)*latest)
+}
+
 // Share returns the part of a service's objects that the new version serves, so long
 // after the beginning of a move that is to take that long.
 func Share(elapsed, total time.Duration) float64 {
@@ -166,6 +172,20 @@
 	return "", false
 }
 
+// leastDoubtful is from how many failures on a version is doubtful.
+const leastDoubtful = 2
+
+// Doubtful says whether the new version fails more often than the others on some
+// route, though too few requests have shown it yet. A doubtful move takes no further
+// step.
+func Doubtful(evidence []Evidence) bool {
+	return slices.ContainsFunc(evidence, func(one Evidence) bool {
+		return one.New.Failures >= leastDoubtful &&
+			one.New.rate()-one.Old.rate() >= faultyRate &&
+			one.beyondChance()
+	})
+}
+
 // beyondChance says whether the new version fails more requests than it would by
 // chance if it were like the others.
 func (e Evidence) beyondChance() bool {
--- a/pkg/command/mover/mover_test.go
+++ b/pkg/command/mover/mover_test.go
@@ -44,21 +44,27 @@
 	}
 	var history [][]mover.Evidence
 	var evidence []mover.Evidence
+	share := mover.Share(0, w.total)
 	for elapsed := time.Duration(0); elapsed < w.total; elapsed += tick {
 		for range int(w.perSecond * tick.Seconds()) {
-			evidence = w.request(&result, evidence, elapsed)
+			evidence = w.request(&result, evidence, elapsed, share)
 		}
 		history = append(history, evidence)
 		if result.state != mover.Running {
 			continue
 		}
-		seen := len(history) - 1 - int(w.lag/tick)
-		if seen >= 0 {
-			if _, faulty := mover.Faulty(history[seen]); faulty {
+		seen := max(len(history)-1-int(w.lag/tick), 0)
+		if _, faulty := mover.Faulty(history[seen]); faulty {
+			result.state = mover.TakenBack
+			continue
+		}
+		if mover.Doubtful(history[seen]) {
+			if mover.Overdue(elapsed, w.total) {
 				result.state = mover.TakenBack
-				continue
 			}
+			continue
 		}
+		share = mover.Share(elapsed, w.total)
 		if mover.Finished(elapsed, w.total) {
 			result.state = mover.Done
 		}
@@ -66,9 +72,13 @@
 	return result
 }
 
-func (w world) request(result *played, evidence []mover.Evidence, elapsed time.Duration) []mover.Evidence {
+func (w world) request(
+	result *played,
+	evidence []mover.Evidence,
+	elapsed time.Duration,
+	share float64,
+) []mover.Evidence {
 	result.requests++
-	share := mover.Share(elapsed, w.total)
 	switch result.state {
 	case mover.Done:
 		share = 1
