--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(GO) mod verify
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	scripts/platform-names
 	bin/hemlockport check examples/thimblegate/objects
 	bin/hemlockport check examples/esmaltes/objects
 
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -19,6 +19,23 @@
 KeyHash = "` + declarer.HashKey("key").String() + `"
 `
 
+// onThimblegate is what deploy/settings.toml makes.
+var onThimblegate = `Name = "front-derby-1"
+Place = "derby"
+[[Places]]
+Name = "derby"
+Region = "east"
+[Callers]
+Listen = "10.1.0.37:8388"
+[Lookups]
+Listen = "10.1.0.37:8383"
+[Peers]
+Secret = "hemlockport-10.200.1.7:8382"
+[Platform]
+Adapter = "Thimblegate"
+Address = "http://10.200.1.7:8382"
+`
+
 func TestFaults(t *testing.T) {
 	cases := []struct {
 		name string
@@ -67,6 +84,34 @@
 			},
 		},
 	}
+	cases = append(cases, []struct {
+		name   string
+		text   string
+		fields []string
+	}{
+		{
+			name: "fits on the Thimblegate platform",
+			text: onThimblegate + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
+		},
+		{
+			name: "wrong on the Thimblegate platform",
+			text: strings.Replace(onThimblegate, `Name = "derby"`, `Name = "corby"`, 1) + `
+[Readiness]
+Listen = "nowhere"
+[Teams]
+Slack = -1
+[Placing]
+Choices = 9
+OtherRegion = -0.5
+`,
+			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
+		},
+		{
+			name:   "no such platform",
+			text:   fitting + "[Platform]\nAdapter = \"Elsewhere\"\n",
+			fields: []string{"Platform.Adapter"},
+		},
+	}...)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, err := configurer.Read([]byte(c.text))
--- /dev/null
+++ b/pkg/query/watcher/watcher_test.go
@@ -0,0 +1,108 @@
+package watcher_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/internal/keeper"
+	"github.com/hemlockport/hemlockport/pkg/query/watcher"
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// deaf is a store whose watches never tell of a change.
+type deaf struct {
+	*keeper.Keeper
+}
+
+func (d deaf) Watch(ctx context.Context, _ string, after uint64) (storer.Changes[[]byte], error) {
+	<-ctx.Done()
+	if ctx.Err() == context.DeadlineExceeded {
+		return storer.Changes[[]byte]{
+			Revision: after,
+		}, nil
+	}
+	return storer.Changes[[]byte]{}, ctx.Err()
+}
+
+// follow runs a watcher and returns its views.
+func follow(t *testing.T, w *watcher.Watcher[[]byte]) <-chan watcher.View[[]byte] {
+	t.Helper()
+	views := make(chan watcher.View[[]byte], 16)
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		return w.Run(ctx, func(view watcher.View[[]byte]) { views <- view }, func() {}, func(error) {})
+	})
+	t.Cleanup(func() {
+		stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return views
+}
+
+func next(t *testing.T, views <-chan watcher.View[[]byte]) watcher.View[[]byte] {
+	t.Helper()
+	select {
+	case view := <-views:
+		return view
+	case <-time.After(5 * time.Second):
+		t.Fatal("no view came")
+		return watcher.View[[]byte]{}
+	}
+}
+
+func always() bool { return true }
+
+// A view from elsewhere takes the place of an older one, while the store's watch
+// says nothing. An older one changes nothing.
+func TestOffer(t *testing.T) {
+	kept := keeper.New()
+	written, err := kept.Put(t.Context(), "a/1", []byte("old"), storer.Always())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := watcher.New[[]byte](deaf{kept}, "a/", always)
+	views := follow(t, w)
+	first := next(t, views)
+	if len(first.Objects) != 1 || first.Revision < written.Revision {
+		t.Fatalf("listed %+v", first)
+	}
+	w.Offer(watcher.View[[]byte]{
+		Revision: first.Revision - 1,
+	})
+	w.Offer(watcher.View[[]byte]{
+		Revision: first.Revision + 5,
+		Objects: []storer.Object[[]byte]{
+			{
+				Name:     "a/2",
+				Revision: first.Revision + 4,
+				Value:    []byte("new"),
+			},
+		},
+	})
+	second := next(t, views)
+	if second.Revision != first.Revision+5 || len(second.Objects) != 1 || second.Objects[0].Name != "a/2" {
+		t.Fatalf("after the offer %+v", second)
+	}
+}
+
+// A renewed watch does not count as failed, and goes on.
+func TestRenew(t *testing.T) {
+	kept := keeper.New()
+	w := watcher.New[[]byte](kept, "a/", always)
+	views := follow(t, w)
+	next(t, views)
+	w.Renew()
+	time.Sleep(50 * time.Millisecond)
+	if _, err := kept.Put(t.Context(), "a/1", []byte("x"), storer.Always()); err != nil {
+		t.Fatal(err)
+	}
+	if view := next(t, views); len(view.Objects) != 1 {
+		t.Fatalf("after the renewal %+v", view)
+	}
+}
