Keep a late write deadline from the next answer

Change: the write deadline belongs to the exchange whose turn it is.

Test: TestLateWriteDeadline, unexpected EOF without it.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -43,6 +43,10 @@
 	writer *bufio.Writer
 	// queue holds the exchanges whose answers are to be written, in order.
 	queue chan *exchange
+	// turning guards turn, the exchange whose answer is written, and the write
+	// deadline, which is that one's.
+	turning sync.Mutex
+	turn    *exchange
 	// open counts the exchanges that have been begun and not been answered. Once it
 	// is closed, none is begun.
 	open atomic.Int64
@@ -269,6 +273,7 @@
 			continue
 		}
 		ended = !next.write()
+		c.takeTurn(nil, time.Time{})
 		if left := c.open.Add(-1); left == 0 && !ended {
 			c.afterLast()
 		}
@@ -281,6 +286,24 @@
 	}
 }
 
+// takeTurn makes it an exchange's turn, with a write deadline.
+func (c *conn) takeTurn(next *exchange, deadline time.Time) {
+	c.turning.Lock()
+	defer c.turning.Unlock()
+	c.turn = next
+	_ = c.net.SetWriteDeadline(deadline)
+}
+
+// setWriteDeadline changes the write deadline if it is the exchange's turn.
+func (c *conn) setWriteDeadline(of *exchange, deadline time.Time) error {
+	c.turning.Lock()
+	defer c.turning.Unlock()
+	if c.turn != of {
+		return nil
+	}
+	return c.net.SetWriteDeadline(deadline)
+}
+
 // afterLast is called when no request is open.
 func (c *conn) afterLast() {
 	c.setIdle()
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -159,14 +159,9 @@
 	}
 }
 
-// SetWriteDeadline bounds the writing of the answer, if that has begun.
+// SetWriteDeadline bounds the writing of the answer while it is its turn.
 func (e *exchange) SetWriteDeadline(deadline time.Time) error {
-	select {
-	case <-e.turn:
-		return e.conn.net.SetWriteDeadline(deadline)
-	default:
-		return nil
-	}
+	return e.conn.setWriteDeadline(e, deadline)
 }
 
 // stream waits for the answer's turn and writes what is held. Later parts are
@@ -209,7 +204,7 @@
 // whether the connection lives on.
 func (e *exchange) write() bool {
 	limit := time.Duration(e.conn.server.limits.WriteMillis) * time.Millisecond
-	_ = e.conn.net.SetWriteDeadline(time.Now().Add(limit))
+	e.conn.takeTurn(e, time.Now().Add(limit))
 	close(e.turn)
 	<-e.done
 	if e.broken {
--- a/internal/pipeliner/server_test.go
+++ b/internal/pipeliner/server_test.go
@@ -439,3 +439,27 @@
 	}
 	return group.Wait()
 }
+
+// A deadline that comes after its answer was written does not touch the next one.
+func TestLateWriteDeadline(t *testing.T) {
+	first := make(chan http.ResponseWriter, 1)
+	release := make(chan struct{})
+	_, caller := start(t, func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/1" {
+			first <- w
+			return
+		}
+		<-release
+		io.WriteString(w, "whole")
+	})
+	send(t, caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	reader := bufio.NewReader(caller)
+	receive(t, reader, http.MethodGet)
+	if err := http.NewResponseController(<-first).SetWriteDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if got := receive(t, reader, http.MethodGet); got.body != "whole" {
+		t.Fatalf("answer %+v", got)
+	}
+}
