--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -81,7 +81,7 @@
 			return nil
 		case isTemporary(err):
 			// The process is out of descriptors for a moment.
-			time.Sleep(acceptPause)
+			<-time.After(acceptPause)
 		default:
 			return err
 		}
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/lingerer"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/opener"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
@@ -48,36 +49,24 @@
 // listen opens the listeners that settings name.
 func listen(settings configurer.Settings) (Listeners, error) {
 	var opened Listeners
-	wanted := []struct {
-		field   string
-		address string
-		into    *net.Listener
-	}{
-		{
-			field:   "Callers.Listen",
-			address: settings.Callers.Listen,
-			into:    &opened.Callers,
+	err := opener.Open(
+		opener.Wanted{
+			Field:   "Callers.Listen",
+			Address: settings.Callers.Listen,
+			Into:    &opened.Callers,
 		},
-		{
-			field:   "Peers.Listen",
-			address: settings.Peers.Listen,
-			into:    &opened.Peers,
+		opener.Wanted{
+			Field:   "Peers.Listen",
+			Address: settings.Peers.Listen,
+			Into:    &opened.Peers,
 		},
-		{
-			field:   "Operators.Listen",
-			address: settings.Operators.Listen,
-			into:    &opened.Operators,
+		opener.Wanted{
+			Field:   "Operators.Listen",
+			Address: settings.Operators.Listen,
+			Into:    &opened.Operators,
 		},
-	}
-	for _, want := range wanted {
-		listener, err := net.Listen("tcp", want.address)
-		if err != nil {
-			opened.close()
-			return Listeners{}, eris.Wrap(err, want.field)
-		}
-		*want.into = listener
-	}
-	return opened, nil
+	)
+	return opened, err
 }
 
 // secure adds TLS to the listeners for which certificates are named.
@@ -157,9 +146,9 @@
 	peers := s.httpServer(s.peerHandler())
 	peers.WriteTimeout = 0
 	operators := s.httpServer(s.operatorHandler())
-	serve(group, callers, s.listeners.callers)
-	serve(group, peers, s.listeners.peers)
-	serve(group, operators, s.listeners.operators)
+	opener.Serve(group, callers, s.listeners.callers)
+	opener.Serve(group, peers, s.listeners.peers)
+	opener.Serve(group, operators, s.listeners.operators)
 	context.AfterFunc(work, func() {
 		peers.Close()
 		operators.Close()
@@ -183,15 +172,6 @@
 	}
 }
 
-func serve(group *errgroup.Group, server *http.Server, listener net.Listener) {
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-}
-
 // receiverWhileLeaving tells callers on open connections to go once the instance
 // is leaving. An idle connection is left open until the drain ends, so that none
 // is closed under a request that is just being sent.
--- a/internal/steerer/feed.go
+++ b/internal/steerer/feed.go
@@ -87,7 +87,7 @@
 		update:  update,
 		known:   map[string]entry[T]{},
 	}
-	f.watcher.WithWait(s.watchWait).WithPause(time.Duration(feed.PauseMillis) * time.Millisecond)
+	f.watcher.WithWait(s.watchWait).WithPause(feed.PauseMillis)
 	own := handler.QueryFunc[reporter.Nothing, watcher.View[[]byte]](
 		func(context.Context, reporter.Nothing) (watcher.View[[]byte], error) {
 			if latest := f.latest.Load(); latest != nil {
--- a/internal/steerer/listen.go
+++ b/internal/steerer/listen.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/lingerer"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/opener"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 )
@@ -39,57 +38,37 @@
 	readiness net.Listener
 }
 
-func (l listeners) all() []net.Listener {
-	return []net.Listener{l.callers, l.peers, l.operators, l.lookups, l.readiness}
-}
-
 // listen opens the listeners that settings name.
 func listen(settings configurer.Settings) (listeners, error) {
 	var opened listeners
-	wanted := []struct {
-		field   string
-		address string
-		into    *net.Listener
-	}{
-		{
-			field:   "Callers.Listen",
-			address: settings.Callers.Listen,
-			into:    &opened.callers,
+	err := opener.Open(
+		opener.Wanted{
+			Field:   "Callers.Listen",
+			Address: settings.Callers.Listen,
+			Into:    &opened.callers,
 		},
-		{
-			field:   "Peers.Listen",
-			address: settings.Peers.Listen,
-			into:    &opened.peers,
+		opener.Wanted{
+			Field:   "Peers.Listen",
+			Address: settings.Peers.Listen,
+			Into:    &opened.peers,
 		},
-		{
-			field:   "Operators.Listen",
-			address: settings.Operators.Listen,
-			into:    &opened.operators,
+		opener.Wanted{
+			Field:   "Operators.Listen",
+			Address: settings.Operators.Listen,
+			Into:    &opened.operators,
 		},
-		{
-			field:   "Lookups.Listen",
-			address: settings.Lookups.Listen,
-			into:    &opened.lookups,
+		opener.Wanted{
+			Field:   "Lookups.Listen",
+			Address: settings.Lookups.Listen,
+			Into:    &opened.lookups,
 		},
-		{
-			field:   "Readiness.Listen",
-			address: settings.Readiness.Listen,
-			into:    &opened.readiness,
+		opener.Wanted{
+			Field:   "Readiness.Listen",
+			Address: settings.Readiness.Listen,
+			Into:    &opened.readiness,
 		},
-	}
-	for _, want := range wanted {
-		listener, err := net.Listen("tcp", want.address)
-		if err != nil {
-			for _, done := range opened.all() {
-				if done != nil {
-					done.Close()
-				}
-			}
-			return listeners{}, eris.Wrap(err, want.field)
-		}
-		*want.into = listener
-	}
-	return opened, nil
+	)
+	return opened, err
 }
 
 // startListeners serves all listeners and returns how to stop: callers get until
@@ -131,7 +110,7 @@
 	}
 	for _, other := range others {
 		server := s.httpServer(other.handler)
-		serve(group, server, other.listener)
+		opener.Serve(group, server, other.listener)
 		context.AfterFunc(work, func() { server.Close() })
 	}
 	return func(ctx context.Context) {
@@ -158,12 +137,3 @@
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
-
-func serve(group *errgroup.Group, server *http.Server, listener net.Listener) {
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-}
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -35,9 +35,9 @@
 	prefix string
 	// due says whether it falls to this process to watch now.
 	due func() bool
-	// pause is the time between an answer with changes and the next watch, so that
-	// changes in quick succession come in one answer.
-	pause time.Duration
+	// pauseMillis is the time between an answer with changes and the next watch, in
+	// milliseconds, so that changes in quick succession come in one answer.
+	pauseMillis int
 	// wait returns how long one watch waits at most; nil leaves it to the store.
 	wait func() time.Duration
 	// objects holds the objects of the view under their names.
@@ -67,9 +67,9 @@
 }
 
 // WithPause returns the watcher with a time between an answer with changes and the
-// next watch. It is called before Run.
-func (w *Watcher[T]) WithPause(pause time.Duration) *Watcher[T] {
-	w.pause = pause
+// next watch, in milliseconds. It is called before Run.
+func (w *Watcher[T]) WithPause(millis int) *Watcher[T] {
+	w.pauseMillis = millis
 	return w
 }
 
@@ -134,13 +134,22 @@
 			update(w.view())
 		}
 		answered()
-		if changed && w.pause > 0 && retrier.Sleep(ctx, w.pause) != nil {
+		if changed && w.rest(ctx) != nil {
 			break
 		}
 	}
 	return nil
 }
 
+// rest waits between an answer with changes and the next watch, or until ctx ends,
+// whose error it then returns.
+func (w *Watcher[T]) rest(ctx context.Context) error {
+	if w.pauseMillis == 0 {
+		return nil
+	}
+	return retrier.Sleep(ctx, time.Duration(w.pauseMillis)*time.Millisecond)
+}
+
 // hasOffer says whether a view waits to be taken in.
 func (w *Watcher[T]) hasOffer() bool {
 	w.offering.Lock()
