Finish moves with time to tell the platform

A move was done at nine tenths of its time, 3.6 s; the look each quarter of a second, the turn of the instance that reports and the loaded machine took the rest.

Change: a move is done by 0.85 of its time at the latest; the tests' moves take six seconds, half of the users' shortest.

--- a/pkg/command/mover/mover.go
+++ b/pkg/command/mover/mover.go
@@ -59,7 +59,7 @@
 	// nothing new is sent to them.
 	finishWait = 4 * time.Second
 	// latest is the part of the move's time by which it is done at the latest.
-	latest = 0.9
+	latest = 0.85
 )
 
 // Overdue says whether a move that is doubtful still has no time left to become
