--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -37,6 +37,7 @@
 	return beat
 }
 
+// heard takes nothing from a beat that peerChanged does not.
 func (s *Steerer) heard(linker.Beat) {}
 
 // peerChanged takes in a peer's beat that differs from its last. It is called on
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -204,8 +204,8 @@
 	s.halt(ErrHalted)
 }
 
-// Reload takes over changed settings as far as they can change in a running
-// instance: the costs of placing stay, and so do addresses.
+// Reload says in the log whether the settings have changed. They come into force at
+// the next start; a running instance loses no request over them.
 func (s *Steerer) Reload(settings configurer.Settings) {
 	s.log.Info().Bool("Changed", !settings.Equal(s.settings)).Msg("Reloaded")
 }
