--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -65,24 +64,12 @@
 
 // Watch waits for changes below prefix after a revision.
 func (a *Adapter) Watch(ctx context.Context, prefix string, after uint64) (storer.Changes[[]byte], error) {
-	wait := WatchMillis * time.Millisecond
-	if deadline, has := ctx.Deadline(); has {
-		wait = min(wait, time.Until(deadline))
-	}
-	// The wait ends at the platform earlier than here, so that a deadline ends it
-	// with an answer; only a cancellation breaks the call.
-	calling, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			cancel()
-		}
-	})
-	defer stop()
+	calling, wait, end := Waiting(ctx, WatchMillis*time.Millisecond)
+	defer end()
 	return a.changes(calling, url.Values{
 		ParamPrefix:     {prefix},
 		ParamAfter:      {strconv.FormatUint(after, 10)},
-		ParamWaitMillis: {strconv.FormatInt(max(wait.Milliseconds(), 0), 10)},
+		ParamWaitMillis: {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}, time.Now().Add(wait+watchSlack))
 }
 
--- a/internal/adapter/caller.go
+++ b/internal/adapter/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -73,6 +74,26 @@
 	}, nil
 }
 
+// Waiting returns the context and the wait of a call that waits at the platform, at
+// most for the longest time. The wait ends there earlier than here, so that a
+// deadline of ctx ends it with an answer; only a cancellation breaks the call.
+func Waiting(ctx context.Context, longest time.Duration) (calling context.Context, wait time.Duration, end func()) {
+	wait = longest
+	if deadline, has := ctx.Deadline(); has {
+		wait = min(wait, max(time.Until(deadline), 0))
+	}
+	calling, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	return calling, wait, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Call is one request to the platform.
 type Call struct {
 	Method string
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -79,7 +78,7 @@
 			s.start(accepted)
 		case s.stopped.Load():
 			return nil
-		case isTemporary(err):
+		case isTimeout(err) || isShort(err):
 			// The process is out of descriptors for a moment.
 			<-time.After(acceptPause)
 		default:
@@ -91,11 +90,6 @@
 // acceptPause is the time between two tries to accept while descriptors are short.
 const acceptPause = 5 * time.Millisecond
 
-func isTemporary(err error) bool {
-	var failed net.Error
-	return errors.As(err, &failed) && failed.Timeout() || isShort(err)
-}
-
 // report tells of a handler's panic.
 func (s *Server) report(reason any) {
 	if reason != http.ErrAbortHandler {
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -95,10 +95,11 @@
 	if report, changed := s.apportioner.Report(); changed {
 		s.demand = newAnnouncement(report)
 	}
-	asks := s.demand.due(s.others())
+	told := s.demand
+	due := told.due(s.others())
 	s.apportion(plan, now)
 	s.planning.Unlock()
-	s.tellDemand(asks)
+	s.tellDemand(told, due)
 }
 
 // apportion sets the parts of all limits. The caller holds planning.
@@ -152,11 +153,8 @@
 	return true
 }
 
-// tellDemand tells instances of the newest report and takes in their confirmations.
-func (s *Steerer) tellDemand(due []registrar.Member) {
-	s.planning.Lock()
-	told := s.demand
-	s.planning.Unlock()
+// tellDemand tells instances of a report and takes in their confirmations.
+func (s *Steerer) tellDemand(told *announcement, due []registrar.Member) {
 	for _, other := range due {
 		s.hub.Go(func() {
 			ctx, cancel := context.WithTimeout(s.work, confirmLimit)
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/linker"
@@ -178,10 +177,7 @@
 	if !s.leaving.Load() {
 		live = append(live, s.self)
 	}
-	for _, member := range s.roster.Load().Members() {
-		if member.Name == s.self.Name {
-			continue
-		}
+	for _, member := range s.others() {
 		peer, linked := s.hub.Peer(member.Incarnation)
 		recent := time.Since(s.rosterAt[member.Incarnation]) < linkLimit
 		if (linked && !peer.Beat.Leaving) || (!linked && recent) {
@@ -196,7 +192,7 @@
 	s.linkPeers()
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
-		s.confirm()
+		s.endLapse()
 		s.share()
 		s.advanceMoves(ctx)
 		rounds++
@@ -219,7 +215,7 @@
 	if s.leaving.Load() || s.storeLostNanos.Load() != 0 {
 		return
 	}
-	for _, member := range s.roster.Load().Members() {
+	for _, member := range s.others() {
 		if _, linked := s.hub.Peer(member.Incarnation); linked && member.Name < s.self.Name {
 			return
 		}
@@ -240,9 +236,9 @@
 	defer s.locating.Unlock()
 	now := time.Now()
 	var dead []registrar.Member
-	for _, member := range s.roster.Load().Members() {
-		_, linked := s.hub.Peer(member.Incarnation)
-		if linked || strings.EqualFold(member.Name, s.self.Name) {
+	for _, member := range s.others() {
+		if _, linked := s.hub.Peer(member.Incarnation); linked {
+			// Once the link is lost, the instance does not count as newly listed.
 			s.rosterAt[member.Incarnation] = now.Add(-linkLimit)
 			continue
 		}
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
@@ -171,12 +172,7 @@
 	for _, m := range s.moving {
 		moves = append(moves, m.order.Move.WithShare(m.share))
 	}
-	slices.SortFunc(moves, func(a, b declarer.Move) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(moves, func(a, b declarer.Move) int { return strings.Compare(a.Service, b.Service) })
 	return moves
 }
 
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
-	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
@@ -13,10 +12,6 @@
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
-// settleWait is how long larger parts of limits wait after a change of instances:
-// until the others have seen the change and all that they have lent has ended.
-const settleWait = sharer.Quarantine + time.Second
-
 // adopt puts a declaration in force if it is newer than the one in force. A
 // declaration never goes back.
 func (s *Steerer) adopt(declaration declarer.Declaration) {
@@ -27,7 +22,6 @@
 		return
 	}
 	s.replan(s.inputs.withDeclaration(declaration))
-	s.settle(before != 0)
 	s.receiver.Sweep()
 	s.hub.Nudge()
 	s.log.Info().
@@ -54,31 +48,16 @@
 	s.locate()
 }
 
-// settle puts larger parts of limits in force: later, if others may still use what
-// they take over. The caller holds planning.
-func (s *Steerer) settle(shared bool) {
-	at := time.Now()
-	if shared {
-		at = at.Add(settleWait)
-	}
-	if at.After(s.confirmAt) {
-		s.confirmAt = at
-	}
-}
-
-// confirm puts larger parts in force whose time has come, and ends lapses.
-func (s *Steerer) confirm() {
+// endLapse drops the upstreams that the platform has not listed since its return,
+// once their time has come.
+func (s *Steerer) endLapse() {
 	s.planning.Lock()
 	defer s.planning.Unlock()
-	now := time.Now()
-	if !s.confirmAt.IsZero() && !now.Before(s.confirmAt) {
-		s.confirmAt = time.Time{}
-		s.plans.Load().Confirm(now)
-	}
-	if !s.lapsesAt.IsZero() && !now.Before(s.lapsesAt) {
-		s.lapsesAt = time.Time{}
-		s.replan(s.inputs.withRegistrations(s.registered))
+	if s.lapsesAt.IsZero() || time.Now().Before(s.lapsesAt) {
+		return
 	}
+	s.lapsesAt = time.Time{}
+	s.replan(s.inputs.withRegistrations(s.registered))
 }
 
 // register takes in what the platform lists. For a while after the platform's
@@ -112,7 +91,6 @@
 		s.pointDesks(s.plans.Load())
 		return
 	}
-	s.settle(true)
 	s.replan(s.inputs.withSeats(seats))
 }
 
@@ -120,26 +98,18 @@
 func (s *Steerer) pointDesks(plan *admitter.Plan) {
 	set := plan.Table().Set()
 	home, _ := set.Places.Get(s.self.Place)
-	members := s.roster.Load().Members()
+	lenders := s.others()
+	slices.SortStableFunc(lenders, func(a, b registrar.Member) int {
+		return home.Distance(set.Places, a.Place) - home.Distance(set.Places, b.Place)
+	})
+	incarnations := make([]string, 0, len(lenders))
+	for _, lender := range lenders {
+		incarnations = append(incarnations, lender.Incarnation)
+	}
 	for team := range set.Teams.All() {
-		desk, found := plan.Desk(team.Name)
-		if !found {
-			continue
-		}
-		var lenders []registrar.Member
-		for _, member := range members {
-			if member.Name != s.self.Name {
-				lenders = append(lenders, member)
-			}
-		}
-		slices.SortStableFunc(lenders, func(a, b registrar.Member) int {
-			return home.Distance(set.Places, a.Place) - home.Distance(set.Places, b.Place)
-		})
-		incarnations := make([]string, 0, len(lenders))
-		for _, lender := range lenders {
-			incarnations = append(incarnations, lender.Incarnation)
+		if desk, found := plan.Desk(team.Name); found {
+			desk.SetHolders(incarnations, team.RatePerSecond)
 		}
-		desk.SetHolders(incarnations, team.RatePerSecond)
 	}
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -63,9 +63,6 @@
 	// lapsesAt is until when upstreams are kept that the platform has not listed since
 	// its return; zero if they are not.
 	lapsesAt time.Time
-	// confirmAt is when the larger parts of limits come into force; zero if they are
-	// in force.
-	confirmAt time.Time
 	// apportioner splits teams' limits by demand, and demand is what the others are
 	// told of it; never nil.
 	apportioner *apportioner.Apportioner
--- a/pkg/command/mover/mover.go
+++ b/pkg/command/mover/mover.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -137,12 +138,7 @@
 	for _, sum := range byRoute {
 		merged = append(merged, sum)
 	}
-	slices.SortFunc(merged, func(a, b Evidence) int {
-		if a.Route < b.Route {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(merged, func(a, b Evidence) int { return strings.Compare(a.Route, b.Route) })
 	return merged
 }
 
