Count what an upstream fails against the version that its entry names now

Cause of the known red TestMovesOnThePlatform (a caller got a new version's 500, and the move went on to half of the traffic): an upstream whose entry first named the old version and then the new one kept the old version's name, so its failures counted against the old versions. Seen by keeping the instances' lines in the test and the evidence in MoveStep: New 0 of 0, Old 73 of 1011 failed. Excluded: the retry budget (never spent), a skewed hash of objects (5% within chance). Change: the version follows the entry; a move whose new version is hardly reached is doubtful and takes no further step; answers that tell of failure have lines of their own. Tests that failed first: TestUpstreamChangesItsVersion, TestUnseenVersionsAreDoubtful.

--- a/internal/steerer/journal.go
+++ b/internal/steerer/journal.go
@@ -19,10 +19,12 @@
 // goroutines; takes no lock.
 type journal struct {
 	log zerolog.Logger
-	// refused holds the line budget of each reason, and answered that of requests
-	// that were answered.
+	// refused holds the line budget of each reason, answered that of requests that
+	// were answered, and failed that of answers in which the upstream says that it
+	// failed.
 	refused  map[arbiter.Reason]*lineBudget
 	answered *lineBudget
+	failed   *lineBudget
 }
 
 func newJournal(log zerolog.Logger, registry metrics.Registry) *journal {
@@ -30,6 +32,7 @@
 		log:      log,
 		refused:  map[arbiter.Reason]*lineBudget{},
 		answered: newLineBudget("Answered", registry),
+		failed:   newLineBudget("AnsweredFailure", registry),
 	}
 	for _, reason := range arbiter.Reasons() {
 		j.refused[reason] = newLineBudget(string(reason), registry)
@@ -42,9 +45,7 @@
 func (j *journal) ended(outcome receiver.Outcome) {
 	refusal := outcome.Refusal
 	if refusal == nil {
-		if left, ok := j.answered.take(outcome.Ended); ok {
-			write(j.log.Info(), outcome, left).Msg("Answered")
-		}
+		j.answer(outcome)
 		return
 	}
 	budget, found := j.refused[refusal.Reason]
@@ -63,6 +64,17 @@
 		Msg("Refused")
 }
 
+// answer writes the line of a request that was answered.
+func (j *journal) answer(outcome receiver.Outcome) {
+	budget := j.answered
+	if outcome.Status >= leastFailure {
+		budget = j.failed
+	}
+	if left, ok := budget.take(outcome.Ended); ok {
+		write(j.log.Info(), outcome, left).Msg("Answered")
+	}
+}
+
 // write adds what decided a request to a line.
 func write(line *zerolog.Event, outcome receiver.Outcome, left int64) *zerolog.Event {
 	line = line.
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -269,6 +269,7 @@
 		Str("To", m.order.Move.To).
 		Float64("Share", share).
 		Int64("ElapsedMillis", elapsed.Milliseconds()).
+		Interface("Evidence", evidence).
 		Msg("MoveStep")
 	return true
 }
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -230,8 +230,8 @@
 	switch {
 	case !found:
 		upstream = newUpstream(declared, version, p.keyed != nil, now)
-	case upstream.Declared() != declared:
-		upstream.redeclare(declared)
+	case upstream.Declared() != declared || upstream.Version() != version:
+		upstream.redeclare(declared, version)
 	}
 	if limit := coldPart(declared, seats); limit != upstream.cold.Limit() {
 		upstream.cold.SetLimit(limit, now)
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -48,8 +48,8 @@
 // goroutines.
 type Upstream struct {
 	declared atomic.Pointer[declarer.Upstream]
-	// version names the version that the upstream runs.
-	version string
+	// version names the version that the upstream runs; never nil.
+	version atomic.Pointer[string]
 	// seed names the upstream for picker.Keyed.
 	seed uint64
 	// slots bounds the requests of this instance at the upstream.
@@ -78,14 +78,12 @@
 	hash := fnv.New64a()
 	hash.Write([]byte(declared.Name))
 	upstream := &Upstream{
-		version:  version,
 		seed:     hash.Sum64(),
 		slots:    limiter.NewSlots(declared.Slots),
 		cold:     limiter.NewBucket(limiter.Limit{}, now),
 		unprobed: unprobed,
 	}
-	upstream.declared.Store(&declared)
-	upstream.follow(declared)
+	upstream.redeclare(declared, version)
 	return upstream
 }
 
@@ -103,7 +101,7 @@
 
 // Version returns the name of the version that the upstream runs.
 func (u *Upstream) Version() string {
-	return u.version
+	return *u.version.Load()
 }
 
 // Address returns the upstream's IP number and port.
@@ -289,9 +287,11 @@
 	u.slots.Release()
 }
 
-// redeclare takes over a changed declaration with the same address.
-func (u *Upstream) redeclare(declared declarer.Upstream) {
+// redeclare takes over a declaration with the same address and incarnation. The
+// version can change too: an entry may be corrected.
+func (u *Upstream) redeclare(declared declarer.Upstream, version string) {
 	u.declared.Store(&declared)
+	u.version.Store(&version)
 	u.slots.SetLimit(declared.Slots)
 	u.follow(declared)
 }
--- /dev/null
+++ b/pkg/command/admitter/version_test.go
@@ -0,0 +1,65 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+)
+
+// An upstream whose entry names another version is one of that version from then on,
+// so that what it fails counts against the version that it runs. It stays the same
+// upstream, with the slots that are in use.
+func TestUpstreamChangesItsVersion(t *testing.T) {
+	cases := []struct {
+		name  string
+		after string
+	}{
+		{
+			name:  "the same version",
+			after: "shopfront-v1",
+		},
+		{
+			name:  "another version",
+			after: "shopfront-v2",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			plan := admitter.First("derby", "entry-1/1")
+			before := onlyUpstream(t, plan.WithTable(router.New(1, runningVersion("shopfront-v1")), now))
+			after := onlyUpstream(t, plan.WithTable(router.New(1, runningVersion("shopfront-v1")), now).
+				WithTable(router.New(2, runningVersion(c.after)), now))
+			if before.Version() != "shopfront-v1" || after.Version() != c.after {
+				t.Fatalf("version %q, then %q, want %q", before.Version(), after.Version(), c.after)
+			}
+		})
+	}
+}
+
+// runningVersion returns a set in which the only upstream runs a version.
+func runningVersion(name string) declarer.Set {
+	running := version("shopfront", 1)
+	running.Name = name
+	return declarer.Set{}.
+		WithPlace(declarer.Place{
+			Name:   "derby",
+			Region: "east",
+		}).
+		WithService(declarer.Service{
+			Name: "shopfront",
+		}).
+		WithVersion(running)
+}
+
+func onlyUpstream(t *testing.T, plan *admitter.Plan) *admitter.Upstream {
+	t.Helper()
+	upstreams := plan.Upstreams()
+	if len(upstreams) != 1 {
+		t.Fatalf("%d upstreams, want 1", len(upstreams))
+	}
+	return upstreams[0]
+}
--- a/pkg/command/mover/mover.go
+++ b/pkg/command/mover/mover.go
@@ -168,20 +168,36 @@
 	return "", false
 }
 
-// leastDoubtful is from how many failures on a version is doubtful.
-const leastDoubtful = 2
+const (
+	// leastDoubtful is from how many failures on a version is doubtful.
+	leastDoubtful = 2
+	// leastSeen is how many requests at a new version are to be seen, once the others
+	// have served enough that the first step should have brought twice as many.
+	leastSeen = 10
+)
 
 // Doubtful says whether the new version fails more often than the others on some
-// route, though too few requests have shown it yet. A doubtful move takes no further
-// step.
+// route, though too few requests have shown it yet, or is hardly reached at all. A
+// doubtful move takes no further step.
 func Doubtful(evidence []Evidence) bool {
-	return slices.ContainsFunc(evidence, func(one Evidence) bool {
+	return unseen(evidence) || slices.ContainsFunc(evidence, func(one Evidence) bool {
 		return one.New.Failures >= leastDoubtful &&
 			one.New.rate()-one.Old.rate() >= faultyRate &&
 			one.beyondChance()
 	})
 }
 
+// unseen says whether far fewer requests are seen at the new version than the first
+// step brings there.
+func unseen(evidence []Evidence) bool {
+	var all Evidence
+	for _, one := range evidence {
+		all.New = all.New.Plus(one.New)
+		all.Old = all.Old.Plus(one.Old)
+	}
+	return all.New.Requests < leastSeen && float64(all.Old.Requests)*steps[0].share >= 2*leastSeen
+}
+
 // beyondChance says whether the new version fails more requests than it would by
 // chance if it were like the others.
 func (e Evidence) beyondChance() bool {
--- a/pkg/command/mover/mover_test.go
+++ b/pkg/command/mover/mover_test.go
@@ -190,3 +190,48 @@
 		}
 	}
 }
+
+// A move takes no further step while its new version is hardly reached: nothing that
+// is seen speaks for it.
+func TestUnseenVersionsAreDoubtful(t *testing.T) {
+	cases := []struct {
+		name     string
+		newCount int
+		oldCount int
+		want     bool
+	}{
+		{
+			name: "nothing has come yet",
+		},
+		{
+			name:     "too little has come to tell",
+			oldCount: 300,
+		},
+		{
+			name:     "the new version gets nothing",
+			oldCount: 700,
+			want:     true,
+		},
+		{
+			name:     "the new version gets its part",
+			newCount: 35,
+			oldCount: 700,
+		},
+	}
+	for _, c := range cases {
+		evidence := []mover.Evidence{
+			{
+				Route: "view",
+				New: mover.Count{
+					Requests: c.newCount,
+				},
+				Old: mover.Count{
+					Requests: c.oldCount,
+				},
+			},
+		}
+		if got := mover.Doubtful(evidence); got != c.want {
+			t.Errorf("%s: doubtful %t, want %t", c.name, got, c.want)
+		}
+	}
+}
