Ask empty lenders again sooner the fewer there are

Cause of the known red TestTeamLimitOverInstances: an empty lender rested up to 1.6 s, also when it was the only one, of the 2.5 s in which five requests are to be admitted. Change: a lender rests at most 50 ms times the number of lenders.

--- a/pkg/command/sharer/asking.go
+++ b/pkg/command/sharer/asking.go
@@ -12,10 +12,12 @@
 	// AnswerLimit is how long an answer is waited for: patience and the way.
 	AnswerLimit = patience + 300*time.Millisecond
 	// restAfterNothing is how long a holder that had nothing is left alone. Each time
-	// in a row doubles that, maxRestDoublings times at most: a limit that is used up
-	// everywhere is not asked for again and again.
+	// in a row doubles that, up to as many times this as there are holders: a limit
+	// that is used up everywhere is asked for once in this time, whoever is asked, and
+	// a single holder is soon asked again.
 	restAfterNothing = 50 * time.Millisecond
-	maxRestDoublings = 5
+	// maxRestDoublings bounds the doublings where there are very many holders.
+	maxRestDoublings = 6
 	// restAfterSilence is how long a holder that did not answer is left alone.
 	restAfterSilence = time.Second
 )
@@ -47,6 +49,12 @@
 	return asks
 }
 
+// rest returns how long a holder is left alone that had nothing that often in a row.
+func (d *Desk) rest(empties int) time.Duration {
+	longest := restAfterNothing * time.Duration(max(len(d.holders), 1))
+	return min(restAfterNothing<<min(empties, maxRestDoublings), longest)
+}
+
 // nextHolder returns the next holder in turn that does not rest.
 func (d *Desk) nextHolder(now time.Time) (string, bool) {
 	for range d.holders {
--- a/pkg/command/sharer/desk.go
+++ b/pkg/command/sharer/desk.go
@@ -262,7 +262,7 @@
 		return nil
 	}
 	if grant.Units == 0 {
-		d.restUntil[holder] = now.Add(restAfterNothing << min(d.empties[holder], maxRestDoublings))
+		d.restUntil[holder] = now.Add(d.rest(d.empties[holder]))
 		d.empties[holder]++
 		return nil
 	}
