Split small limits over few holders, which count what they lend

Each limit was split over all 85 instances, so that a part's burst was rounded down to nothing and could neither admit nor lend; and each instance told all others of all teams each 250 ms. Tests: TestFewHolders; TestPartsNeverExceedTheWhole now also draws the number of holders.

--- a/internal/command/borrower/borrower.go
+++ b/internal/command/borrower/borrower.go
@@ -96,24 +96,29 @@
 		case <-timer.C:
 		case <-b.wakes:
 		}
-		if b.pump(ctx) {
-			timer.Reset(sharer.PumpEvery)
-		} else {
-			timer.Reset(idleEvery)
-		}
+		timer.Reset(b.pump(ctx))
 	}
 }
 
-// pump pumps the desks that are in use and says whether there are any.
-func (b *Borrower) pump(ctx context.Context) bool {
-	used := false
+// pump pumps the desks that are due, and returns the time until one is due again.
+func (b *Borrower) pump(ctx context.Context) time.Duration {
+	now := time.Now()
+	wait := idleEvery
 	for _, desk := range b.plans.Load().Desks() {
-		if desk.InUse() {
-			used = true
-			b.do(ctx, desk, desk.Pump(time.Now()))
+		next := desk.NextPump(now)
+		if next.IsZero() {
+			continue
+		}
+		if !now.Before(next) {
+			work := desk.Pump(now)
+			b.do(ctx, desk, work)
+			next = work.Next
+		}
+		if !next.IsZero() {
+			wait = min(wait, max(next.Sub(now), sharer.PumpEvery))
 		}
 	}
-	return used
+	return wait
 }
 
 // Wake pumps the desks at once.
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -10,6 +10,7 @@
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
@@ -75,7 +76,7 @@
 		func(ctx context.Context, sent report) (reporter.Nothing, error) {
 			s.planning.Lock()
 			defer s.planning.Unlock()
-			s.apportioner.Hear(linker.PeerOf(ctx).Name, sent.heard(), time.Now())
+			s.apportioner.Hear(s.member(linker.PeerOf(ctx)), sent.heard(), time.Now())
 			return reporter.Nothing{}, nil
 		},
 	)
@@ -89,10 +90,10 @@
 	plan := s.plans.Load()
 	for team := range plan.Table().Set().Teams.All() {
 		if desk, found := plan.Desk(team.Name); found {
-			s.apportioner.Measure(team.Name, desk.Requests(), now)
+			s.apportioner.Measure(team.Name, desk.Demanded(), now)
 		}
 	}
-	if report, changed := s.apportioner.Report(); changed {
+	if report, changed := s.apportioner.Report(now); changed {
 		s.demand = newAnnouncement(report)
 	}
 	told := s.demand
@@ -102,10 +103,33 @@
 	s.tellDemand(told, due)
 }
 
+const (
+	// partBurst is the least burst of a part, with what the users' slack adds to it:
+	// one below would hardly ever admit a request.
+	partBurst = 16
+	// leastHolders is how many instances hold parts of the smallest limit, so that the
+	// loss of one leaves most of it.
+	leastHolders = 3
+)
+
+// spreadOf returns how many instances hold parts of a team's limit.
+func (s *Steerer) spreadOf(team declarer.Team) int {
+	return max((team.Burst+s.settings.Teams.Slack)/partBurst, leastHolders)
+}
+
 // apportion sets the parts of all limits. The caller holds planning.
 func (s *Steerer) apportion(plan *admitter.Plan, now time.Time) {
-	extra := s.settings.Teams.Slack / max(len(s.roster.Load().Members()), 1)
-	plan.Apportion(func(team string) float64 { return s.apportioner.Part(team, now) }, extra, now)
+	plan.Apportion(func(team declarer.Team) admitter.Share {
+		s.apportioner.SetSpread(team.Name, s.spreadOf(team))
+		part := s.apportioner.Part(team.Name, now)
+		if part == 0 {
+			return admitter.Share{}
+		}
+		return admitter.Share{
+			Part:  part,
+			Extra: s.settings.Teams.Slack / len(s.apportioner.Holders(team.Name)),
+		}
+	}, now)
 }
 
 // confirmLimit bounds the wait for the confirmation of a report.
@@ -195,10 +219,25 @@
 	return others
 }
 
-func namesOf(members []registrar.Member) []string {
-	names := make([]string, 0, len(members))
-	for _, member := range members {
-		names = append(names, member.Name)
+// member returns an instance as limits are split over it: by regions, within which
+// the ways are short.
+func (s *Steerer) member(one registrar.Member) apportioner.Member {
+	region := ""
+	for _, place := range s.settings.Places {
+		if place.Name == one.Place {
+			region = place.Region
+		}
+	}
+	return apportioner.Member{
+		Name:  one.Name,
+		Group: region,
+	}
+}
+
+func (s *Steerer) membersOf(listed []registrar.Member) []apportioner.Member {
+	members := make([]apportioner.Member, 0, len(listed))
+	for _, one := range listed {
+		members = append(members, s.member(one))
 	}
-	return names
+	return members
 }
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -86,7 +86,7 @@
 			})
 		}
 	}
-	s.apportioner.SetMembers(namesOf(members), time.Now())
+	s.apportioner.SetMembers(s.membersOf(members), time.Now())
 	if slices.Equal(seats, s.inputs.seats) {
 		s.pointDesks(s.plans.Load())
 		return
@@ -98,19 +98,27 @@
 func (s *Steerer) pointDesks(plan *admitter.Plan) {
 	set := plan.Table().Set()
 	home, _ := set.Places.Get(s.self.Place)
-	lenders := s.others()
-	slices.SortStableFunc(lenders, func(a, b registrar.Member) int {
+	others := s.others()
+	slices.SortStableFunc(others, func(a, b registrar.Member) int {
 		return home.Distance(set.Places, a.Place) - home.Distance(set.Places, b.Place)
 	})
-	incarnations := make([]string, 0, len(lenders))
-	for _, lender := range lenders {
-		incarnations = append(incarnations, lender.Incarnation)
-	}
 	for team := range set.Teams.All() {
 		if desk, found := plan.Desk(team.Name); found {
-			desk.SetHolders(incarnations, team.RatePerSecond)
+			desk.SetHolders(s.lenders(team.Name, others), team.RatePerSecond)
+		}
+	}
+}
+
+// lenders returns the incarnations of those others that hold parts of a team's limit.
+func (s *Steerer) lenders(team string, others []registrar.Member) []string {
+	holders := s.apportioner.Holders(team)
+	incarnations := make([]string, 0, len(holders))
+	for _, other := range others {
+		if _, holds := slices.BinarySearch(holders, other.Name); holds {
+			incarnations = append(incarnations, other.Incarnation)
 		}
 	}
+	return incarnations
 }
 
 // locate puts a locator of the instances that live in force.
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -107,19 +107,25 @@
 	}
 }
 
-// Apportion sets this instance's parts of the teams' limits, each from 0 to 1.
-// What it gives adds up to at most 1 over all instances. Extra is added to each
-// part's burst.
-func (p *Plan) Apportion(part func(team string) float64, extra int, now time.Time) {
+// Share is what an instance holds of a team's limit.
+type Share struct {
+	// Part is from 0 to 1. The parts of all instances add up to at most 1.
+	Part float64
+	// Extra is added to the burst of the part.
+	Extra int
+}
+
+// Apportion sets this instance's shares of the teams' limits.
+func (p *Plan) Apportion(share func(team declarer.Team) Share, now time.Time) {
 	for team := range p.table.Set().Teams.All() {
 		desk, found := p.desks[team.Name]
 		if !found {
 			continue
 		}
-		fraction := part(team.Name)
+		held := share(team)
 		desk.Account.SetOwned(limiter.Limit{
-			RatePerSecond: team.RatePerSecond * fraction,
-			Burst:         int(float64(team.Burst)*fraction) + extra,
+			RatePerSecond: team.RatePerSecond * held.Part,
+			Burst:         int(float64(team.Burst)*held.Part) + held.Extra,
 		}, now)
 		desk.Account.Confirm(now)
 	}
--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -27,6 +27,9 @@
 	// by that.
 	leastChange    = 0.2
 	leastPerSecond = 0.7
+	// reportEvery is the least time between two reports, for each member that they go
+	// to: what an instance hears does not grow with the number of members.
+	reportEvery = 20 * time.Millisecond
 )
 
 // Demand is how many requests a second an instance gets for a resource.
@@ -58,9 +61,13 @@
 type Apportioner struct {
 	self  string
 	start string
-	// countedUntil holds the instances among which limits are split. The value is
-	// zero for a member, and for one that has left the end of its counting on.
-	countedUntil map[string]time.Time
+	// countedUntil holds the instances among which limits are split, under their
+	// names.
+	countedUntil map[string]counted
+	// spread holds how many members hold parts of a resource, where not all do.
+	spread map[string]int
+	// holders holds what Holders returned since the members or the spread changed.
+	holders map[string][]string
 	// reports holds the newest report of each other instance. An instance that has
 	// gone silent keeps its report, and so its part.
 	reports map[string]claim
@@ -70,6 +77,8 @@
 	// after it, in order.
 	confirmed *claim
 	pending   []claim
+	// reportAt is the instant from which the next report may be made.
+	reportAt time.Time
 	// hearUntil is until when the reports of all others are waited for; zero before
 	// this instance is a member.
 	hearUntil time.Time
@@ -98,7 +107,9 @@
 	return &Apportioner{
 		start:        start,
 		self:         self,
-		countedUntil: map[string]time.Time{},
+		countedUntil: map[string]counted{},
+		spread:       map[string]int{},
+		holders:      map[string][]string{},
 		reports:      map[string]claim{},
 		own:          map[string]*meter{},
 	}
@@ -111,16 +122,25 @@
 }
 
 // SetMembers says among which instances limits are split.
-func (a *Apportioner) SetMembers(members []string, now time.Time) {
-	for name, until := range a.countedUntil {
-		if !slices.Contains(members, name) && until.IsZero() {
-			a.countedUntil[name] = now.Add(LeaveWait)
+func (a *Apportioner) SetMembers(members []Member, now time.Time) {
+	listed := make(map[string]counted, len(members))
+	for _, member := range members {
+		listed[member.Name] = counted{
+			group: member.Group,
 		}
 	}
-	for _, name := range members {
-		a.countedUntil[name] = time.Time{}
+	for name, before := range a.countedUntil {
+		if _, found := listed[name]; found {
+			continue
+		}
+		if before.until.IsZero() {
+			before.until = now.Add(LeaveWait)
+		}
+		listed[name] = before
 	}
-	if a.hearUntil.IsZero() && slices.Contains(members, a.self) {
+	a.countedUntil = listed
+	clear(a.holders)
+	if self, found := listed[a.self]; found && self.until.IsZero() && a.hearUntil.IsZero() {
 		a.hearUntil = now.Add(HearWait)
 	}
 }
@@ -128,14 +148,19 @@
 // Hear takes in the report of another instance. One that is not a member yet is
 // counted on as if it had just left. An older report than the newest of the same
 // start changes nothing.
-func (a *Apportioner) Hear(member string, report Report, now time.Time) {
-	if before, found := a.reports[member]; found && report.Start == before.start && report.Number <= before.number {
+func (a *Apportioner) Hear(member Member, report Report, now time.Time) {
+	before, found := a.reports[member.Name]
+	if found && report.Start == before.start && report.Number <= before.number {
 		return
 	}
-	if _, counted := a.countedUntil[member]; !counted {
-		a.countedUntil[member] = now.Add(LeaveWait)
+	if _, known := a.countedUntil[member.Name]; !known {
+		a.countedUntil[member.Name] = counted{
+			group: member.Group,
+			until: now.Add(LeaveWait),
+		}
+		clear(a.holders)
 	}
-	a.reports[member] = newClaim(report)
+	a.reports[member.Name] = newClaim(report)
 }
 
 func newClaim(report Report) claim {
@@ -176,9 +201,12 @@
 }
 
 // Report returns what to tell all other members, and false if nothing has changed
-// enough.
-func (a *Apportioner) Report() (Report, bool) {
+// enough. It tells only of what this instance holds parts of.
+func (a *Apportioner) Report(now time.Time) (Report, bool) {
 	last := a.last()
+	if now.Before(a.reportAt) {
+		return Report{}, false
+	}
 	due := last == nil
 	report := Report{
 		Start:  a.start,
@@ -188,21 +216,27 @@
 		report.Number = last.number + 1
 	}
 	for _, resource := range slices.Sorted(maps.Keys(a.own)) {
-		demand := Demand{
-			Resource:  resource,
-			PerSecond: a.own[resource].perSecond,
-		}
-		report.Demands = append(report.Demands, demand)
 		before := 0.0
 		if last != nil {
 			before = last.perSecond[resource]
 		}
+		if !a.holds(resource) && before == 0 {
+			continue
+		}
+		demand := Demand{
+			Resource: resource,
+		}
+		if a.holds(resource) {
+			demand.PerSecond = a.own[resource].perSecond
+		}
+		report.Demands = append(report.Demands, demand)
 		due = due || math.Abs(demand.PerSecond-before) > max(leastChange*before, leastPerSecond)
 	}
 	if !due {
 		return Report{}, false
 	}
 	a.pending = append(a.pending, newClaim(report))
+	a.reportAt = now.Add(reportEvery * time.Duration(len(a.countedUntil)))
 	return report, true
 }
 
@@ -235,17 +269,18 @@
 // Before all others have its first report, that is its even part if they know of it,
 // and else nothing.
 func (a *Apportioner) Part(resource string, now time.Time) float64 {
-	until, counted := a.countedUntil[a.self]
-	switch {
-	case !counted || !until.IsZero():
+	a.forget(now)
+	self, listed := a.countedUntil[a.self]
+	if !listed || !self.until.IsZero() || !a.holds(resource) {
 		return 0
+	}
+	count := float64(len(a.Holders(resource)))
+	switch {
 	case a.confirmed == nil && a.restarted:
-		return floorShare / float64(len(a.countedUntil))
+		return floorShare / count
 	case a.confirmed == nil:
 		return 0
 	}
-	a.forget(now)
-	count := float64(len(a.countedUntil))
 	others, all := a.othersClaim(resource, now)
 	if !all {
 		return floorShare / count
@@ -259,31 +294,34 @@
 
 // forget stops counting on members that have left long enough ago.
 func (a *Apportioner) forget(now time.Time) {
-	for name, until := range a.countedUntil {
-		if !until.IsZero() && !now.Before(until) {
+	for name, member := range a.countedUntil {
+		if !member.until.IsZero() && !now.Before(member.until) {
 			delete(a.countedUntil, name)
 			delete(a.reports, name)
+			clear(a.holders)
 		}
 	}
 }
 
 // othersClaim returns what all others together may claim of a resource, and false
-// while some have not reported that may yet.
+// while some holders have not reported that may yet. Who holds no part any more may
+// still claim one, until it knows.
 func (a *Apportioner) othersClaim(resource string, now time.Time) (float64, bool) {
 	sum := 0.0
+	for _, report := range a.reports {
+		sum += report.perSecond[resource]
+	}
 	heard := 0
 	missing := 0
-	for name := range a.countedUntil {
-		if name == a.self {
-			continue
-		}
-		report, found := a.reports[name]
-		if !found {
+	for _, name := range a.Holders(resource) {
+		_, found := a.reports[name]
+		switch {
+		case name == a.self:
+		case found:
+			heard++
+		default:
 			missing++
-			continue
 		}
-		heard++
-		sum += report.perSecond[resource]
 	}
 	if missing == 0 {
 		return sum, true
--- a/pkg/command/apportioner/apportioner_test.go
+++ b/pkg/command/apportioner/apportioner_test.go
@@ -15,11 +15,13 @@
 	step = 250 * time.Millisecond
 	// resource is the team that all ask for.
 	resource = "quilters"
+	// groups is how many groups the instances stand in.
+	groups = 3
 )
 
 // fleet is instances that hear each other's reports.
 type fleet struct {
-	names []string
+	members []apportioner.Member
 	// starts names the current start of each instance.
 	starts []string
 	parts  []*apportioner.Apportioner
@@ -30,6 +32,8 @@
 	pending []*pending
 	// newest holds the newest report of each instance.
 	newest []sent
+	// spread is how many instances hold parts.
+	spread int
 	// lag returns how long a report or its confirmation is under way, and lost
 	// whether it never comes.
 	lag  func() time.Duration
@@ -58,25 +62,37 @@
 		now:     time.Now(),
 		counted: make([]float64, count),
 		newest:  make([]sent, count),
+		spread:  count,
 		lag:     func() time.Duration { return 0 },
 		lost:    func(int, int) bool { return false },
 	}
 	for i := range count {
-		f.names = append(f.names, fmt.Sprintf("entry-%d", i))
+		f.members = append(f.members, apportioner.Member{
+			Name:  fmt.Sprintf("entry-%d", i),
+			Group: fmt.Sprintf("region-%d", i%groups),
+		})
 	}
-	for _, name := range f.names {
-		part := apportioner.New(name, "1")
-		part.SetMembers(f.names, f.now)
+	for _, member := range f.members {
+		part := apportioner.New(member.Name, "1")
+		part.SetMembers(f.members, f.now)
 		f.starts = append(f.starts, "1")
 		f.parts = append(f.parts, part)
 	}
 	return f
 }
 
+// setSpread says how many instances hold parts.
+func (f *fleet) setSpread(holders int) {
+	f.spread = holders
+	for _, part := range f.parts {
+		part.SetSpread(resource, holders)
+	}
+}
+
 // restart starts an instance anew: it knows nothing of before.
 func (f *fleet) restart(i int) {
 	f.starts[i] += "1"
-	f.parts[i] = apportioner.New(f.names[i], f.starts[i])
+	f.parts[i] = apportioner.New(f.members[i].Name, f.starts[i])
 	f.parts[i].Restart()
 	// The others see that it is another start, and tell it what they told before.
 	for other := range f.newest {
@@ -84,7 +100,8 @@
 			f.newest[other].missing[i] = true
 		}
 	}
-	f.parts[i].SetMembers(f.names, f.now)
+	f.parts[i].SetMembers(f.members, f.now)
+	f.parts[i].SetSpread(resource, f.spread)
 	f.newest[i] = sent{}
 	// Its links end, with all that is under way on them.
 	f.pending = slices.DeleteFunc(f.pending, func(on *pending) bool { return on.from == i || on.to == i })
@@ -98,7 +115,7 @@
 	for i, part := range f.parts {
 		f.counted[i] += perSecond[i] * step.Seconds()
 		part.Measure(resource, uint64(f.counted[i]), f.now)
-		if report, changed := part.Report(); changed {
+		if report, changed := part.Report(f.now); changed {
 			f.newest[i] = f.addressed(i, report)
 		}
 		f.send(i)
@@ -177,7 +194,7 @@
 		}
 		return
 	}
-	f.parts[on.to].Hear(f.names[on.from], on.report, f.now)
+	f.parts[on.to].Hear(f.members[on.from], on.report, f.now)
 	f.post(&pending{
 		from:     on.to,
 		to:       on.from,
@@ -234,6 +251,7 @@
 	for seed := range uint64(2000) {
 		random := rand.New(rand.NewPCG(seed, 11))
 		f := newFleet(2 + random.IntN(12))
+		f.setSpread(1 + random.IntN(len(f.parts)))
 		cut := -1
 		startedAt := f.now
 		f.lag = func() time.Duration { return time.Duration(random.Int64N(int64(longestLag))) }
@@ -287,8 +305,16 @@
 func TestNewcomerWaits(t *testing.T) {
 	now := time.Now()
 	part := apportioner.New("entry-0", "1")
-	part.SetMembers([]string{"entry-0", "entry-1"}, now)
-	report, changed := part.Report()
+	other := apportioner.Member{
+		Name: "entry-1",
+	}
+	part.SetMembers([]apportioner.Member{
+		{
+			Name: "entry-0",
+		},
+		other,
+	}, now)
+	report, changed := part.Report(now)
 	if !changed {
 		t.Fatal("the first report is not made")
 	}
@@ -299,7 +325,7 @@
 	if got := part.Part(resource, now); got >= 0.5 {
 		t.Fatalf("part %v before the other has reported, want less than 0.5", got)
 	}
-	part.Hear("entry-1", apportioner.Report{
+	part.Hear(other, apportioner.Report{
 		Start:  "1",
 		Number: 1,
 	}, now)
@@ -307,3 +333,66 @@
 		t.Fatalf("part %v, want 0.5", got)
 	}
 }
+
+// A limit that is split over few holders is split over as many of each group as the
+// others let, the same ones at all instances, and used whole.
+func TestFewHolders(t *testing.T) {
+	cases := []struct {
+		name      string
+		instances int
+		holders   int
+	}{
+		{
+			name:      "one",
+			instances: 12,
+			holders:   1,
+		},
+		{
+			name:      "one a group",
+			instances: 12,
+			holders:   groups,
+		},
+		{
+			name:      "all",
+			instances: 12,
+			holders:   12,
+		},
+		{
+			name:      "of many",
+			instances: 85,
+			holders:   15,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(c.instances)
+			f.setSpread(c.holders)
+			demand := make([]float64, c.instances)
+			for i := range demand {
+				demand[i] = 2
+			}
+			sum := 0.0
+			for range 24 {
+				sum = f.play(demand)
+			}
+			if sum < 0.9 || sum > 1+1e-9 {
+				t.Errorf("parts add up to %v, want nearly 1", sum)
+			}
+			perGroup := map[string]int{}
+			for i, part := range f.parts {
+				holders := part.Holders(resource)
+				if !slices.Equal(holders, f.parts[0].Holders(resource)) || len(holders) != c.holders {
+					t.Fatalf("instance %d names the holders %v", i, holders)
+				}
+				if part.Part(resource, f.now) > 0 {
+					perGroup[f.members[i].Group]++
+				}
+			}
+			for group, count := range perGroup {
+				if most := (c.holders + groups - 1) / groups; count > most {
+					t.Errorf("%s has %d holders, want at most %d", group, count, most)
+				}
+			}
+		})
+	}
+}
--- a/pkg/command/sharer/asking.go
+++ b/pkg/command/sharer/asking.go
@@ -55,8 +55,14 @@
 	return min(restAfterNothing<<min(empties, maxRestDoublings), longest)
 }
 
-// nextHolder returns the next holder in turn that does not rest.
+// nextHolder returns the nearest holder that does not rest and is not being asked, or
+// else the next one in turn that does not rest.
 func (d *Desk) nextHolder(now time.Time) (string, bool) {
+	for _, holder := range d.holders {
+		if !now.Before(d.restUntil[holder]) && !d.asking(holder) {
+			return holder, true
+		}
+	}
 	for range d.holders {
 		d.turn++
 		holder := d.holders[d.turn%len(d.holders)]
@@ -67,6 +73,16 @@
 	return "", false
 }
 
+// asking says whether a holder is being asked.
+func (d *Desk) asking(holder string) bool {
+	for _, asked := range d.open {
+		if asked.directed.Holder == holder {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Desk) ask(holder string, units int, now time.Time) Directed {
 	d.number++
 	directed := Directed{
--- a/pkg/command/sharer/desk.go
+++ b/pkg/command/sharer/desk.go
@@ -26,6 +26,10 @@
 	keepFor = 300 * time.Millisecond
 	// observeEvery is the time between two looks at the demand.
 	observeEvery = 50 * time.Millisecond
+	// atOnce is a pump that is overdue, in nanoseconds after a desk was made.
+	atOnce = 1
+	// leastDemand is the demand, in requests a second, below which a desk rests.
+	leastDemand = 0.01
 )
 
 // Ask is a question for units of a resource.
@@ -80,13 +84,17 @@
 
 	// purse holds the borrowed units.
 	purse purse
-	// requests counts the requests that have come.
+	// requests counts the requests that have come, and guests the units that
+	// instances without a part of their own have asked for.
 	requests atomic.Uint64
+	guests   atomic.Uint64
 
-	// pumped is the count of requests at the last pump, and busy says that the desk
-	// is to be pumped again whatever the count.
+	// pumped is the count of requests at the last pump.
 	pumped atomic.Uint64
-	busy   atomic.Bool
+	// begun is when the desk was made, and pumpAt when it is to be pumped again
+	// whatever the count, in nanoseconds after that; 0 is never.
+	begun  time.Time
+	pumpAt atomic.Int64
 
 	// deciding guards all below.
 	deciding sync.Mutex
@@ -134,6 +142,7 @@
 	return &Desk{
 		Bucket:     bucket,
 		Account:    New[limiter.Limit](bucket),
+		begun:      now,
 		resource:   resource,
 		borrower:   borrower,
 		maxWaiters: leastWaiters,
@@ -155,9 +164,10 @@
 	return retryAt, false
 }
 
-// Requests returns how many requests have asked for the resource so far.
-func (d *Desk) Requests() uint64 {
-	return d.requests.Load()
+// Demanded returns how many units have been asked for here so far: by requests, and by
+// instances without a part of their own.
+func (d *Desk) Demanded() uint64 {
+	return d.requests.Load() + d.guests.Load()
 }
 
 // SetHolders says which other instances own parts, the nearest first, and the
@@ -194,6 +204,7 @@
 // Lend answers another instance's ask: at once if units are in stock and nobody
 // waits, otherwise when it is its turn, within its patience.
 func (d *Desk) Lend(ask Ask, now time.Time, answer func(Grant)) {
+	d.countGuest(ask)
 	serve := func(now time.Time) bool {
 		units := d.Account.Lend(ask.Serial, ask.Units, now)
 		if units > 0 {
@@ -222,6 +233,15 @@
 	}
 }
 
+// countGuest counts what is asked for by an instance that is no holder.
+func (d *Desk) countGuest(ask Ask) {
+	d.deciding.Lock()
+	defer d.deciding.Unlock()
+	if !slices.Contains(d.holders, ask.Serial.Borrower) {
+		d.guests.Add(uint64(ask.Units))
+	}
+}
+
 // Pump serves those who wait as far as it can, borrows for the rest and for what
 // is to come, and returns what to do.
 func (d *Desk) Pump(now time.Time) Work {
@@ -239,13 +259,27 @@
 	})
 	maps.DeleteFunc(d.missed, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	work.Asks = d.asks(now)
-	if len(d.waiters) > 0 || len(d.open) > 0 || d.purse.left(now) > 0 || d.demand.perSecond > 0.01 {
-		work.Next = now.Add(PumpEvery)
+	work.Next = d.nextPump(now)
+	d.pumpAt.Store(0)
+	if !work.Next.IsZero() {
+		d.pumpAt.Store(int64(work.Next.Sub(d.begun)))
 	}
-	d.busy.Store(!work.Next.IsZero())
 	return work
 }
 
+// nextPump returns when to pump again: soon while somebody waits, seldom while there
+// is demand to follow, and else never.
+func (d *Desk) nextPump(now time.Time) time.Time {
+	switch {
+	case len(d.waiters) > 0:
+		return now.Add(PumpEvery)
+	case len(d.open) > 0 || d.purse.left(now) > 0 || d.demand.perSecond > leastDemand:
+		return now.Add(observeEvery)
+	default:
+		return time.Time{}
+	}
+}
+
 // Receive takes in the answer to an ask and serves those who wait with it. An
 // answer that comes too late is given back unused. One that was not asked for, or
 // has come already, changes nothing: to give that back would give back what is in
@@ -295,10 +329,18 @@
 	d.restUntil[asked.directed.Holder] = now.Add(restAfterSilence)
 }
 
-// InUse says whether anything has happened since the last pump, or still has to.
-// It takes no lock.
-func (d *Desk) InUse() bool {
-	return d.requests.Load() != d.pumped.Load() || d.busy.Load()
+// NextPump returns when the desk is to be pumped, and zero while nothing has happened
+// since the last pump and nothing has to. It takes no lock.
+func (d *Desk) NextPump(now time.Time) time.Time {
+	next := d.pumpAt.Load()
+	switch {
+	case next != 0:
+		return d.begun.Add(time.Duration(next))
+	case d.requests.Load() != d.pumped.Load():
+		return now
+	default:
+		return time.Time{}
+	}
 }
 
 // Waiting returns how many requests and asks wait.
@@ -315,7 +357,7 @@
 		return false
 	}
 	d.waiters = append(d.waiters, joining)
-	d.busy.Store(true)
+	d.pumpAt.Store(atOnce)
 	return true
 }
 
