Watch the platform from two instances a place, and pass on what has changed

Change: the first two live instances of a place that the platform answers watch it; the others fetch from them what has changed since their own view; one that the platform turns away says so, and the next takes over. Beats to other places are fewer from 24 links on, and say when the next is due.

--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -60,6 +60,10 @@
 	// Feeds holds, for each kind of objects that the sender follows, the store's
 	// revision of the last change that it knows.
 	Feeds [MaxFeeds]uint64
+	// StoreLost says that the platform does not answer the sender.
+	StoreLost bool `cbor:",omitempty"`
+	// EveryMillis is the time until the sender's next beat, in milliseconds.
+	EveryMillis int64 `cbor:",omitempty"`
 	// Seatless says that the sender has a configuration and looks for a seat.
 	Seatless bool `cbor:",omitempty"`
 }
@@ -67,6 +71,7 @@
 // Differs says whether a beat tells of a change, and not just of time that passes.
 func (b Beat) Differs(other Beat) bool {
 	b.AgeMillis = other.AgeMillis
+	b.EveryMillis = other.EveryMillis
 	return b != other
 }
 
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -178,11 +178,33 @@
 
 // Nudge tells all peers at once what has changed here.
 func (h *Hub) Nudge() {
+	h.nudge(func(registrar.Member) bool { return true })
+}
+
+// NudgePlace tells the peers of the own place at once what has changed here. The
+// others hear it with the next beat.
+func (h *Hub) NudgePlace() {
+	h.nudge(func(peer registrar.Member) bool { return peer.Place == h.self.Place })
+}
+
+func (h *Hub) nudge(wanted func(peer registrar.Member) bool) {
 	h.linking.Lock()
 	defer h.linking.Unlock()
 	for _, link := range h.links {
-		link.nudge()
+		if wanted(link.peer) {
+			link.nudge()
+		}
+	}
+}
+
+// beatsEvery returns the time between two beats to a peer.
+func (h *Hub) beatsEvery(peer registrar.Member) time.Duration {
+	h.linking.Lock()
+	defer h.linking.Unlock()
+	if peer.Place == h.self.Place {
+		return beatInterval
 	}
+	return beatInterval * time.Duration(max(len(h.links), manyLinks)) / manyLinks
 }
 
 // Peers returns the linked peers that have sent a beat, in the order of their
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -14,11 +14,16 @@
 )
 
 const (
-	// beatInterval is the time between two beats.
+	// beatInterval is the time between two beats to a peer of the own place.
 	beatInterval = 500 * time.Millisecond
+	// manyLinks is from how many links on beats to other places are fewer, so that all
+	// together do not grow with the number of links.
+	manyLinks = 24
 	// silenceLimit ends a link on which nothing has come for that long. Something
 	// between the two ends may have lost track of the connection.
 	silenceLimit = 2 * time.Second
+	// silentBeats is the same in beats, where beats are far apart.
+	silentBeats = 5 / 2.0
 	// queueLength is how many frames may wait to be sent on a link.
 	queueLength = 64
 	// maxFrameBytes bounds a frame, in bytes.
@@ -71,13 +76,15 @@
 }
 
 func (l *link) write(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		if err := l.sendBeat(ctx); err != nil {
+		every := l.hub.beatsEvery(l.peer)
+		if err := l.sendBeat(ctx, every); err != nil {
 			return err
 		}
-		if err := l.drainQueue(ctx, ticker.C); err != nil {
+		timer.Reset(every)
+		if err := l.drainQueue(ctx, timer.C); err != nil {
 			return err
 		}
 	}
@@ -101,8 +108,10 @@
 	}
 }
 
-func (l *link) sendBeat(ctx context.Context) error {
-	body, err := beats.Encode(l.hub.beat())
+func (l *link) sendBeat(ctx context.Context, every time.Duration) error {
+	beat := l.hub.beat()
+	beat.EveryMillis = every.Milliseconds()
+	body, err := beats.Encode(beat)
 	if err != nil {
 		return err
 	}
@@ -138,8 +147,17 @@
 	}
 }
 
+// silence returns how long nothing may come before the link is given up.
+func (l *link) silence() time.Duration {
+	beat := l.beat.Load()
+	if beat == nil {
+		return silenceLimit
+	}
+	return max(silenceLimit, time.Duration(float64(beat.EveryMillis)*silentBeats)*time.Millisecond)
+}
+
 func (l *link) readFrame(ctx context.Context) (Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	ctx, cancel := context.WithTimeout(ctx, l.silence())
 	defer cancel()
 	return receive(ctx, l.conn, frames)
 }
--- a/internal/steerer/feed.go
+++ b/internal/steerer/feed.go
@@ -19,13 +19,23 @@
 	// relayAfter is how long an instance that a peer is ahead of waits for the
 	// platform to tell it, before it asks the peer.
 	relayAfter = 300 * time.Millisecond
+	// firstRelayWait is how long an instance that has just started waits for peers to
+	// tell what they know, before it asks the platform itself.
+	firstRelayWait = 1200 * time.Millisecond
 	// fetchLimit bounds the reading of a peer's view.
 	fetchLimit = 2 * time.Second
 )
 
+// Since asks for what has changed in a feed.
+type Since struct {
+	// Revision is that of the asking instance's view; 0 asks for the whole.
+	Revision uint64
+}
+
 var (
 	nothings = encoder.CBOR[reporter.Nothing]{}
-	views    = encoder.CBOR[watcher.View[[]byte]]{}
+	sinces   = encoder.CBOR[Since]{}
+	deltas   = encoder.CBOR[watcher.Delta[[]byte]]{}
 )
 
 // follower follows one kind of objects: from the platform and, where that does not
@@ -50,8 +60,8 @@
 	watcher *watcher.Watcher[[]byte]
 	// update is told of each change.
 	update func(entries []entry[T], revision uint64)
-	// latest is the newest view, or nil before the first.
-	latest atomic.Pointer[watcher.View[[]byte]]
+	// history holds the newest view, or is nil before the first.
+	history atomic.Pointer[watcher.History[[]byte]]
 	// changed is the revision of the newest view that brought a change.
 	changed atomic.Uint64
 	// fetching is set while a view is fetched from a peer.
@@ -78,28 +88,40 @@
 // newFeeder returns a feeder and lets peers ask for its view. Its topic tells it
 // from others.
 func newFeeder[T any](s *Steerer, feed Feed[T], update func([]entry[T], uint64)) *feeder[T] {
-	always := func() bool { return true }
 	f := &feeder[T]{
 		steerer: s,
 		feed:    feed,
 		topic:   "Feed/" + feed.Prefix,
-		watcher: watcher.New[[]byte](s.platform.Store, feed.Prefix, always),
 		update:  update,
 		known:   map[string]entry[T]{},
 	}
+	f.watcher = watcher.New[[]byte](s.platform.Store, feed.Prefix, f.due)
 	f.watcher.WithWait(s.watchWait).WithPause(feed.PauseMillis)
-	own := handler.QueryFunc[reporter.Nothing, watcher.View[[]byte]](
-		func(context.Context, reporter.Nothing) (watcher.View[[]byte], error) {
-			if latest := f.latest.Load(); latest != nil {
-				return *latest, nil
+	own := handler.QueryFunc[Since, watcher.Delta[[]byte]](
+		func(_ context.Context, since Since) (watcher.Delta[[]byte], error) {
+			if history := f.history.Load(); history != nil {
+				return history.Since(since.Revision), nil
 			}
-			return watcher.View[[]byte]{}, nil
+			return watcher.Delta[[]byte]{}, nil
 		},
 	)
-	linker.Handle(s.hub, f.topic, own, nothings, views)
+	linker.Handle(s.hub, f.topic, own, sinces, deltas)
 	return f
 }
 
+// due says whether this instance watches the feed itself. One that has seen nothing
+// yet does so too if no peer tells it soon, and at once where it learns of its peers.
+func (f *feeder[T]) due() bool {
+	s := f.steerer
+	if s.watching.Load() {
+		return true
+	}
+	if f.history.Load() != nil {
+		return false
+	}
+	return f.feed.Prefix == s.platform.Members.Prefix || time.Since(s.begun) > firstRelayWait
+}
+
 func (f *feeder[T]) run(ctx context.Context) error {
 	return f.watcher.Run(ctx, f.take, f.steerer.storeAnswered, f.steerer.storeFailed)
 }
@@ -114,9 +136,16 @@
 
 // take takes in a new view.
 func (f *feeder[T]) take(view watcher.View[[]byte]) {
-	f.latest.Store(&view)
+	next := watcher.NewHistory(view)
+	if history := f.history.Load(); history != nil {
+		next = history.WithView(view)
+	}
+	f.history.Store(&next)
 	f.changed.Store(view.Revision)
 	f.update(f.decode(view), view.Revision)
+	if f.steerer.watching.Load() {
+		f.steerer.hub.NudgePlace()
+	}
 }
 
 // decode decodes the objects that have changed. Those that cannot be used are
@@ -171,19 +200,38 @@
 	s := f.steerer
 	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
 	defer cancel()
-	if !sleep(ctx, relayAfter) || theirs <= f.changedAt() {
+	wait := relayAfter
+	if s.follows(peer) {
+		wait = 0
+	}
+	if !sleep(ctx, wait) || theirs <= f.changedAt() {
 		return
 	}
-	view, err := linker.Ask(ctx, s.hub, peer.Incarnation, f.topic, reporter.Nothing{}, nothings, views)
+	var before watcher.View[[]byte]
+	if history := f.history.Load(); history != nil {
+		before = history.View()
+	}
+	since := Since{
+		Revision: before.Revision,
+	}
+	delta, err := linker.Ask(ctx, s.hub, peer.Incarnation, f.topic, since, sinces, deltas)
 	if err != nil {
 		s.log.Warn().Str("Peer", peer.Name).Str("Topic", f.topic).Err(err).Msg("RelayFailed")
 		return
 	}
+	view, applies := delta.Apply(before)
 	s.log.Info().
 		Str("Peer", peer.Name).
 		Str("Topic", f.topic).
-		Uint64("Revision", view.Revision).
-		Uint64("Before", f.changedAt()).
+		Uint64("Revision", delta.Revision).
+		Uint64("Before", before.Revision).
+		Int("Changed", len(delta.Objects)).
+		Int("Removed", len(delta.Removed)).
+		Bool("Applies", applies).
 		Msg("Relayed")
+	if !applies {
+		return
+	}
+	s.noteRelay(peer)
 	f.watcher.Offer(view)
 }
--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -70,9 +70,8 @@
 	}
 	away := time.Since(time.Unix(0, lost))
 	s.log.Info().Dur("AwayMillis", away).Msg("PlatformRegained")
-	s.planning.Lock()
-	defer s.planning.Unlock()
-	s.lapsesAt = time.Now().Add(time.Duration(s.settings.Upstreams.LapseMillis) * time.Millisecond)
+	s.keepLapsed()
+	s.hub.NudgePlace()
 }
 
 func (s *Steerer) storeFailed(err error) {
@@ -85,6 +84,7 @@
 	}
 	if s.storeLostNanos.CompareAndSwap(0, time.Now().UnixNano()) {
 		s.log.Warn().Err(err).Msg("PlatformLost")
+		s.hub.NudgePlace()
 	}
 }
 
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -20,15 +20,17 @@
 	// buryAfter is how long a listed instance is left unlinked before its entry is
 	// removed. One that lives enters itself again.
 	buryAfter = 15 * time.Second
-	// enterInterval is the time between two writes of this instance's entry.
-	enterInterval = time.Second
+	// enterInterval is the time between two writes of this instance's entry, in which
+	// the list comes back over a peer.
+	enterInterval = 2 * time.Second
 )
 
 // beat returns what to tell the peers.
 func (s *Steerer) beat() linker.Beat {
 	beat := linker.Beat{
-		Revision: s.plans.Load().Table().RevisionNumber(),
-		Leaving:  s.leaving.Load(),
+		Revision:  s.plans.Load().Table().RevisionNumber(),
+		Leaving:   s.leaving.Load(),
+		StoreLost: s.storeLostNanos.Load() != 0,
 	}
 	for i, follower := range s.followers {
 		beat.Feeds[i] = follower.changedAt()
@@ -51,7 +53,9 @@
 	if before == (linker.Beat{}) || beat.Leaving != before.Leaving {
 		s.locate()
 	}
-	s.catchUp(peer, beat)
+	if s.watching.Load() || s.follows(peer) {
+		s.catchUp(peer, beat)
+	}
 }
 
 // catchUp asks a peer for what it is ahead in.
@@ -193,6 +197,7 @@
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
 		s.endLapse()
+		s.chooseWatching()
 		s.share()
 		s.advanceMoves(ctx)
 		rounds++
@@ -204,6 +209,7 @@
 				s.enter(*roster)
 			}
 			s.catchUpWithAll()
+			s.repointDesks()
 		}
 	}
 	return nil
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -23,7 +23,6 @@
 	}
 	s.replan(s.inputs.withDeclaration(declaration))
 	s.receiver.Sweep()
-	s.hub.Nudge()
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
 		Uint64("Before", before).
@@ -109,6 +108,14 @@
 	}
 }
 
+// repointDesks points the desks anew: holders change also when a member that has left
+// is counted on no longer.
+func (s *Steerer) repointDesks() {
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.pointDesks(s.plans.Load())
+}
+
 // lenders returns the incarnations of those others that hold parts of a team's limit.
 func (s *Steerer) lenders(team string, others []registrar.Member) []string {
 	holders := s.apportioner.Holders(team)
--- a/internal/steerer/sentinel.go
+++ b/internal/steerer/sentinel.go
@@ -24,7 +24,7 @@
 	first := s.storeLostNanos.Load() == 0 && !s.leaving.Load()
 	for _, other := range s.others() {
 		peer, linked := s.hub.Peer(other.Incarnation)
-		if linked && !peer.Beat.Leaving && other.Name < s.self.Name {
+		if linked && !peer.Beat.Leaving && !peer.Beat.StoreLost && other.Name < s.self.Name {
 			first = false
 		}
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -84,6 +84,10 @@
 	tallies atomic.Pointer[map[string]*tally]
 	// followers are complete before Run.
 	followers [linker.MaxFeeds]follower
+	// begun is when the instance was made.
+	begun time.Time
+	// watching says that this instance watches the platform itself.
+	watching atomic.Bool
 	// sentinel says that this instance watches with short waits.
 	sentinel atomic.Bool
 	// unlisted asks for this instance's entry to be written.
@@ -125,6 +129,7 @@
 		inputs: inputs{
 			places: placesOf(settings),
 		},
+		begun:    time.Now(),
 		rosterAt: map[string]time.Time{},
 		unlisted: make(chan struct{}, 1),
 		moving:   map[string]*moving{},
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -54,6 +54,8 @@
 	offered *View[T]
 	// interrupt ends the call that is under way, or is nil.
 	interrupt context.CancelFunc
+	// offers tells that a view has been offered.
+	offers chan struct{}
 }
 
 // New returns a watcher of a prefix, which watches while due says so.
@@ -63,6 +65,7 @@
 		prefix:  prefix,
 		due:     due,
 		objects: map[string]storer.Object[T]{},
+		offers:  make(chan struct{}, 1),
 	}
 }
 
@@ -101,6 +104,11 @@
 	if w.interrupt != nil {
 		w.interrupt()
 	}
+	select {
+	case w.offers <- struct{}{}:
+	default:
+		// One is told of already.
+	}
 }
 
 // Run calls update with each new view until ctx ends, answered after each answer
@@ -113,8 +121,7 @@
 			update(w.view())
 		}
 		if !w.due() {
-			// The error is that ctx has ended, which ends the loop.
-			_ = retrier.Sleep(ctx, dueInterval)
+			w.awaitOffer(ctx)
 			continue
 		}
 		changed, err := w.step(ctx)
@@ -141,6 +148,18 @@
 	return nil
 }
 
+// awaitOffer waits until a view is offered, it is time to look again whether to watch,
+// or ctx ends.
+func (w *Watcher[T]) awaitOffer(ctx context.Context) {
+	timer := time.NewTimer(dueInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-w.offers:
+	}
+}
+
 // rest waits between an answer with changes and the next watch, or until ctx ends,
 // whose error it then returns.
 func (w *Watcher[T]) rest(ctx context.Context) error {
