Spread objects over all regions where the own one has too few upstreams

Change: a part of objects, the same at all instances of a region, goes to the upstreams of all regions alike.

--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
 const (
 	// refreshInterval is the time between two looks at what no event tells.
-	refreshInterval = 250 * time.Millisecond
+	refreshInterval = admitter.SpillEvery
 	// linkLimit is how long a newly listed instance is taken to live until it is
 	// linked.
 	linkLimit = 3 * time.Second
@@ -199,6 +200,7 @@
 		s.endLapse()
 		s.chooseWatching()
 		s.share()
+		s.plans.Load().AdjustSpills(time.Now())
 		s.advanceMoves(ctx)
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -64,6 +64,7 @@
 	// object is the hash of Request.Object, or 0.
 	object uint64
 	pools  parted
+	spill  *spill
 	desk   *sharer.Desk
 }
 
@@ -109,6 +110,7 @@
 		Hurried:    hurried,
 		object:     hashOf(request.Object),
 		pools:      plan.pools[service],
+		spill:      plan.spills[service],
 	}
 	if !request.Now.Before(admission.Deadline) {
 		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
@@ -150,6 +152,7 @@
 		avoid:     avoid,
 		homes:     a.Route.Declared.Homes,
 		teamHomes: a.teamHomes(),
+		roams:     a.spill.roams(random),
 	}
 	if upstream, found := a.pools.acquire(random, asked); found {
 		return upstream, nil
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -27,6 +27,8 @@
 	desks map[string]*sharer.Desk
 	// pools holds the upstreams of each service under its name.
 	pools map[string]parted
+	// spills holds the spill of each service under its name.
+	spills map[string]*spill
 	// upstreams holds each upstream under its address and incarnation.
 	upstreams map[identity]*Upstream
 	// keyed, if not nil, is how upstreams are chosen by the object of a request.
@@ -189,6 +191,7 @@
 	for service := range set.Services.All() {
 		next.pools[service.Name] = next.parted(service)
 	}
+	next.spills = p.spillsFor(next.pools, now)
 	return next
 }
 
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -24,6 +24,8 @@
 	teamHomes []string
 	// suspects says that suspect upstreams will do.
 	suspects bool
+	// roams says that the upstreams of all regions are equally good.
+	roams bool
 }
 
 // allows says whether the request may run in a region.
@@ -40,6 +42,8 @@
 	*Upstream
 	// region is that of the upstream's place.
 	region string
+	// abroad says that the region is another one than the instance's.
+	abroad bool
 	// far is the cost of the way, for picker.Keyed.
 	far float64
 }
@@ -67,7 +71,10 @@
 }
 
 // Far returns the cost of the way to the upstream.
-func (s *sited) Far() float64 {
+func (s *sited) Far(ask ask) float64 {
+	if ask.roams {
+		return 0
+	}
 	return s.far
 }
 
@@ -144,6 +151,7 @@
 		seen := view.site(upstream)
 		switch {
 		case seen.region != from.Region:
+			seen.abroad = true
 			seen.far = keyed.OtherRegion
 		case upstream.Declared().Place != view.home:
 			seen.far = keyed.OtherPlace
--- a/pkg/query/picker/keyed.go
+++ b/pkg/query/picker/keyed.go
@@ -7,8 +7,9 @@
 	Candidate[A]
 	// Seed names the candidate. It is the same at all instances.
 	Seed() uint64
-	// Far is the cost of the way to the candidate, in parts of the range of the hash.
-	Far() float64
+	// Far is the cost of the way to the candidate for an ask, in parts of the range of
+	// the hash.
+	Far(ask A) float64
 }
 
 // MaxChoices bounds ByKey.Choices.
@@ -45,7 +46,7 @@
 		}
 		next := choice[C]{
 			candidate: candidate,
-			cost:      position(key, candidate.Seed()) + candidate.Far(),
+			cost:      position(key, candidate.Seed()) + candidate.Far(ask),
 		}
 		if count < p.Choices {
 			count++
--- a/pkg/query/picker/keyed_test.go
+++ b/pkg/query/picker/keyed_test.go
@@ -14,8 +14,8 @@
 	far  float64
 }
 
-func (s *site) Seed() uint64 { return s.seed }
-func (s *site) Far() float64 { return s.far }
+func (s *site) Seed() uint64        { return s.seed }
+func (s *site) Far(nothing) float64 { return s.far }
 
 func newSites(count int) []*site {
 	random := rand.New(rand.NewPCG(3, 9))
