Know instances that have started anew by their links

Change: who is linked under a listed name stands in the list as it is linked. The first report that all others have gets a line, LimitsConfirmed. TestRestartOfAll failed first: never confirmed while the platform takes no entries.

--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -143,6 +143,8 @@
 	// whose confirmation is waited for.
 	confirmed map[string]bool
 	asking    map[string]bool
+	// done says that all others have it.
+	done bool
 }
 
 func newAnnouncement(made apportioner.Report) *announcement {
@@ -202,9 +204,16 @@
 		return
 	}
 	told.confirmed[other.Incarnation] = true
-	if told.known(s.others()) {
-		s.apportioner.Confirm(told.number)
-		s.apportion(s.plans.Load(), time.Now())
+	// Before the first list nobody is known who could have to confirm.
+	listed := s.roster.Load().Revision() != 0
+	if told.done || !listed || !told.known(s.others()) {
+		return
+	}
+	told.done = true
+	s.apportioner.Confirm(told.number)
+	s.apportion(s.plans.Load(), time.Now())
+	if told.number == 1 {
+		s.log.Info().Int("Members", len(s.others())+1).Msg("LimitsConfirmed")
 	}
 }
 
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -86,7 +86,9 @@
 }
 
 // setRoster puts a list of instances in use.
-func (s *Steerer) setRoster(roster registrar.Roster) {
+func (s *Steerer) setRoster(listed registrar.Roster) {
+	s.noteRestart(listed)
+	roster := s.withLinked(listed)
 	s.noteRoster(roster)
 	s.enter(roster)
 	s.linkPeers()
@@ -95,13 +97,45 @@
 	s.log.Info().Int("Members", len(roster.Members())).Uint64("Revision", roster.Revision()).Msg("MembersListed")
 }
 
-func (s *Steerer) noteRoster(roster registrar.Roster) {
-	before, found := byName(roster, s.self.Name)
-	if found && before.Incarnation != s.self.Incarnation {
-		s.planning.Lock()
-		s.apportioner.Restart()
-		s.planning.Unlock()
+// noteRestart takes in whether an earlier start of this instance is listed.
+func (s *Steerer) noteRestart(listed registrar.Roster) {
+	before, found := byName(listed, s.self.Name)
+	if !found || before.Incarnation == s.self.Incarnation {
+		return
+	}
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.apportioner.Restart()
+}
+
+// withLinked returns a roster in which each instance that is linked under its name
+// alone stands as it is linked: it has started anew, and the platform does not tell yet.
+func (s *Steerer) withLinked(listed registrar.Roster) registrar.Roster {
+	linked := map[string]registrar.Member{}
+	incarnations := map[string]bool{}
+	for _, peer := range s.hub.Peers() {
+		linked[peer.Member.Name] = peer.Member
+		incarnations[peer.Member.Incarnation] = true
+	}
+	members := listed.Members()
+	for i, member := range members {
+		if live, found := linked[member.Name]; found && !incarnations[member.Incarnation] {
+			members[i] = live
+		}
+	}
+	return registrar.NewRoster(listed.Revision(), members...)
+}
+
+// renewRoster takes in the instances that have linked since the last list.
+func (s *Steerer) renewRoster() {
+	before := s.roster.Load()
+	after := s.withLinked(*before)
+	if !slices.Equal(before.Members(), after.Members()) {
+		s.setRoster(after)
 	}
+}
+
+func (s *Steerer) noteRoster(roster registrar.Roster) {
 	s.locating.Lock()
 	defer s.locating.Unlock()
 	s.roster.Store(&roster)
@@ -198,6 +232,7 @@
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
 		s.endLapse()
+		s.renewRoster()
 		s.chooseWatching()
 		s.share()
 		s.plans.Load().AdjustSpills(time.Now())
