--- /dev/null
+++ b/pkg/command/admitter/leaving_test.go
@@ -0,0 +1,57 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/query/router"
+)
+
+// An upstream leaves when its entry says so, and is back when the same start of it
+// says that it is ready after all.
+func TestLeavingIsTakenBack(t *testing.T) {
+	cases := []struct {
+		name    string
+		leaving []bool
+		want    admitter.Health
+	}{
+		{
+			name:    "ready",
+			leaving: []bool{false, false},
+			want:    admitter.Live,
+		},
+		{
+			name:    "leaving",
+			leaving: []bool{false, true},
+			want:    admitter.Leaving,
+		},
+		{
+			name:    "leaving still",
+			leaving: []bool{true, true},
+			want:    admitter.Leaving,
+		},
+		{
+			name:    "ready again",
+			leaving: []bool{false, true, false},
+			want:    admitter.Live,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			plan := admitter.First("derby", "entry-1/1")
+			for i, leaving := range c.leaving {
+				set := runningVersion("shopfront-v1")
+				version, _ := set.Versions.Get("shopfront-v1")
+				upstream := version.Upstreams[0]
+				upstream.Leaving = leaving
+				set = set.WithVersion(version.WithUpstreams(upstream))
+				plan = plan.WithTable(router.New(uint64(i+1), set), now)
+			}
+			if got := onlyUpstream(t, plan).Health(); got != c.want {
+				t.Fatalf("health %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -87,10 +87,13 @@
 	return upstream
 }
 
-// follow takes over the state that the upstream has registered.
-func (u *Upstream) follow(declared declarer.Upstream) {
-	if declared.Leaving {
+// follow takes over the state that the upstream has registered, after another one.
+func (u *Upstream) follow(before *declarer.Upstream, declared declarer.Upstream) {
+	switch {
+	case declared.Leaving:
 		u.health.Store(uint32(Leaving))
+	case before != nil && before.Leaving:
+		u.health.CompareAndSwap(uint32(Leaving), uint32(Live))
 	}
 }
 
@@ -290,8 +293,8 @@
 // redeclare takes over a declaration with the same address and incarnation. The
 // version can change too: an entry may be corrected.
 func (u *Upstream) redeclare(declared declarer.Upstream, version string) {
-	u.declared.Store(&declared)
+	before := u.declared.Swap(&declared)
 	u.version.Store(&version)
 	u.slots.SetLimit(declared.Slots)
-	u.follow(declared)
+	u.follow(before, declared)
 }
