Explain from logs why a request failed

hemlockport explain ID FILE... reads the lines of any number of instances, with or without a collector's own prefix, and says what happened to a request, what its instance believed then and how old that was, and the cause in a sentence.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -48,6 +48,7 @@
 	Status   statusQuery   `cmd:"" group:"queries" help:"Print what an instance knows of itself, its peers and the upstreams."`
 	Lookup   lookupQuery   `cmd:"" group:"queries" help:"Ask which entry instances a client is to use."`
 	Timeline timelineQuery `cmd:"" group:"queries" help:"Print the events of all processes in causal order."`
+	Explain  explainQuery  `cmd:"" group:"queries" help:"Say from logs what happened to a request, and why."`
 	Version  versionQuery  `cmd:"" group:"queries" help:"Print the program's version."`
 }
 
--- /dev/null
+++ b/internal/query/explainer/explainer_test.go
@@ -0,0 +1,97 @@
+package explainer_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/hemlockport/hemlockport/internal/query/explainer"
+)
+
+// recorded are lines of a played day of quiltway-grown, as its bench printed them, with
+// the first one cut short and one of another program.
+const recorded = `   0.3 front-derby-7 {"level":"info","Instance":"front-de
+something else entirely
+{"level":"info","msg":"a line of another program"}
+ -12.8 front-derby-7 {"level":"info","Instance":"front-derby-7","Incarnation":"front-derby-7-A","time":"2026-04-28T19:45:09.05Z","message":"Started"}
+  -8.9 front-derby-7 {"level":"info","Instance":"front-derby-7","Upstreams":376,"Revision":463,"time":"2026-04-28T19:45:13.00Z","message":"UpstreamsListed"}
+   1.5 front-derby-7 {"level":"info","Instance":"front-derby-7","Revision":8,"Before":7,"time":"2026-04-28T19:45:20.54Z","message":"ConfigInForce"}
+   2.9 front-derby-7 {"level":"info","Instance":"front-derby-7","Request":"e1","Route":"r-mb4qg5f","Service":"seda15a","Team":"zipu311","Upstream":"","Attempts":0,"Status":0,"Revision":8,"Plan":16,"TookMillis":171,"LimitMillis":1500,"Verdict":"NotRun","Reason":"TeamOverRate","Detail":"the team's rate is used up","time":"2026-04-28T19:45:21.95Z","message":"Refused"}
+   3.8 front-derby-11 {"level":"info","Instance":"front-derby-11","Request":"e2","Route":"r-q9rns2r","Service":"tivo25b","Team":"bami644","Upstream":"i-b9f4db19f2","Attempts":1,"Status":0,"Revision":8,"Plan":16,"TookMillis":2500,"LimitMillis":2500,"Verdict":"MayHaveRun","Reason":"DeadlineExceeded","Detail":"the deadline passed before the upstream answered","time":"2026-04-28T19:45:22.80Z","message":"Refused"}
+   4.0 front-derby-11 {"level":"info","Instance":"front-derby-11","Upstream":"i-aa","Address":"10.1.64.34:8788","Reason":"UpstreamBroken","time":"2026-04-28T19:45:22.90Z","message":"UpstreamSuspect"}
+   4.1 front-derby-11 {"level":"info","Instance":"front-derby-11","Request":"e3","Route":"r-9td52g7","Service":"seda15a","Team":"bami644","Upstream":"i-aa","Attempts":1,"Status":0,"Revision":8,"Plan":16,"TookMillis":40,"LimitMillis":1500,"Verdict":"MayHaveRun","Reason":"UpstreamBroken","Detail":"the upstream broke the connection","Cause":"read: connection reset by peer","time":"2026-04-28T19:45:23.00Z","message":"Refused"}
+   4.4 front-kettering-4 {"level":"info","Instance":"front-kettering-4","Request":"e4","Route":"r-q9rns2r","Service":"tivo25b","Team":"bami644","Upstream":"i-3db471b3f9","Attempts":2,"Status":500,"Revision":8,"Plan":16,"TookMillis":2734,"time":"2026-04-28T19:45:23.40Z","message":"Answered"}
+   5.0 front-corby-1 {"level":"info","Instance":"front-corby-1","Incarnation":"front-corby-1-B","time":"2026-04-28T19:45:24.00Z","message":"Started"}
+   5.4 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e5","Team":"bami644","Attempts":0,"Revision":8,"TookMillis":170,"Verdict":"NotRun","Reason":"TeamOverRate","time":"2026-04-28T19:45:24.40Z","message":"Refused"}
+`
+
+// recordedForeign is how many of the recorded lines cannot be read.
+const recordedForeign = 3
+
+func TestExplain(t *testing.T) {
+	cases := []struct {
+		name    string
+		request string
+		// cause is part of the sentence, and believes a message that must be told.
+		cause    string
+		believes string
+	}{
+		{
+			name:     "over the rate",
+			request:  "e1",
+			cause:    "limit of zipu311, by declaration 8, told 1.41s before, was used up at front-derby-7",
+			believes: "UpstreamsListed",
+		},
+		{
+			name:    "late",
+			request: "e2",
+			cause:   "i-b9f4db19f2 had not answered when the limit of 2500 ms passed, in 1 attempt(s); the request may have run",
+		},
+		{
+			name:     "broken",
+			request:  "e3",
+			cause:    "i-aa, the last of 1, failed it: the upstream broke the connection (read: connection reset by peer); the request may have run",
+			believes: "UpstreamSuspect",
+		},
+		{
+			name:    "the upstream's own failure",
+			request: "e4",
+			cause:   "i-3db471b3f9 answered 500 by itself",
+		},
+		{
+			name:     "an instance that has just started",
+			request:  "e5",
+			cause:    "front-corby-1 had started 400 ms before and held only its even part of the limit of bami644",
+			believes: "Started",
+		},
+		{
+			name:    "unknown",
+			request: "e6",
+			cause:   "no log tells of this request",
+		},
+	}
+	log, err := explainer.Read(strings.NewReader(recorded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := explainer.Explain(explainer.Question{
+				Request: c.request,
+				Logs:    []explainer.Log{log},
+			})
+			if !strings.Contains(got.Cause, c.cause) {
+				t.Errorf("cause %q, want %q", got.Cause, c.cause)
+			}
+			if got.Foreign != recordedForeign {
+				t.Errorf("%d lines passed over, want %d", got.Foreign, recordedForeign)
+			}
+			found := c.believes == ""
+			for _, belief := range got.Beliefs {
+				found = found || belief.Message == c.believes
+			}
+			if !found {
+				t.Errorf("%+v tells no %s", got.Beliefs, c.believes)
+			}
+		})
+	}
+}
