Send late requests by the plan in force

Change: each sending chooses by the plan in force, or by the admitting one where the service is declared no longer. TestEarlierPlansSendNothingToUpstreamsThatLeft failed first for both cases.

--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -63,9 +63,9 @@
 
 	// object is the hash of Request.Object, or 0.
 	object uint64
-	pools  parted
-	spill  *spill
-	desk   *sharer.Desk
+	// plans holds the plan in force, which may be a later one than Plan.
+	plans *holder.Cell[Plan]
+	desk  *sharer.Desk
 }
 
 // Admitter admits requests by the plan in force. Safe for many goroutines; its
@@ -109,8 +109,7 @@
 		Deadline:   deadline,
 		Hurried:    hurried,
 		object:     hashOf(request.Object),
-		pools:      plan.pools[service],
-		spill:      plan.spills[service],
+		plans:      a.plans,
 	}
 	if !request.Now.Before(admission.Deadline) {
 		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
@@ -142,25 +141,38 @@
 	return a.checkUse(key, admission.Service, now)
 }
 
-// Acquire claims a slot at an upstream. The caller releases it.
+// current returns the plan whose upstreams the request may be sent to: the one in force,
+// so that a request that is sent late goes to none that has left meanwhile. Where its
+// service is declared no longer, that is the plan that admitted it.
+func (a Admission) current() *Plan {
+	plan := a.plans.Load()
+	if _, found := plan.pools[a.Service]; !found {
+		return a.Plan
+	}
+	return plan
+}
+
+// Acquire claims a slot at an upstream by the plan in force. The caller releases it.
 func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
 	if a.object != 0 {
 		random = a.object
 	}
+	plan := a.current()
+	pools := plan.pools[a.Service]
 	asked := ask{
 		now:       now,
 		avoid:     avoid,
 		homes:     a.Route.Declared.Homes,
 		teamHomes: a.teamHomes(),
-		roams:     a.spill.roams(random),
+		roams:     plan.spills[a.Service].roams(random),
 	}
-	if upstream, found := a.pools.acquire(random, asked); found {
+	if upstream, found := pools.acquire(random, asked); found {
 		return upstream, nil
 	}
 	if avoid != nil {
 		// There is no other one.
 		asked.avoid = nil
-		if upstream, found := a.pools.acquire(random, asked); found {
+		if upstream, found := pools.acquire(random, asked); found {
 			return upstream, nil
 		}
 	}
