Take a peer's view that holds a later change, whatever the store said since

Change: an offered view is measured against the last change that is known here. TestOfferAfterSilence failed first: the view was never taken.

--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -43,6 +43,9 @@
 	// objects holds the objects of the view under their names.
 	objects  map[string]storer.Object[T]
 	revision uint64
+	// changedAt is the revision of the last answer or offer that brought a change. The
+	// store may have said since that nothing has changed, and been wrong.
+	changedAt uint64
 	// listed says that the view is complete.
 	listed bool
 
@@ -93,8 +96,9 @@
 	}
 }
 
-// Offer hands over a view that somebody else got from the store. If it is newer
-// than the own one, it replaces that and the watch goes on from there.
+// Offer hands over a view that somebody else got from the store. If it is newer than
+// the last change that is known here, it replaces the own view and the watch goes on
+// from there, also where the store has said meanwhile that nothing has changed.
 func (w *Watcher[T]) Offer(view View[T]) {
 	w.offering.Lock()
 	defer w.offering.Unlock()
@@ -182,7 +186,7 @@
 	defer w.offering.Unlock()
 	offered := w.offered
 	w.offered = nil
-	if offered == nil || offered.Revision <= w.revision {
+	if offered == nil || offered.Revision <= w.changedAt {
 		return false
 	}
 	w.replace(*offered)
@@ -208,13 +212,17 @@
 		return false, err
 	}
 	w.revision = max(w.revision, changes.Revision)
+	if len(changes.Objects)+len(changes.Removed) == 0 {
+		return false, nil
+	}
+	w.changedAt = w.revision
 	for _, object := range changes.Objects {
 		w.objects[object.Name] = object
 	}
 	for _, name := range changes.Removed {
 		delete(w.objects, name)
 	}
-	return len(changes.Objects)+len(changes.Removed) > 0, nil
+	return true, nil
 }
 
 func (w *Watcher[T]) setInterrupt(interrupt context.CancelFunc) {
@@ -242,6 +250,7 @@
 		w.objects[object.Name] = object
 	}
 	w.revision = view.Revision
+	w.changedAt = view.Revision
 	w.listed = true
 }
 
--- a/pkg/query/watcher/watcher_test.go
+++ b/pkg/query/watcher/watcher_test.go
@@ -106,3 +106,57 @@
 		t.Fatalf("after the renewal %+v", view)
 	}
 }
+
+// skipping is a store whose watches say that nothing has changed up to later revisions,
+// though something has.
+type skipping struct {
+	*keeper.Keeper
+	answered chan struct{}
+}
+
+// skipped is how far such a watch goes on at once.
+const skipped = 100
+
+func (s skipping) Watch(ctx context.Context, _ string, after uint64) (storer.Changes[[]byte], error) {
+	select {
+	case s.answered <- struct{}{}:
+		return storer.Changes[[]byte]{
+			Revision: after + skipped,
+		}, nil
+	case <-ctx.Done():
+		return storer.Changes[[]byte]{}, ctx.Err()
+	}
+}
+
+// A view from elsewhere that holds a later change than any that is known here is taken,
+// although the store has said since that nothing has changed.
+func TestOfferAfterSilence(t *testing.T) {
+	kept := keeper.New()
+	if _, err := kept.Put(t.Context(), "a/1", []byte("old"), storer.Always()); err != nil {
+		t.Fatal(err)
+	}
+	store := skipping{
+		Keeper:   kept,
+		answered: make(chan struct{}, 1),
+	}
+	w := watcher.New[[]byte](store, "a/", always)
+	views := follow(t, w)
+	first := next(t, views)
+	for len(store.answered) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	w.Offer(watcher.View[[]byte]{
+		Revision: first.Revision + skipped/2,
+		Objects: []storer.Object[[]byte]{
+			{
+				Name:     "a/1",
+				Revision: first.Revision + skipped/2,
+				Value:    []byte("new"),
+			},
+		},
+	})
+	if second := next(t, views); string(second.Objects[0].Value) != "new" {
+		t.Fatalf("after the offer %+v", second)
+	}
+}
