Hash names in one place

Loads of a pool are summed in one pass; Plan.Spill, which nobody called, is gone. Behaviour is meant unchanged; the tests of all callers are as they were.

--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -9,6 +9,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/sharer"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/hasher"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
 )
@@ -302,19 +303,10 @@
 	return request.Deadline, true
 }
 
-// hashOf returns the FNV-1a hash of an object's name, and 0 for no name. It makes
-// no allocation.
+// hashOf returns the hash of an object's name, and 0 for no name.
 func hashOf(object string) uint64 {
 	if object == "" {
 		return 0
 	}
-	const (
-		basis = 14695981039346656037
-		prime = 1099511628211
-	)
-	hash := uint64(basis)
-	for i := range len(object) {
-		hash = (hash ^ uint64(object[i])) * prime
-	}
-	return hash
+	return hasher.Sum(object)
 }
--- a/pkg/command/admitter/spill.go
+++ b/pkg/command/admitter/spill.go
@@ -118,18 +118,11 @@
 		if pool == nil || now.Sub(spill.begun) < spillSettles {
 			continue
 		}
-		spill.set(nextSpill(spill.part(), pool.load(now, false), pool.load(now, true)))
+		own, others := pool.loads(now)
+		spill.set(nextSpill(spill.part(), own, others))
 	}
 }
 
-// Spill returns the part of a service's objects that may go to all regions alike.
-func (p *Plan) Spill(service string) float64 {
-	if spill, found := p.spills[service]; found {
-		return spill.part()
-	}
-	return 0
-}
-
 // spillsFor returns the spills of all services, which carry on those before.
 func (p *Plan) spillsFor(pools map[string]parted, now time.Time) map[string]*spill {
 	spills := make(map[string]*spill, len(pools))
@@ -146,24 +139,38 @@
 	return spills
 }
 
-// load returns the load of the upstreams that take requests, in the own region or
-// abroad, in parts of their slots.
-func (p *Pool) load(now time.Time, abroad bool) float64 {
-	slots, used := 0.0, 0.0
+// loads returns the loads of the upstreams that take requests, in the own region and in
+// the others, in parts of their slots.
+func (p *Pool) loads(now time.Time) (own, others float64) {
+	var near, far usage
 	for _, tier := range p.tiers {
 		for _, one := range tier {
-			if one.abroad != abroad || one.Health() != Live {
+			if one.Health() != Live {
 				continue
 			}
-			count := float64(one.declared.Load().Slots)
-			slots += count
-			used += count * one.loadAt(now)
+			counted := &near
+			if one.abroad {
+				counted = &far
+			}
+			slots := float64(one.declared.Load().Slots)
+			counted.slots += slots
+			counted.used += slots * one.loadAt(now)
 		}
 	}
-	if slots == 0 {
+	return near.load(), far.load()
+}
+
+// usage is how many slots there are, and how many are in use.
+type usage struct {
+	slots float64
+	used  float64
+}
+
+func (u usage) load() float64 {
+	if u.slots == 0 {
 		return 0
 	}
-	return used / slots
+	return u.used / u.slots
 }
 
 // firstSpill returns the spill by what the pool's regions have.
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -1,13 +1,13 @@
 package admitter
 
 import (
-	"hash/fnv"
 	"math"
 	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/limiter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/hasher"
 )
 
 // Health is what an instance knows of an upstream.
@@ -75,10 +75,8 @@
 }
 
 func newUpstream(declared declarer.Upstream, version string, unprobed bool, now time.Time) *Upstream {
-	hash := fnv.New64a()
-	hash.Write([]byte(declared.Name))
 	upstream := &Upstream{
-		seed:     hash.Sum64(),
+		seed:     hasher.Sum(declared.Name),
 		slots:    limiter.NewSlots(declared.Slots),
 		cold:     limiter.NewBucket(limiter.Limit{}, now),
 		unprobed: unprobed,
--- a/pkg/command/apportioner/holders.go
+++ b/pkg/command/apportioner/holders.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/hasher"
 )
 
 // Member is an instance among which limits are split.
@@ -69,7 +71,7 @@
 	for name, member := range a.countedUntil {
 		byGroup[member.group] = append(byGroup[member.group], ranked{
 			name:  name,
-			score: score(resource, name),
+			score: hasher.Mix(hasher.Sum(resource, "/", name)),
 		})
 	}
 	var all []ranked
@@ -90,21 +92,3 @@
 	slices.Sort(chosen)
 	return chosen
 }
-
-// score returns the rank of a member for a resource (FNV-1a, with the finalizer of
-// SplitMix64).
-func score(resource, member string) uint64 {
-	const (
-		basis = 14695981039346656037
-		prime = 1099511628211
-	)
-	hash := uint64(basis)
-	for _, text := range []string{resource, "/", member} {
-		for i := range len(text) {
-			hash = (hash ^ uint64(text[i])) * prime
-		}
-	}
-	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
-	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
-	return hash ^ hash>>31
-}
--- a/pkg/query/picker/keyed.go
+++ b/pkg/query/picker/keyed.go
@@ -1,6 +1,10 @@
 package picker
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"github.com/hemlockport/hemlockport/pkg/hasher"
+)
 
 // Keyed is a candidate that is chosen by what a request is about.
 type Keyed[A any] interface {
@@ -95,12 +99,5 @@
 
 // position returns where a candidate stands in the order of a key, from 0 to 1.
 func position(key, seed uint64) float64 {
-	return float64(mix(key^bits.RotateLeft64(seed, 32))>>11) / unit
-}
-
-// mix spreads the bits of a number (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return float64(hasher.Mix(key^bits.RotateLeft64(seed, 32))>>11) / unit
 }
