Share the life of an instance, and derive what the steerer kept twice

In the steerer: the revision of a feed's last change is that of its view, and needs no atomic of its own; its decoded objects belong to one goroutine and need no lock; who comes before an instance, and who is alive, was asked in four and two ways; the turn to report is an instant. replan pointed all desks and located all instances anew on each change of an upstream, though only declarations and members change what that gives; it is done there now.

--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/internal/stopper"
 )
 
 // callLimit bounds each call to the platform and to peers during a drain.
@@ -12,21 +12,16 @@
 
 // drain is the graceful stop: leave the look-ups, take requests of callers with
 // older answers for a while, finish what runs, give the seat back.
-func (s *Server) drain(work context.Context, stopServing func(context.Context)) {
+func (s *Server) drain(work context.Context, stopServing stopper.StopServing) {
 	s.leaving.Store(true)
 	s.announce("DrainBegun", s.self.Incarnation, "")
 	s.relocate()
 	s.hub.Nudge()
 	within(work, s.leaveSeats)
-	grace := time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond
-	if retrier.Sleep(work, grace) != nil {
-		stopServing(work)
+	serveUntil := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
+	if !stopper.Finish(work, serveUntil, s.settings.Drain.LimitMillis, stopServing) {
 		return
 	}
-	limit := time.Duration(s.settings.Drain.LimitMillis) * time.Millisecond
-	ctx, cancel := context.WithTimeout(work, limit)
-	defer cancel()
-	stopServing(ctx)
 	s.announce("DrainEnded", s.self.Incarnation, "")
 	// The peers end their links once the seat is gone, so the copies go first.
 	within(work, s.copier.Flush)
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -111,7 +111,7 @@
 
 // askPeer asks a peer for what it has on a topic, and counts it if that fails.
 func askPeer[R any](s *Server, peer registrar.Member, topic string, answers handler.Codec[R]) (R, bool) {
-	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	ctx, cancel := context.WithTimeout(s.life.Work(), fetchLimit)
 	defer cancel()
 	answer, err := linker.Ask(ctx, s.hub, peer.Incarnation, topic, reporter.Nothing{}, nothings, answers)
 	if err != nil {
@@ -183,7 +183,7 @@
 
 func (s *Server) storeFailed(err error) {
 	s.gauges.storeFaults.Inc(1)
-	if s.work.Err() == nil && s.storeLostNanos.CompareAndSwap(0, time.Now().UnixNano()) {
+	if s.life.Work().Err() == nil && s.storeLostNanos.CompareAndSwap(0, time.Now().UnixNano()) {
 		s.announce("StoreLost", "Platform", err.Error())
 	}
 }
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -103,7 +103,7 @@
 }
 
 func (s *Server) peerLost(peer registrar.Member) {
-	if s.work.Err() == nil {
+	if s.life.Work().Err() == nil {
 		s.announce("PeerLost", peer.Name, "")
 	}
 	s.relocate()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,6 +26,7 @@
 	"github.com/hemlockport/hemlockport/internal/query/prober"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
 	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/internal/stopper"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/adopter"
@@ -45,9 +45,6 @@
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
-// ErrHalted means that the instance was ended before its drain was done.
-var ErrHalted = errors.New("halted before the drain was done; requests were broken off")
-
 // Server is one entry instance.
 type Server struct {
 	settings configurer.Settings
@@ -105,9 +102,8 @@
 	blocks         *locator.Blocks
 	blocksRevision uint64
 
-	// work is the life of all tasks; halt ends it.
-	work context.Context
-	halt context.CancelCauseFunc
+	// life is that of all tasks.
+	life *stopper.Stopper
 }
 
 // New returns an instance with checked settings, and opens its listeners.
@@ -159,10 +155,10 @@
 		publisher: publisher.New(within, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
 		prober:    prober.New(),
 		flights:   tracker.New[receiver.Flight](settings.Callers.MaxInFlight),
+		life:      stopper.New(),
 	}
 	s.fresh = admitter.NewFreshness(time.Now())
 	s.claimer = s.newClaimer()
-	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
 	s.adopter = adopter.New(self, s.plans)
 	s.gauges = newGauges(s.registry)
@@ -230,9 +226,9 @@
 	return s.hub.Sent()
 }
 
-// Halt ends the instance at once; Run returns ErrHalted.
+// Halt ends the instance at once; Run returns stopper.ErrHalted.
 func (s *Server) Halt() {
-	s.halt(ErrHalted)
+	s.life.Halt()
 }
 
 // Reload says that the settings stay: an instance on the own platform takes over
@@ -241,29 +237,20 @@
 	s.announce("Reloaded", s.self.Incarnation, "settings come into force at the next start")
 }
 
-// Run serves until ctx ends, then drains and returns nil, or ErrHalted if Halt
+// Run serves until ctx ends, then drains and returns nil, or stopper.ErrHalted if Halt
 // came first.
 func (s *Server) Run(ctx context.Context) error {
-	group, work := errgroup.WithContext(s.work)
+	err := s.life.Run(ctx, s.start, s.drain)
+	s.forwarder.Close()
+	return err
+}
+
+// start starts the listeners and all that runs beside them.
+func (s *Server) start(group *errgroup.Group, work context.Context) stopper.StopServing {
 	stopServing := s.startListeners(group, work)
 	s.startTasks(group, work)
 	s.announce("Started", s.self.Incarnation, "callers at "+s.self.CallerAddress)
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			s.drain(work, stopServing)
-			s.halt(nil)
-		case <-work.Done():
-			stopServing(work)
-		}
-		return nil
-	})
-	err := group.Wait()
-	s.forwarder.Close()
-	if errors.Is(context.Cause(s.work), ErrHalted) {
-		return ErrHalted
-	}
-	return err
+	return stopServing
 }
 
 // startTasks starts what runs beside the listeners.
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -152,7 +152,7 @@
 func (s *Steerer) tellDemand(told *announcement, due []registrar.Member) {
 	for _, other := range due {
 		s.hub.Go(func() {
-			ctx, cancel := context.WithTimeout(s.work, confirmLimit)
+			ctx, cancel := context.WithTimeout(s.life.Work(), confirmLimit)
 			defer cancel()
 			_, err := linker.Ask(ctx, s.hub, other.Incarnation, topicDemand, told.sent, reports, nothings)
 			s.demandTold(told, other, err)
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/internal/stopper"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
@@ -14,22 +14,17 @@
 
 // drain is the graceful stop: leave the look-ups, take requests of callers with
 // older answers for a while, finish what runs.
-func (s *Steerer) drain(work context.Context, stopServing func(context.Context)) {
+func (s *Steerer) drain(work context.Context, stopServing stopper.StopServing) {
 	s.leaving.Store(true)
 	s.callers.Leave()
 	s.log.Info().Int("InFlight", s.flights.Count()).Msg("DrainBegun")
 	s.locate()
 	s.hub.Nudge()
-	grace := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
+	serveUntil := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
 	s.leave(work)
-	if retrier.Sleep(work, time.Until(grace)) != nil {
-		stopServing(work)
+	if !stopper.Finish(work, serveUntil, s.settings.Drain.LimitMillis, stopServing) {
 		return
 	}
-	limit := time.Duration(s.settings.Drain.LimitMillis) * time.Millisecond
-	ctx, cancel := context.WithTimeout(work, limit)
-	defer cancel()
-	stopServing(ctx)
 	s.log.Info().Int("InFlight", s.flights.Count()).Msg("DrainEnded")
 }
 
--- a/internal/steerer/feed.go
+++ b/internal/steerer/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,14 +61,11 @@
 	update func(entries []entry[T], revision uint64)
 	// history holds the newest view, or is nil before the first.
 	history atomic.Pointer[watcher.History[[]byte]]
-	// changed is the revision of the newest view that brought a change.
-	changed atomic.Uint64
 	// fetching is set while a view is fetched from a peer.
 	fetching atomic.Bool
 
-	// reading guards known.
-	reading sync.Mutex
-	// known holds the decoded objects under their names.
+	// known holds the decoded objects under their names. Only the watcher's goroutine
+	// uses it.
 	known map[string]entry[T]
 }
 
@@ -130,8 +126,16 @@
 	f.watcher.Renew()
 }
 
+// view returns the newest view, which is empty before the first.
+func (f *feeder[T]) view() watcher.View[[]byte] {
+	if history := f.history.Load(); history != nil {
+		return history.View()
+	}
+	return watcher.View[[]byte]{}
+}
+
 func (f *feeder[T]) changedAt() uint64 {
-	return f.changed.Load()
+	return f.view().Revision
 }
 
 // take takes in a new view.
@@ -141,7 +145,6 @@
 		next = history.WithView(view)
 	}
 	f.history.Store(&next)
-	f.changed.Store(view.Revision)
 	f.update(f.decode(view), view.Revision)
 	if f.steerer.watching.Load() {
 		f.steerer.hub.NudgePlace()
@@ -151,8 +154,6 @@
 // decode decodes the objects that have changed. Those that cannot be used are
 // logged once and left out.
 func (f *feeder[T]) decode(view watcher.View[[]byte]) []entry[T] {
-	f.reading.Lock()
-	defer f.reading.Unlock()
 	next := make(map[string]entry[T], len(view.Objects))
 	usable := make([]entry[T], 0, len(view.Objects))
 	for _, object := range view.Objects {
@@ -198,7 +199,7 @@
 
 func (f *feeder[T]) fetch(peer registrar.Member, theirs uint64) {
 	s := f.steerer
-	ctx, cancel := context.WithTimeout(s.work, fetchLimit)
+	ctx, cancel := context.WithTimeout(s.life.Work(), fetchLimit)
 	defer cancel()
 	wait := relayAfter
 	if s.follows(peer) {
@@ -207,10 +208,7 @@
 	if !sleep(ctx, wait) || theirs <= f.changedAt() {
 		return
 	}
-	var before watcher.View[[]byte]
-	if history := f.history.Load(); history != nil {
-		before = history.View()
-	}
+	before := f.view()
 	since := Since{
 		Revision: before.Revision,
 	}
--- a/internal/steerer/follow.go
+++ b/internal/steerer/follow.go
@@ -75,7 +75,7 @@
 }
 
 func (s *Steerer) storeFailed(err error) {
-	if s.work.Err() != nil {
+	if s.life.Work().Err() != nil {
 		return
 	}
 	if errors.Is(err, storer.ErrCompacted) {
--- a/internal/steerer/journal.go
+++ b/internal/steerer/journal.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +68,7 @@
 // answer writes the line of a request that was answered.
 func (j *journal) answer(outcome receiver.Outcome) {
 	budget := j.answered
-	if outcome.Status >= leastFailure {
+	if outcome.Status >= http.StatusInternalServerError {
 		budget = j.failed
 	}
 	if left, ok := budget.take(outcome.Ended); ok {
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -74,7 +74,7 @@
 }
 
 func (s *Steerer) peerLost(peer registrar.Member) {
-	if s.work.Err() == nil {
+	if s.life.Work().Err() == nil {
 		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLost")
 	}
 	s.locate()
@@ -143,15 +143,37 @@
 		live = append(live, s.self)
 	}
 	for _, member := range s.others() {
-		peer, linked := s.hub.Peer(member.Incarnation)
-		recent := time.Since(s.rosterAt[member.Incarnation]) < linkLimit
-		if (linked && !peer.Beat.Leaving) || (!linked && recent) {
+		if _, alive := s.alive(member); alive {
 			live = append(live, member)
 		}
 	}
 	return live
 }
 
+// alive says whether a listed instance is linked and stays, or has been listed just
+// now, and returns its last beat. The caller holds locating.
+func (s *Steerer) alive(member registrar.Member) (linker.Beat, bool) {
+	if peer, linked := s.hub.Peer(member.Incarnation); linked {
+		return peer.Beat, !peer.Beat.Leaving
+	}
+	return linker.Beat{}, time.Since(s.rosterAt[member.Incarnation]) < linkLimit
+}
+
+// linkedBefore returns how many linked instances come before this one, in the order of
+// names, of those whose last beat counts.
+func (s *Steerer) linkedBefore(counts func(beat linker.Beat) bool) int {
+	before := 0
+	for _, other := range s.others() {
+		peer, linked := s.hub.Peer(other.Incarnation)
+		if linked && other.Name < s.self.Name && counts(peer.Beat) {
+			before++
+		}
+	}
+	return before
+}
+
+func anyBeat(linker.Beat) bool { return true }
+
 // refresh looks again and again at what no event tells.
 func (s *Steerer) refresh(ctx context.Context) error {
 	s.linkPeers()
@@ -184,10 +206,8 @@
 	if s.leaving.Load() || s.storeLostNanos.Load() != 0 {
 		return
 	}
-	for _, member := range s.others() {
-		if _, linked := s.hub.Peer(member.Incarnation); linked && member.Name < s.self.Name {
-			return
-		}
+	if s.linkedBefore(anyBeat) > 0 {
+		return
 	}
 	for _, member := range s.dead() {
 		err := s.members().Delete(ctx, s.entryName(member.Name), storer.Always())
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -133,7 +133,7 @@
 		began:    now,
 		state:    mover.Running,
 		stateAt:  now,
-		reportAt: now.Add(s.reportTurn()),
+		reportAt: s.turnAt(now),
 		theirs:   map[string][]mover.Evidence{},
 		tally: &tally{
 			to: versionName(order.Move.Service, order.Move.To),
@@ -181,7 +181,7 @@
 	now := time.Now()
 	m.state = state
 	m.stateAt = now
-	m.reportAt = now.Add(s.reportTurn())
+	m.reportAt = s.turnAt(now)
 	m.share = 0
 	if state == mover.Done {
 		m.share = 1
@@ -309,15 +309,10 @@
 	return m.order.State != m.state && !now.Before(m.reportAt)
 }
 
-// reportTurn returns how long this instance leaves reports to those before it.
-func (s *Steerer) reportTurn() time.Duration {
-	before := 0
-	for _, other := range s.others() {
-		if _, linked := s.hub.Peer(other.Incarnation); linked && other.Name < s.self.Name {
-			before++
-		}
-	}
-	return time.Duration(before) * reportTurn
+// turnAt returns the instant from which it is this instance's turn to report, after
+// those before it.
+func (s *Steerer) turnAt(now time.Time) time.Time {
+	return now.Add(time.Duration(s.linkedBefore(anyBeat)) * reportTurn)
 }
 
 // reportMove tells the platform a move's state. If another instance was first, the
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -22,6 +22,9 @@
 		return
 	}
 	s.replan(s.inputs.withDeclaration(declaration))
+	// Teams and places come and go with declarations alone.
+	s.pointDesks(s.plans.Load())
+	s.locate()
 	s.receiver.Sweep()
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
@@ -43,8 +46,6 @@
 	}
 	s.apportion(plan, now)
 	s.plans.Advance(*plan)
-	s.pointDesks(plan)
-	s.locate()
 }
 
 // endLapse drops the upstreams that the platform has not listed since its return,
@@ -86,11 +87,10 @@
 		}
 	}
 	s.apportioner.SetMembers(s.membersOf(members), time.Now())
-	if slices.Equal(seats, s.inputs.seats) {
-		s.pointDesks(s.plans.Load())
-		return
+	if !slices.Equal(seats, s.inputs.seats) {
+		s.replan(s.inputs.withSeats(seats))
 	}
-	s.replan(s.inputs.withSeats(seats))
+	s.pointDesks(s.plans.Load())
 }
 
 // pointDesks tells each team's desk from whom it can borrow, the nearest first.
--- a/internal/steerer/sentinel.go
+++ b/internal/steerer/sentinel.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/linker"
+)
 
 const (
 	// longWait is how long a watch waits at most, and sentinelWait how long the
@@ -22,12 +26,8 @@
 // live, in the order of names, and lets another one be it.
 func (s *Steerer) chooseSentinel() {
 	first := s.storeLostNanos.Load() == 0 && !s.leaving.Load()
-	for _, other := range s.others() {
-		peer, linked := s.hub.Peer(other.Incarnation)
-		if linked && !peer.Beat.Leaving && !peer.Beat.StoreLost && other.Name < s.self.Name {
-			first = false
-		}
-	}
+	able := func(beat linker.Beat) bool { return !beat.Leaving && !beat.StoreLost }
+	first = first && s.linkedBefore(able) == 0
 	if s.sentinel.Swap(first) == first || !first {
 		return
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 	"github.com/hemlockport/hemlockport/internal/receiver"
+	"github.com/hemlockport/hemlockport/internal/stopper"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
@@ -31,9 +31,6 @@
 	"github.com/hemlockport/hemlockport/pkg/stamper"
 )
 
-// ErrHalted means that the instance was ended before its drain was done.
-var ErrHalted = errors.New("halted before the drain was done; requests were broken off")
-
 // Steerer is one entry instance.
 type Steerer struct {
 	settings configurer.Settings
@@ -98,9 +95,8 @@
 	// the Unix epoch, or 0 while it answers.
 	storeLostNanos atomic.Int64
 
-	// work is the life of all tasks; halt ends it.
-	work context.Context
-	halt context.CancelCauseFunc
+	// life is that of all tasks.
+	life *stopper.Stopper
 }
 
 // New returns an instance with checked settings, and opens its listeners.
@@ -129,6 +125,7 @@
 		inputs: inputs{
 			places: placesOf(settings),
 		},
+		life:     stopper.New(),
 		begun:    time.Now(),
 		rosterAt: map[string]time.Time{},
 		unlisted: make(chan struct{}, 1),
@@ -136,7 +133,6 @@
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.demand = newAnnouncement(apportioner.Report{})
-	s.work, s.halt = context.WithCancelCause(context.Background())
 	s.roster.Store(&registrar.Roster{})
 	s.tallies.Store(&map[string]*tally{})
 	s.journal = newJournal(s.log, s.registry)
@@ -201,9 +197,9 @@
 	})
 }
 
-// Halt ends the instance at once; Run returns ErrHalted.
+// Halt ends the instance at once; Run returns stopper.ErrHalted.
 func (s *Steerer) Halt() {
-	s.halt(ErrHalted)
+	s.life.Halt()
 }
 
 // Reload says in the log whether the settings have changed. They come into force at
@@ -212,10 +208,17 @@
 	s.log.Info().Bool("Changed", !settings.Equal(s.settings)).Msg("Reloaded")
 }
 
-// Run serves until ctx ends, then drains and returns nil, or ErrHalted if Halt
+// Run serves until ctx ends, then drains and returns nil, or stopper.ErrHalted if Halt
 // came first.
 func (s *Steerer) Run(ctx context.Context) error {
-	group, work := errgroup.WithContext(s.work)
+	err := s.life.Run(ctx, s.start, s.drain)
+	s.forwarder.Close()
+	s.log.Info().Str("Incarnation", s.self.Incarnation).Msg("Stopped")
+	return err
+}
+
+// start starts the listeners and all that runs beside them.
+func (s *Steerer) start(group *errgroup.Group, work context.Context) stopper.StopServing {
 	stopServing := s.startListeners(group, work)
 	tasks := []func(context.Context) error{
 		s.hub.Run,
@@ -230,23 +233,7 @@
 		group.Go(func() error { return task(work) })
 	}
 	s.log.Info().Str("Incarnation", s.self.Incarnation).Str("Callers", s.self.CallerAddress).Msg("Started")
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			s.drain(work, stopServing)
-			s.halt(nil)
-		case <-work.Done():
-			stopServing(work)
-		}
-		return nil
-	})
-	err := group.Wait()
-	s.forwarder.Close()
-	s.log.Info().Str("Incarnation", s.self.Incarnation).Msg("Stopped")
-	if errors.Is(context.Cause(s.work), ErrHalted) {
-		return ErrHalted
-	}
-	return err
+	return stopServing
 }
 
 // suspected is told of an upstream that has just failed a request.
--- a/internal/steerer/tally.go
+++ b/internal/steerer/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,7 @@
 	if sending.Err == nil {
 		objective := time.Duration(sending.Admission.Route.Declared.ObjectiveMillis) * time.Millisecond
 		slow := objective > 0 && sending.EndedAt.Sub(sending.SentAt) > slowObjectives*objective
-		return slow || sending.Status >= leastFailure, true
+		return slow || sending.Status >= http.StatusInternalServerError, true
 	}
 	var refusal *arbiter.Refusal
 	if !errors.As(sending.Err, &refusal) {
@@ -76,9 +77,6 @@
 	}
 }
 
-// leastFailure is the lowest status that tells of a failure.
-const leastFailure = 500
-
 // evidence returns the counts so far.
 func (t *tally) evidence() []mover.Evidence {
 	var all []mover.Evidence
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -35,9 +35,7 @@
 		if member.Place != s.self.Place || member.Name > s.self.Name {
 			continue
 		}
-		peer, linked := s.hub.Peer(member.Incarnation)
-		recent := time.Since(s.rosterAt[member.Incarnation]) < linkLimit
-		if (linked && !peer.Beat.Leaving && !peer.Beat.StoreLost) || (!linked && recent) {
+		if beat, alive := s.alive(member); alive && !beat.StoreLost {
 			before++
 		}
 	}
