--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -4,8 +4,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
 // Question asks about one request.
@@ -138,21 +141,22 @@
 		return answered(end)
 	}
 	switch end.Reason {
-	case "TeamOverRate":
+	case arbiter.TeamOverRate:
 		return overRate(end, believed)
-	case "NoRoom":
+	case arbiter.NoRoom:
 		return fmt.Sprintf("%s had no upstream of %s with a free slot, as far as it knew%s.", end.Instance, end.Service, age(believed, "UpstreamsListed"))
-	case "UnknownService":
+	case arbiter.UnknownService:
 		return fmt.Sprintf("the declaration %d of %s has no route for this host and path%s.", end.Revision, end.Instance, age(believed, "ConfigInForce"))
-	case "KeyMissing", "KeyUnknown", "KeyWithdrawn":
+	case arbiter.KeyMissing, arbiter.KeyUnknown, arbiter.KeyWithdrawn:
 		return fmt.Sprintf("the key does not work by the declaration %d of %s%s: %s.", end.Revision, end.Instance, age(believed, "ConfigInForce"), end.Detail)
-	case "NotReady":
+	case arbiter.NotReady:
 		return fmt.Sprintf("%s had no declaration yet%s.", end.Instance, age(believed, "Started"))
-	case "DeadlineExceeded":
+	case arbiter.DeadlineExceeded:
 		return late(end)
-	case "UpstreamBroken", "UpstreamUnreached", "UpstreamFailed", "UpstreamReplaced", "UpstreamShed", "AnswerBroken":
+	case arbiter.UpstreamBroken, arbiter.UpstreamUnreached, arbiter.UpstreamFailed, arbiter.UpstreamReplaced,
+		arbiter.UpstreamShed, arbiter.AnswerBroken:
 		return fmt.Sprintf("%s, the last of %d, failed it: %s%s; the request %s.", end.Upstream, end.Attempts, end.Detail, because(end), verdicts[end.Verdict])
-	case "CallerGone":
+	case arbiter.CallerGone:
 		return fmt.Sprintf("the caller went away after %d ms; the request %s.", end.TookMillis, verdicts[end.Verdict])
 	default:
 		return fmt.Sprintf("%s: %s; the request %s.", end.Reason, end.Detail, verdicts[end.Verdict])
@@ -161,14 +165,13 @@
 
 // verdicts say what a verdict means for the request.
 var verdicts = map[string]string{
-	"NotRun":     "has not run",
-	"MayHaveRun": "may have run",
-	"Ran":        "has run",
+	arbiter.NotRun.String():     "has not run",
+	arbiter.MayHaveRun.String(): "may have run",
+	arbiter.Ran.String():        "has run",
 }
 
 func answered(end Line) string {
-	const leastFailure = 500
-	if end.Status >= leastFailure {
+	if end.Status >= http.StatusInternalServerError {
 		return fmt.Sprintf("%s answered %d by itself after %d ms, and it was passed on.", end.Upstream, end.Status, end.TookMillis)
 	}
 	return fmt.Sprintf("%s answered %d after %d ms; it did not fail here.", end.Upstream, end.Status, end.TookMillis)
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
 // maxLineBytes bounds a line of a log, in bytes; a longer one ends the reading.
@@ -27,13 +29,13 @@
 	Attempts int       `json:"Attempts"`
 	Status   int       `json:"Status"`
 	// Revision is that of what Message tells of: of the declaration in a request's line.
-	Revision    uint64 `json:"Revision"`
-	TookMillis  int64  `json:"TookMillis"`
-	LimitMillis int64  `json:"LimitMillis"`
-	Verdict     string `json:"Verdict"`
-	Reason      string `json:"Reason"`
-	Detail      string `json:"Detail"`
-	Cause       string `json:"Cause"`
+	Revision    uint64         `json:"Revision"`
+	TookMillis  int64          `json:"TookMillis"`
+	LimitMillis int64          `json:"LimitMillis"`
+	Verdict     string         `json:"Verdict"`
+	Reason      arbiter.Reason `json:"Reason"`
+	Detail      string         `json:"Detail"`
+	Cause       string         `json:"Cause"`
 }
 
 // Log is the lines of one or more processes.
