--- a/cmd/hemlockport/process_test.go
+++ b/cmd/hemlockport/process_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/reserver"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
@@ -54,17 +54,6 @@
 	return dir
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // start starts a program that the test ends when it is done.
 func (d *deployment) start(program string, arguments ...string) *exec.Cmd {
 	d.t.Helper()
@@ -87,11 +76,11 @@
 		t:   t,
 		dir: build(t),
 	}
-	platformAddress := freeAddress(t)
+	platformAddress := reserver.Address(t)
 	for range 2 {
-		d.upstreamAddresses = append(d.upstreamAddresses, freeAddress(t))
-		d.callerAddresses = append(d.callerAddresses, freeAddress(t))
-		d.operatorAddresses = append(d.operatorAddresses, freeAddress(t))
+		d.upstreamAddresses = append(d.upstreamAddresses, reserver.Address(t))
+		d.callerAddresses = append(d.callerAddresses, reserver.Address(t))
+		d.operatorAddresses = append(d.operatorAddresses, reserver.Address(t))
 	}
 	d.start("standin", "platform", "--listen", platformAddress, "--instances", strings.Join(d.operatorAddresses, ","))
 	for i, address := range d.upstreamAddresses {
@@ -113,7 +102,7 @@
 Address = "http://%s"
 [Drain]
 GraceMillis = 3000
-`, i, d.callerAddresses[i], freeAddress(t), d.operatorAddresses[i], declarer.HashKey(operatorKey), platformAddress))
+`, i, d.callerAddresses[i], reserver.Address(t), d.operatorAddresses[i], declarer.HashKey(operatorKey), platformAddress))
 		d.instances = append(d.instances, d.start("hemlockport", "serve", "--settings", settings))
 	}
 	return d
