--- a/internal/query/exporter/requests.go
+++ b/internal/query/exporter/requests.go
@@ -19,13 +19,20 @@
 	nameAnswered = "hemlockport_requests_answered_total"
 	nameRefused  = "hemlockport_requests_refused_total"
 	nameRetries  = "hemlockport_request_retries_total"
+	nameAttempts = "hemlockport_request_attempts_total"
 	nameLatency  = "hemlockport_request_latency_millis"
 )
 
+// attemptRanks are the values of the label rank: of an attempt without an order of
+// preference, at the most preferred upstream, at the second, and at any other.
+var attemptRanks = [...]string{"none", "1", "2", "other"}
+
 // RequestCounters counts the requests of callers. Counting takes no lock.
 type RequestCounters struct {
 	answered metrics.Counter
 	retries  metrics.Counter
+	// attempts holds a counter for each of attemptRanks.
+	attempts [len(attemptRanks)]metrics.Counter
 	// refused holds a counter for each reason of a refusal.
 	refused map[arbiter.Reason]metrics.Counter
 	// latencyBuckets counts, for each bound in latencyBucketMillis, the requests that
@@ -43,6 +50,10 @@
 		refused:    map[arbiter.Reason]metrics.Counter{},
 		latencySum: metrics.GetOrRegisterCounter(nameLatency+"_sum", registry),
 	}
+	for i, rank := range attemptRanks {
+		name := fmt.Sprintf("%s{rank=%q}", nameAttempts, rank)
+		counters.attempts[i] = metrics.GetOrRegisterCounter(name, registry)
+	}
 	for _, reason := range arbiter.Reasons() {
 		name := fmt.Sprintf("%s{reason=%q}", nameRefused, reason)
 		counters.refused[reason] = metrics.GetOrRegisterCounter(name, registry)
@@ -82,3 +93,9 @@
 func (r *RequestCounters) CountRetry() {
 	r.retries.Inc(1)
 }
+
+// CountAttempt counts one attempt to send a request, by the rank of its upstream in the
+// order of preference of the request's object, or 0 without such an order.
+func (r *RequestCounters) CountAttempt(rank int) {
+	r.attempts[min(rank, len(r.attempts)-1)].Inc(1)
+}
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -26,7 +26,9 @@
 	Revision   uint64
 	Generation uint64
 	// Upstream is the name of the upstream of the last attempt; empty if there was none.
-	Upstream string
+	// Placement says what its choice was based on.
+	Upstream  string
+	Placement admitter.Placement
 	// Attempts is the number of attempts.
 	Attempts int
 	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
@@ -50,8 +52,9 @@
 }
 
 // recordAttempt records that an attempt is about to send the request to an upstream.
-func (o *Outcome) recordAttempt(upstream *admitter.Upstream) {
+func (o *Outcome) recordAttempt(upstream *admitter.Upstream, placement admitter.Placement) {
 	o.Upstream = upstream.Declared().Name
+	o.Placement = placement
 	o.Attempts++
 }
 
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -117,13 +117,16 @@
 		if attempt > 1 {
 			r.metrics.CountRetry()
 		}
-		upstream, refusal := admission.Acquire(time.Now(), rand.Uint64(), failedUpstream)
+		now := time.Now()
+		upstream, refusal := admission.Acquire(now, rand.Uint64(), failedUpstream)
 		if refusal != nil {
 			return lastAnswer, overallError(refusal)
 		}
 		lastAnswer.discard()
 		lastAnswer = heldAnswer{}
-		outcome.recordAttempt(upstream)
+		placement := admission.PlacementAt(upstream, now)
+		outcome.recordAttempt(upstream, placement)
+		r.metrics.CountAttempt(placement.Rank)
 		response, err := r.sendTo(ctx, upstream, outbound, admission)
 		if err != nil {
 			upstream.Release()
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
 
 // maxLinesPerSecond bounds the log lines for requests with the same kind of outcome, so
@@ -92,12 +94,29 @@
 	if !outcome.Deadline.IsZero() {
 		line = line.Int64("LimitMillis", outcome.Deadline.Sub(outcome.Arrived).Milliseconds())
 	}
+	if outcome.Attempts > 0 {
+		line = addPlacementFields(line, outcome.Placement)
+	}
 	if leftOut > 0 {
 		line = line.Int64("LeftOut", leftOut)
 	}
 	return line
 }
 
+// loadPrecision rounds the loads in log lines to hundredths.
+const loadPrecision = 100
+
+// addPlacementFields adds what the choice of an upstream was based on.
+func addPlacementFields(line *zerolog.Event, placement admitter.Placement) *zerolog.Event {
+	line = line.
+		Int("Rank", placement.Rank).
+		Float64("Load", math.Round(placement.Load*loadPrecision)/loadPrecision)
+	if !placement.LoadObservedAt.IsZero() {
+		line = line.Int64("LoadAgeMillis", placement.ChosenAt.Sub(placement.LoadObservedAt).Milliseconds())
+	}
+	return line
+}
+
 // lineLimiter bounds the log lines of one kind per second. It is safe for concurrent
 // use.
 type lineLimiter struct {
--- a/pkg/query/picker/hashed.go
+++ b/pkg/query/picker/hashed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 
 	"github.com/hemlockport/hemlockport/pkg/hasher"
 )
@@ -54,7 +55,7 @@
 		}
 		next := rankedCandidate[C]{
 			candidate: candidate,
-			cost:      hashPosition(hash, candidate.Seed()) + candidate.DistanceCost(request),
+			cost:      p.rankCost(candidate, hash, request),
 		}
 		if count < p.Choices {
 			count++
@@ -70,6 +71,29 @@
 	return p.lowestCost(cheapest[:count], request), true
 }
 
+// Rank returns the position, from 1, of the candidate that wanted accepts in the order of
+// preference for the object with that hash. All candidates count, usable or not, and their
+// loads do not. It returns 0 if wanted accepts none.
+func (p Rendezvous[C, R]) Rank(candidates []C, hash uint64, request R, wanted func(C) bool) int {
+	found := slices.IndexFunc(candidates, wanted)
+	if found < 0 {
+		return 0
+	}
+	cost := p.rankCost(candidates[found], hash, request)
+	rank := 1
+	for _, other := range candidates {
+		if p.rankCost(other, hash, request) < cost {
+			rank++
+		}
+	}
+	return rank
+}
+
+// rankCost returns the cost of a candidate for an object, without the cost of load.
+func (Rendezvous[C, R]) rankCost(candidate C, hash uint64, request R) float64 {
+	return hashPosition(hash, candidate.Seed()) + candidate.DistanceCost(request)
+}
+
 // insert puts a candidate into a list that is sorted by cost. It overwrites the last
 // element.
 func insert[C any](sorted []rankedCandidate[C], next rankedCandidate[C]) {
--- a/pkg/query/picker/hashed_test.go
+++ b/pkg/query/picker/hashed_test.go
@@ -104,3 +104,19 @@
 		}
 	}
 }
+
+// TestRankCountsUnusableCandidates makes the candidates unusable one after another, in the
+// order in which they are picked, and checks that the rank grows by one each time.
+func TestRankCountsUnusableCandidates(t *testing.T) {
+	servers := newHashedServers(16)
+	random := rand.New(rand.NewPCG(6, 6))
+	hash := random.Uint64()
+	for want := 1; want <= len(servers); want++ {
+		picked, _ := rendezvous.Pick(servers, hash, anyRequest{})
+		got := rendezvous.Rank(servers, hash, anyRequest{}, func(s *hashedServer) bool { return s == picked })
+		if got != want {
+			t.Fatalf("got rank %d, want %d", got, want)
+		}
+		picked.unusable = true
+	}
+}
