--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -1,9 +1,9 @@
 // Package receiver is the HTTP front end for callers. It takes a request through
 // admission, sending and relaying, and writes the answer or the refusal; it also answers
-// look-ups of entry instances. It decides what a failed attempt shows about the upstream,
-// and which answers are read completely before they are passed on. Whether a request may
-// run, where, and whether it is sent again is decided by admitter and retrier; header
-// formats are those of the Translator.
+// look-ups of entry instances. It decides which answers are read completely before they are
+// passed on. Whether a request may run, where, whether it is sent again, and what a failed
+// attempt shows about the upstream is decided by admitter and retrier; header formats are
+// those of the Translator.
 package receiver
 
 import (
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -44,7 +44,7 @@
 	r.translator.RewriteAnswer(answer.response.Header)
 	refusal = relay(w, answer.response)
 	if refusal != nil {
-		r.attributeFailure(answer.upstream, refusal, admission.DeadlineFromCaller)
+		r.recordFailure(answer.upstream, refusal, admission.DeadlineFromCaller)
 	}
 	return refusal
 }
@@ -186,7 +186,7 @@
 	}
 	r.attemptEnded(attempt)
 	if err != nil {
-		r.attributeFailure(upstream, err, admission.DeadlineFromCaller)
+		r.recordFailure(upstream, err, admission.DeadlineFromCaller)
 		return nil, err
 	}
 	if load, known := r.translator.ReadLoad(response.Header); known {
@@ -195,35 +195,14 @@
 	return response, nil
 }
 
-// attributeFailure records what a failed attempt shows about the upstream: a failed dial, a
-// shed request, or a failure for which the upstream becomes suspect. Exceeding a deadline
-// that the caller has made shorter than the service's shows nothing.
-func (r *Receiver) attributeFailure(upstream *admitter.Upstream, err error, deadlineFromCaller bool) {
+// recordFailure records what a failed attempt shows about the upstream, and calls
+// upstreamSuspected if the upstream becomes suspect.
+func (r *Receiver) recordFailure(upstream *admitter.Upstream, err error, deadlineFromCaller bool) {
 	var refusal *arbiter.Refusal
 	if !errors.As(err, &refusal) {
 		return
 	}
-	upstreamAtFault := false
-	switch refusal.Reason {
-	case arbiter.UpstreamUnreached:
-		upstream.RecordFailedDial()
-		upstreamAtFault = true
-	case arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
-		upstreamAtFault = true
-	case arbiter.DeadlineExceeded:
-		upstreamAtFault = !deadlineFromCaller
-	case arbiter.UpstreamShed:
-		upstream.RecordShed(time.Now())
-	}
-	if upstreamAtFault {
-		r.markSuspect(upstream, refusal)
-	}
-}
-
-// markSuspect records a failure of the upstream, and calls upstreamSuspected if the
-// upstream was live until now.
-func (r *Receiver) markSuspect(upstream *admitter.Upstream, refusal *arbiter.Refusal) {
-	if upstream.RecordFailure(time.Now()) {
+	if upstream.RecordRefusal(refusal, deadlineFromCaller, time.Now()) {
 		r.upstreamSuspected(upstream, refusal)
 	}
 }
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -3,10 +3,9 @@
 // on the Admission that it returns.
 //
 // The package also keeps what this instance knows of each upstream: the slots in use, the
-// health and the load. It leaves to others which route and key a request has (router),
-// how rates and slots are counted (limiter, sharer), the choice among usable upstreams
-// (picker), whether a failed request is sent again (retrier), and whether a failure is
-// attributed to the upstream (the front end).
+// health, by what failed attempts show, and the load. It leaves to others which route and
+// key a request has (router), how rates and slots are counted (limiter, sharer), the choice
+// among usable upstreams (picker), and whether a failed request is sent again (retrier).
 //
 // All decisions follow the Plan in force. An instance's parts of the teams' limits come
 // from its seats, or from Apportion in a plan with affinity. A seat is the right to one
