--- /dev/null
+++ b/internal/simulator/request.go
@@ -0,0 +1,197 @@
+package simulator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/holder"
+)
+
+const (
+	// latency is the time that a message takes.
+	latency = time.Millisecond
+	// maxAttempts is how often an instance sends a request.
+	maxAttempts = 2
+	// callerRetries is how often a caller sends a failed request again.
+	callerRetries = 1
+)
+
+// Result is what became of one request.
+type Result struct {
+	Kind string
+	// Sent is when the caller first sent the request, counted from the start.
+	Sent time.Duration
+	// Took is the time until the answer; 0 if there was none.
+	Took time.Duration
+	// Answered says that the caller got an answer of an upstream.
+	Answered bool
+}
+
+// instance models one entry instance.
+type instance struct {
+	simulation *simulation
+	place      string
+	plans      *holder.Cell[admitter.Plan]
+	admitter   *admitter.Admitter
+}
+
+// request is a request of a caller, over all times that the caller sends it.
+type request struct {
+	kind    Kind
+	object  string
+	place   string
+	sentAt  time.Time
+	retries int
+}
+
+// arrive makes a caller send a request of a kind.
+func (s *simulation) arrive(kind Kind) {
+	entry := s.instances[s.random.IntN(len(s.instances))]
+	s.send(&request{
+		kind:   kind,
+		object: fmt.Sprintf("%s/%s/%d", kind.Name, entry.place, s.random.IntN(kind.Objects)),
+		place:  entry.place,
+		sentAt: s.now,
+	})
+}
+
+// send sends a caller's request to an instance in its failure domain.
+func (s *simulation) send(r *request) {
+	var near []*instance
+	for _, entry := range s.instances {
+		if entry.place == r.place {
+			near = append(near, entry)
+		}
+	}
+	near[s.random.IntN(len(near))].serve(r)
+}
+
+// end records that a request was answered, or lets the caller try it once more if there
+// is time. retryAt is the time that a refusal named, or zero. Callers wait at most a third
+// of the time that they have left.
+func (s *simulation) end(r *request, wasAnswered bool, retryAt time.Time) {
+	remaining := r.sentAt.Add(r.kind.Patience).Sub(s.now)
+	if !wasAnswered && r.retries < callerRetries && remaining > 0 {
+		r.retries++
+		wait := max(retryAt.Sub(s.now), 0)
+		s.after(min(wait, remaining/3), func() { s.send(r) })
+		return
+	}
+	result := Result{
+		Kind:     r.kind.Name,
+		Sent:     r.sentAt.Sub(s.start),
+		Answered: wasAnswered,
+	}
+	if wasAnswered {
+		result.Took = s.now.Sub(r.sentAt)
+	}
+	s.results = append(s.results, result)
+}
+
+// serve admits a request and sends it to an upstream.
+func (i *instance) serve(r *request) {
+	s := i.simulation
+	admission, refusal := i.admitter.Admit(admitter.Request{
+		Host:     r.kind.Host,
+		Path:     "/" + r.kind.Name + "/1",
+		Method:   "GET",
+		Object:   r.object,
+		Random:   s.random.Uint64(),
+		Now:      s.now,
+		Deadline: r.sentAt.Add(r.kind.Patience),
+	})
+	if refusal != nil {
+		s.end(r, false, refusal.RetryAt)
+		return
+	}
+	i.attempt(r, admission, 1, nil)
+}
+
+// attempt sends a request to an upstream other than the one to avoid, which may be nil.
+func (i *instance) attempt(r *request, admission admitter.Admission, number int, avoid *admitter.Upstream) {
+	s := i.simulation
+	chosen, refusal := admission.Acquire(s.now, s.random.Uint64(), avoid)
+	if refusal != nil {
+		s.end(r, false, refusal.RetryAt)
+		return
+	}
+	a := &attempt{
+		instance:  i,
+		request:   r,
+		admission: admission,
+		number:    number,
+		chosen:    chosen,
+		deadline:  admission.Deadline,
+	}
+	s.after(latency, func() { s.upstreams[chosen.Declared().Name].receive(a) })
+	s.after(a.deadline.Sub(s.now), a.expire)
+}
+
+// attempt is one sending of a request to an upstream.
+type attempt struct {
+	instance  *instance
+	request   *request
+	admission admitter.Admission
+	number    int
+	chosen    *admitter.Upstream
+	deadline  time.Time
+	// ended is set once the instance has an answer or does not wait for it any more.
+	ended bool
+}
+
+// verdict is what an upstream answers.
+type verdict int
+
+const (
+	answered verdict = iota
+	shed
+)
+
+// answer sends an answer of the upstream to the instance.
+func (a *attempt) answer(verdict verdict, observed load) {
+	a.instance.simulation.after(latency, func() { a.receive(verdict, observed) })
+}
+
+// receive does what an instance does with an answer.
+func (a *attempt) receive(verdict verdict, observed load) {
+	if a.ended {
+		return
+	}
+	s := a.instance.simulation
+	if verdict == answered {
+		a.chosen.ObserveLoad(observed.running, observed.waiting, s.now)
+		a.finish()
+		a.chosen.RecordSuccess(s.now)
+		s.end(a.request, true, time.Time{})
+		return
+	}
+	a.fail(arbiter.Refuse(arbiter.UpstreamShed, "shed"))
+	if a.number < maxAttempts && s.now.Before(a.deadline) {
+		a.instance.attempt(a.request, a.admission, a.number+1, a.chosen)
+		return
+	}
+	s.end(a.request, false, s.now.Add(admitter.NoRoomRetryMillis*time.Millisecond))
+}
+
+// expire ends an attempt whose deadline has passed.
+func (a *attempt) expire() {
+	if a.ended {
+		return
+	}
+	a.fail(arbiter.Fail(arbiter.DeadlineExceeded, "too late"))
+	a.instance.simulation.end(a.request, false, time.Time{})
+}
+
+// fail records what a failed attempt shows.
+func (a *attempt) fail(refusal *arbiter.Refusal) {
+	a.finish()
+	a.chosen.RecordRefusal(refusal, a.admission.DeadlineFromCaller, a.instance.simulation.now)
+}
+
+// finish gives back the slot.
+func (a *attempt) finish() {
+	a.ended = true
+	a.chosen.Release()
+}
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -16,6 +16,10 @@
 	initialSuspicion = 500 * time.Millisecond
 	// maxSuspicionDoublings limits how often that time doubles.
 	maxSuspicionDoublings = 6
+	// silentAfter is the number of requests in a row that must end at their deadlines,
+	// without any answer of the upstream in between, before the upstream is at fault. A
+	// loaded upstream also lets deadlines pass, but it answers other requests.
+	silentAfter = 3
 )
 
 // The health states of an upstream.
@@ -62,7 +66,7 @@
 // RecordRefusal records what the refusal of an attempt shows about the upstream, and
 // reports whether the upstream was live until now and is at fault. A caller's deadline that
 // is shorter than the route's shows nothing when it passes; deadlineFromCaller says that
-// the attempt had such a deadline.
+// the attempt had such a deadline. Of other deadlines silentAfter must pass in a row.
 func (u *Upstream) RecordRefusal(refusal *arbiter.Refusal, deadlineFromCaller bool, now time.Time) bool {
 	switch refusal.Reason {
 	case arbiter.UpstreamUnreached:
@@ -71,13 +75,21 @@
 	case arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
 		return u.recordFailure(now)
 	case arbiter.DeadlineExceeded:
-		return !deadlineFromCaller && u.recordFailure(now)
+		return !deadlineFromCaller && u.timeouts.Add(1) >= silentAfter && u.recordFailure(now)
 	case arbiter.UpstreamShed:
+		u.recordAnswer()
 		u.recordShed(now)
 	}
 	return false
 }
 
+// recordAnswer records that the upstream has answered a request, in whatever way.
+func (u *Upstream) recordAnswer() {
+	if u.timeouts.Load() != 0 {
+		u.timeouts.Store(0)
+	}
+}
+
 // recordFailure records that the upstream is at fault for a failed attempt, and reports
 // whether it was live until now. The failures that this instance observes count more than
 // the upstream's reports, so each failure in a row doubles the time before a report of
@@ -94,6 +106,7 @@
 // for initialSuspicion. The time does not double, because the answer shows that the
 // upstream is running. RecordFailedAnswer has no effect on an upstream that is probed.
 func (u *Upstream) RecordFailedAnswer(now time.Time) bool {
+	u.recordAnswer()
 	if !u.unprobed {
 		return false
 	}
@@ -106,6 +119,7 @@
 // cold for ColdMillis from now on. The suspicion of an upstream that is not probed is
 // cleared.
 func (u *Upstream) RecordSuccess(now time.Time) {
+	u.recordAnswer()
 	if u.isUnreachable() {
 		cold := time.Duration(u.declared.Load().ColdMillis) * time.Millisecond
 		u.coldUntil.Store(now.Add(cold).UnixNano())
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -29,6 +29,9 @@
 	// failures is the number of failed attempts that recordFailure has recorded since the
 	// last RecordSuccess. Failed answers and probes do not count.
 	failures atomic.Int32
+	// timeouts is the number of requests that have ended at their deadlines since the
+	// upstream's last answer.
+	timeouts atomic.Int32
 	// suspectUntil is the time before which no report of Live clears a suspicion, in
 	// nanoseconds since the Unix epoch.
 	suspectUntil atomic.Int64
