--- a/internal/simulator/overload_test.go
+++ b/internal/simulator/overload_test.go
@@ -142,6 +142,7 @@
 			TimeoutMillis:   kind.timeoutMillis,
 			ObjectiveMillis: kind.objectiveMillis,
 			Open:            true,
+			Sticky:          true,
 		}.WithBackends(declarer.Backend{
 			Service: service,
 			Weight:  1,
@@ -231,6 +232,11 @@
 		load    float64
 		changes func(simulator.Scenario) []simulator.Change
 	}{
+		{
+			name:    "the upstreams know no object at the start",
+			load:    1.25,
+			changes: func(simulator.Scenario) []simulator.Change { return nil },
+		},
 		{
 			name:    "a failure domain is evacuated",
 			load:    1,
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -185,6 +185,7 @@
 		routeRegions: a.Route.Declared.Homes,
 		teamRegions:  a.teamRegions(),
 		anyRegion:    plan.spillovers[a.Service].includes(random),
+		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
 	}
 	if upstream, found := pools.acquire(random, wanted); found {
 		return upstream, nil
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -24,6 +24,10 @@
 	// according to its route and its team. An empty list means all.
 	routeRegions []string
 	teamRegions  []string
+	// anyChoice reports that the request gains nothing from an upstream that has served its
+	// object before, so that it may use any upstream if the preferred ones have no free
+	// slot.
+	anyChoice bool
 	// suspectsAllowed reports that the request may use suspect upstreams.
 	suspectsAllowed bool
 	// anyRegion reports that the distance of an upstream costs nothing, because the
@@ -56,11 +60,25 @@
 
 var _ picker.Hashed[criteria] = (*candidate)(nil)
 
-// Usable reports whether the upstream is live, has capacity, lies in an allowed region
-// and is not the one to avoid. A suspect upstream is usable as well if suspects are
-// allowed or its suspicion has expired.
+// Usable reports whether the upstream is eligible and a slot is free.
 func (c *candidate) Usable(criteria criteria) bool {
-	if c.Upstream == criteria.avoid || !c.hasCapacity(criteria.now) || !criteria.allowsRegion(c.region) {
+	return c.hasFreeSlot() && c.mayServe(criteria)
+}
+
+// Eligible reports whether the upstream counts among the choices for the request's object:
+// whether it may serve the request once a slot is free.
+func (c *candidate) Eligible(criteria criteria) bool {
+	if criteria.anyChoice && !c.hasFreeSlot() {
+		return false
+	}
+	return c.mayServe(criteria)
+}
+
+// mayServe reports whether the upstream is live, not held back by its cold rate, lies in an
+// allowed region and is not the one to avoid. A suspect upstream may serve as well if
+// suspects are allowed or its suspicion has expired.
+func (c *candidate) mayServe(criteria criteria) bool {
+	if c.Upstream == criteria.avoid || !c.admitsCold(criteria.now) || !criteria.allowsRegion(c.region) {
 		return false
 	}
 	switch c.Health() {
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -80,12 +80,14 @@
 	return u.seed
 }
 
-// hasCapacity reports whether a slot is free and, if the upstream is cold, whether its
-// cold rate admits another request.
-func (u *Upstream) hasCapacity(now time.Time) bool {
-	if u.slots.InUse() >= u.slots.Limit() {
-		return false
-	}
+// hasFreeSlot reports whether this instance has a slot left at the upstream.
+func (u *Upstream) hasFreeSlot() bool {
+	return u.slots.InUse() < u.slots.Limit()
+}
+
+// admitsCold reports whether the cold rate admits another request, or the upstream is not
+// cold.
+func (u *Upstream) admitsCold(now time.Time) bool {
 	if !u.isCold(now) {
 		return true
 	}
--- a/pkg/query/picker/hashed.go
+++ b/pkg/query/picker/hashed.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math"
 	"math/bits"
 	"slices"
 
@@ -17,6 +18,10 @@
 	// as a fraction of the hash range, which is from 0 to 1. It is 0 if the distance does
 	// not count for the request.
 	DistanceCost(request R) float64
+	// Eligible reports whether the candidate counts among the choices for a request. Each
+	// usable candidate is eligible. One that is eligible and not usable keeps its place
+	// among the choices but is not chosen.
+	Eligible(request R) bool
 }
 
 // MaxChoices is the highest value of Rendezvous.Choices.
@@ -44,13 +49,14 @@
 	cost      float64
 }
 
-// Pick returns the candidate with the lowest cost, load included, among the first
-// Choices usable candidates for the object with that hash.
+// Pick returns the usable candidate with the lowest cost, load included, among the first
+// Choices eligible candidates for the object with that hash. It returns false if none of
+// these is usable.
 func (p Rendezvous[C, R]) Pick(candidates []C, hash uint64, request R) (C, bool) {
 	var cheapest [MaxChoices]rankedCandidate[C]
 	count := 0
 	for _, candidate := range candidates {
-		if !candidate.Usable(request) {
+		if !candidate.Eligible(request) {
 			continue
 		}
 		next := rankedCandidate[C]{
@@ -64,11 +70,7 @@
 		}
 		insert(cheapest[:count], next)
 	}
-	if count == 0 {
-		var zero C
-		return zero, false
-	}
-	return p.lowestCost(cheapest[:count], request), true
+	return p.lowestCost(cheapest[:count], request)
 }
 
 // Rank returns the position, from 1, of the candidate that wanted accepts in the order of
@@ -105,19 +107,22 @@
 	sorted[i] = next
 }
 
-// lowestCost returns the candidate whose position, distance and load cost least together.
-// The list must not be empty.
-func (p Rendezvous[C, R]) lowestCost(ranked []rankedCandidate[C], request R) C {
-	best := ranked[0].candidate
-	lowest := ranked[0].cost + p.loadCost(best, request)
-	for _, other := range ranked[1:] {
-		cost := other.cost + p.loadCost(other.candidate, request)
+// lowestCost returns the usable candidate whose position, distance and load cost least
+// together, or false if none is usable.
+func (p Rendezvous[C, R]) lowestCost(ranked []rankedCandidate[C], request R) (best C, found bool) {
+	lowest := math.Inf(1)
+	for _, choice := range ranked {
+		if !choice.candidate.Usable(request) {
+			continue
+		}
+		cost := choice.cost + p.loadCost(choice.candidate, request)
 		if cost < lowest {
-			best = other.candidate
+			best = choice.candidate
 			lowest = cost
+			found = true
 		}
 	}
-	return best
+	return best, found
 }
 
 // loadCost returns the cost of a candidate's load beyond FreeLoad.
--- a/pkg/query/picker/hashed_test.go
+++ b/pkg/query/picker/hashed_test.go
@@ -12,10 +12,14 @@
 	server
 	seed         uint64
 	distanceCost float64
+	// full says that the server is eligible and not usable.
+	full bool
 }
 
 func (s *hashedServer) Seed() uint64                    { return s.seed }
 func (s *hashedServer) DistanceCost(anyRequest) float64 { return s.distanceCost }
+func (s *hashedServer) Eligible(anyRequest) bool        { return !s.unusable }
+func (s *hashedServer) Usable(anyRequest) bool          { return !s.unusable && !s.full }
 
 func newHashedServers(count int) []*hashedServer {
 	random := rand.New(rand.NewPCG(3, 9))
@@ -120,3 +124,24 @@
 		picked.unusable = true
 	}
 }
+
+// TestFullCandidatesKeepTheirObjects checks that objects whose first candidate is full go to
+// their second, and that objects whose candidates are both full go to no other.
+func TestFullCandidatesKeepTheirObjects(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 200 {
+		servers := newHashedServers(16)
+		hash := random.Uint64()
+		first, _ := rendezvous.Pick(servers, hash, anyRequest{})
+		first.full = true
+		second, found := rendezvous.Pick(servers, hash, anyRequest{})
+		rank := rendezvous.Rank(servers, hash, anyRequest{}, func(s *hashedServer) bool { return s == second })
+		if !found || rank != 2 {
+			t.Fatalf("hash %d: got rank %d, found %t, want the second candidate", hash, rank, found)
+		}
+		second.full = true
+		if _, found = rendezvous.Pick(servers, hash, anyRequest{}); found {
+			t.Fatalf("hash %d: got a third candidate, want none", hash)
+		}
+	}
+}
