--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 const (
@@ -179,9 +180,19 @@
 	Address string
 }
 
+// Answer is the answer of an upstream to one attempt.
+type Answer struct {
+	// Response is the answer to pass on, or nil if it must not be passed on.
+	Response *http.Response
+	// Report is what the upstream tells of itself. It is empty if there is no answer, or
+	// none that is known to be the upstream's answer to this attempt.
+	Report registrar.Report
+}
+
 // Send makes one attempt to send a request and returns the answer. The caller must
-// close the answer's body. Each error is an *arbiter.Refusal.
-func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (*http.Response, error) {
+// close the response's body. Each error is an *arbiter.Refusal. With an error the answer
+// holds no response, but it holds a report if the upstream has refused the request.
+func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (Answer, error) {
 	exchange := &arbiter.Exchange{}
 	observer := &connObserver{}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -192,24 +203,38 @@
 	})
 	response, err := f.transportFor(outbound).RoundTrip(f.newRequest(traced, target, outbound))
 	if err != nil {
-		return nil, transportRefusal(ctx, exchange.Verdict(), err)
+		return Answer{}, transportRefusal(ctx, exchange.Verdict(), err)
 	}
 	if observer.unsolicited() {
 		observer.closeConn()
 		response.Body.Close()
 		// The request may have run: the transport may have sent it on another
 		// connection before.
-		return nil, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
+		return Answer{}, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
 	}
 	if refusal := f.checkAnswer(response); refusal != nil {
 		if refusal.Verdict != arbiter.NotRun {
 			observer.closeConn()
 		}
 		response.Body.Close()
-		return nil, refusal
+		return f.refusedAnswer(response, refusal), refusal
 	}
 	exchange.Answered()
-	return response, nil
+	return Answer{
+		Response: response,
+		Report:   f.translator.ReadReport(response.Header),
+	}, nil
+}
+
+// refusedAnswer returns the answer of an attempt that ends with a refusal. Only a request
+// that was shed has an answer of the upstream that it was meant for.
+func (f *Forwarder) refusedAnswer(response *http.Response, refusal *arbiter.Refusal) Answer {
+	if refusal.Reason != arbiter.UpstreamShed {
+		return Answer{}
+	}
+	return Answer{
+		Report: f.translator.ReadReport(response.Header),
+	}
 }
 
 // transportFor returns the transport for a request. A request that is not idempotent
--- a/internal/query/prober/prober.go
+++ b/internal/query/prober/prober.go
@@ -58,7 +58,7 @@
 			if !known {
 				return nil
 			}
-			before, after := upstream.RecordReport(reported, time.Now())
+			before, after := upstream.RecordProbe(reported, time.Now())
 			if before != after {
 				changed(HealthChange{
 					Upstream: upstream,
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // forwardAndRelay sends an admitted request to upstreams until one answers or no retry is
@@ -44,7 +45,7 @@
 	r.translator.RewriteAnswer(answer.response.Header)
 	refusal = relay(w, answer.response)
 	if refusal != nil {
-		r.recordFailure(answer.upstream, refusal, admission.DeadlineFromCaller)
+		r.recordFailure(answer.upstream, refusal, registrar.Report{}, admission.DeadlineFromCaller)
 	}
 	return refusal
 }
@@ -178,31 +179,35 @@
 		Upstream:  upstream,
 		SentAt:    time.Now(),
 	}
-	response, err := r.forwarder.Send(ctx, target, outbound)
+	answer, err := r.forwarder.Send(ctx, target, outbound)
 	attempt.EndedAt = time.Now()
 	attempt.Err = err
 	if err == nil {
-		attempt.Status = response.StatusCode
+		attempt.Status = answer.Response.StatusCode
 	}
 	r.attemptEnded(attempt)
 	if err != nil {
-		r.recordFailure(upstream, err, admission.DeadlineFromCaller)
+		r.recordFailure(upstream, err, answer.Report, admission.DeadlineFromCaller)
 		return nil, err
 	}
-	if load, known := r.translator.ReadLoad(response.Header); known {
-		upstream.ObserveLoad(load.Running, load.Waiting, time.Now())
-	}
-	return response, nil
+	upstream.RecordReport(answer.Report, attempt.EndedAt)
+	return answer.Response, nil
 }
 
 // recordFailure records what a failed attempt shows about the upstream, and calls
-// upstreamSuspected if the upstream becomes suspect.
-func (r *Receiver) recordFailure(upstream *admitter.Upstream, err error, deadlineFromCaller bool) {
+// upstreamSuspected if the upstream becomes suspect. The report is empty if the attempt got
+// no answer.
+func (r *Receiver) recordFailure(
+	upstream *admitter.Upstream,
+	err error,
+	report registrar.Report,
+	deadlineFromCaller bool,
+) {
 	var refusal *arbiter.Refusal
 	if !errors.As(err, &refusal) {
 		return
 	}
-	if upstream.RecordRefusal(refusal, deadlineFromCaller, time.Now()) {
+	if upstream.RecordRefusal(refusal, report, deadlineFromCaller, time.Now()) {
 		r.upstreamSuspected(upstream, refusal)
 	}
 }
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 const (
@@ -150,24 +151,24 @@
 )
 
 // answer sends an answer of the upstream to the instance.
-func (a *attempt) answer(verdict verdict, observed load) {
-	a.instance.simulation.after(latency, func() { a.receive(verdict, observed) })
+func (a *attempt) answer(verdict verdict, report registrar.Report) {
+	a.instance.simulation.after(latency, func() { a.receive(verdict, report) })
 }
 
 // receive does what an instance does with an answer.
-func (a *attempt) receive(verdict verdict, observed load) {
+func (a *attempt) receive(verdict verdict, report registrar.Report) {
 	if a.ended {
 		return
 	}
 	s := a.instance.simulation
 	if verdict == answered {
-		a.chosen.ObserveLoad(observed.running, observed.waiting, s.now)
+		a.chosen.RecordReport(report, s.now)
 		a.finish()
 		a.chosen.RecordSuccess(s.now)
 		s.end(a.request, true, time.Time{})
 		return
 	}
-	a.fail(arbiter.Refuse(arbiter.UpstreamShed, "shed"))
+	a.fail(arbiter.Refuse(arbiter.UpstreamShed, "shed"), report)
 	if a.number < maxAttempts && s.now.Before(a.deadline) {
 		a.instance.attempt(a.request, a.admission, a.number+1, a.chosen)
 		return
@@ -180,14 +181,14 @@
 	if a.ended {
 		return
 	}
-	a.fail(arbiter.Fail(arbiter.DeadlineExceeded, "too late"))
+	a.fail(arbiter.Fail(arbiter.DeadlineExceeded, "too late"), registrar.Report{})
 	a.instance.simulation.end(a.request, false, time.Time{})
 }
 
 // fail records what a failed attempt shows.
-func (a *attempt) fail(refusal *arbiter.Refusal) {
+func (a *attempt) fail(refusal *arbiter.Refusal, report registrar.Report) {
+	a.chosen.RecordRefusal(refusal, report, a.admission.DeadlineFromCaller, a.instance.simulation.now)
 	a.finish()
-	a.chosen.RecordRefusal(refusal, a.admission.DeadlineFromCaller, a.instance.simulation.now)
 }
 
 // finish gives back the slot.
--- a/internal/simulator/upstream.go
+++ b/internal/simulator/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // Behavior is how an upstream handles requests.
@@ -64,7 +66,7 @@
 	case len(u.waiting) < u.behavior.Queue:
 		u.waiting = append(u.waiting, a)
 	default:
-		a.answer(shed, u.load())
+		a.answer(shed, u.report())
 	}
 }
 
@@ -76,7 +78,7 @@
 	u.simulation.after(min(work, remaining), func() {
 		u.running--
 		if work <= remaining {
-			a.answer(answered, u.load())
+			a.answer(answered, u.report())
 		}
 		u.startNext()
 	})
@@ -108,16 +110,10 @@
 	return found >= 0
 }
 
-// load returns the load that the upstream tells in its answers.
-func (u *upstream) load() load {
-	return load{
-		running: u.running,
-		waiting: len(u.waiting),
-	}
-}
-
-// load is what an upstream tells of its load.
-type load struct {
-	running int
-	waiting int
+// report returns what the upstream tells in its answers.
+func (u *upstream) report() registrar.Report {
+	return registrar.Report{}.WithLoad(registrar.Load{
+		Running: u.running,
+		Waiting: len(u.waiting),
+	})
 }
--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -9,6 +9,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // The headers that this project defines.
@@ -84,10 +85,10 @@
 	return time.Now().Add(time.Duration(seconds) * time.Second)
 }
 
-// ReadLoad returns false, because upstreams that use these headers report their numbers of
-// requests to health probes instead.
-func (Native) ReadLoad(http.Header) (Load, bool) {
-	return Load{}, false
+// ReadReport returns an empty report, because upstreams that use these headers tell nothing
+// of themselves.
+func (Native) ReadReport(http.Header) registrar.Report {
+	return registrar.Report{}
 }
 
 // RewriteAnswer removes the upstream's headers with HeaderPrefix and sets the verdict
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // CallerMetadata is the metadata that a caller sends in the headers of its request.
@@ -35,13 +36,6 @@
 	Deadline time.Time
 }
 
-// Load holds the numbers of requests that an upstream reports in the headers of an answer.
-type Load struct {
-	// Running and Waiting count the requests of all instances at the upstream.
-	Running int
-	Waiting int
-}
-
 // Translator reads and writes the headers of one kind of deployment. Implementations
 // are immutable and safe for concurrent use.
 type Translator interface {
@@ -54,9 +48,8 @@
 	// CheckAnswer returns the reason not to pass an answer on, or nil if there is none:
 	// the upstream did not run the request, or the answer belongs to another request.
 	CheckAnswer(response *http.Response) *arbiter.Refusal
-	// ReadLoad reads the numbers of requests that an upstream reports, and returns false if
-	// it reports none.
-	ReadLoad(header http.Header) (Load, bool)
+	// ReadReport reads what an upstream tells of itself in the header of an answer.
+	ReadReport(header http.Header) registrar.Report
 	// RewriteAnswer rewrites the header of an answer before it is sent to the caller.
 	RewriteAnswer(header http.Header)
 	// WriteRefusal writes the answer to a request that was refused or has failed.
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -5,6 +5,7 @@
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // Health is the health of an upstream as far as an instance knows it.
@@ -66,8 +67,14 @@
 // RecordRefusal records what the refusal of an attempt shows about the upstream, and
 // reports whether the upstream was live until now and is at fault. A caller's deadline that
 // is shorter than the route's shows nothing when it passes; deadlineFromCaller says that
-// the attempt had such a deadline. Of other deadlines silentAfter must pass in a row.
-func (u *Upstream) RecordRefusal(refusal *arbiter.Refusal, deadlineFromCaller bool, now time.Time) bool {
+// the attempt had such a deadline. Of other deadlines silentAfter must pass in a row. The
+// report is what the upstream tells with the refusal, if it has answered.
+func (u *Upstream) RecordRefusal(
+	refusal *arbiter.Refusal,
+	report registrar.Report,
+	deadlineFromCaller bool,
+	now time.Time,
+) bool {
 	switch refusal.Reason {
 	case arbiter.UpstreamUnreached:
 		u.failedDials.Add(1)
@@ -78,7 +85,7 @@
 		return !deadlineFromCaller && u.timeouts.Add(1) >= silentAfter && u.recordFailure(now)
 	case arbiter.UpstreamShed:
 		u.recordAnswer()
-		u.recordShed(now)
+		u.recordShed(report, now)
 	}
 	return false
 }
@@ -135,10 +142,10 @@
 	}
 }
 
-// RecordReport records the state that the upstream's health endpoint reports, or
+// RecordProbe records the state that the upstream's health endpoint reports, or
 // Suspect if the endpoint does not answer, and returns the state before and after. A
 // report of Live does not clear a suspicion before suspectUntil.
-func (u *Upstream) RecordReport(reported Health, now time.Time) (before, after Health) {
+func (u *Upstream) RecordProbe(reported Health, now time.Time) (before, after Health) {
 	before = u.Health()
 	underSuspicion := before == Suspect && now.UnixNano() < u.suspectUntil.Load()
 	if reported == Live && underSuspicion {
--- a/pkg/command/admitter/health_test.go
+++ b/pkg/command/admitter/health_test.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // TestLoadedUpstreamIsNotTakenForAFailedOne records deadlines that pass at an upstream, with
@@ -62,13 +63,13 @@
 			for _, event := range c.events {
 				switch event {
 				case timeout:
-					upstream.RecordRefusal(arbiter.Fail(arbiter.DeadlineExceeded, "late"), false, now)
+					upstream.RecordRefusal(arbiter.Fail(arbiter.DeadlineExceeded, "late"), registrar.Report{}, false, now)
 				case answer:
 					upstream.RecordSuccess(now)
 				case failedAnswer:
 					upstream.RecordFailedAnswer(now)
 				case shed:
-					upstream.RecordRefusal(arbiter.Refuse(arbiter.UpstreamShed, "shed"), false, now)
+					upstream.RecordRefusal(arbiter.Refuse(arbiter.UpstreamShed, "shed"), registrar.Report{}, false, now)
 				}
 			}
 			if got := upstream.Health(); got != c.want {
--- a/pkg/command/admitter/load.go
+++ b/pkg/command/admitter/load.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // loadAt returns the estimated number of requests at the upstream relative to its
@@ -15,23 +17,36 @@
 	return (float64(u.slots.InUse()) + others) / float64(u.declared.Load().Slots)
 }
 
-// ObserveLoad records how many requests run and wait at the upstream according to one of
-// its answers. The answered request still holds its slot.
-func (u *Upstream) ObserveLoad(running, waiting int, now time.Time) {
-	others := float64(max(running+waiting-u.slots.InUse(), 0))
+// RecordReport records what the upstream tells of itself in its answer to a request that
+// still holds its slot.
+func (u *Upstream) RecordReport(report registrar.Report, now time.Time) {
+	if !report.HasLoad {
+		return
+	}
+	others := float64(max(report.Load.Total()-u.slots.InUse(), 0))
 	if previous := u.othersRequests.Load(); previous != nil {
 		others = (others + previous.decayedAt(now)) / 2
 	}
-	u.othersRequests.Store(&loadObservation{
-		requests:   others,
-		observedAt: now,
-	})
+	u.storeObservation(others, now)
 }
 
-// recordShed records that the upstream had no capacity for a request.
-func (u *Upstream) recordShed(now time.Time) {
+// recordShed records that the upstream had no capacity for a request that still holds its
+// slot. The load that it tells then replaces what was known before, because the upstream
+// has refused the request for it.
+func (u *Upstream) recordShed(report registrar.Report, now time.Time) {
+	others := assumedShedLoad * float64(u.declared.Load().Slots)
+	if report.HasLoad {
+		// The upstream does not count the request that it has shed.
+		others = float64(max(report.Load.Total()+1-u.slots.InUse(), 0))
+	}
+	u.storeObservation(others, now)
+}
+
+// storeObservation replaces the estimate of the requests that other instances have at the
+// upstream.
+func (u *Upstream) storeObservation(others float64, now time.Time) {
 	u.othersRequests.Store(&loadObservation{
-		requests:   assumedShedLoad * float64(u.declared.Load().Slots),
+		requests:   others,
 		observedAt: now,
 	})
 }
@@ -41,7 +56,8 @@
 	// observed at an upstream are assumed to have ended.
 	observationHalfLife = time.Second
 	// assumedShedLoad is the number of requests that other instances are assumed to have
-	// at an upstream that has just shed a request, as a multiple of its slots.
+	// at an upstream that has just shed a request and does not tell its load, as a multiple
+	// of its slots.
 	assumedShedLoad = 4
 )
 
