--- a/internal/simulator/overload_test.go
+++ b/internal/simulator/overload_test.go
@@ -237,6 +237,16 @@
 			load:    1.25,
 			changes: func(simulator.Scenario) []simulator.Change { return nil },
 		},
+		{
+			name:    "the upstreams know no object at the start of a high load",
+			load:    1.5,
+			changes: func(simulator.Scenario) []simulator.Change { return nil },
+		},
+		{
+			name:    "a failure domain is evacuated under a high load",
+			load:    1.25,
+			changes: evacuate,
+		},
 		{
 			name:    "a failure domain is evacuated",
 			load:    1,
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -163,8 +163,8 @@
 	s := a.instance.simulation
 	if verdict == answered {
 		a.chosen.RecordReport(report, s.now)
-		a.finish()
 		a.chosen.RecordSuccess(s.now)
+		a.finish()
 		s.end(a.request, true, time.Time{})
 		return
 	}
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -82,7 +82,7 @@
 	case arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
 		return u.recordFailure(now)
 	case arbiter.DeadlineExceeded:
-		return !deadlineFromCaller && u.timeouts.Add(1) >= silentAfter && u.recordFailure(now)
+		return !deadlineFromCaller && u.recordTimeout(now)
 	case arbiter.UpstreamShed:
 		u.recordAnswer()
 		u.recordShed(report, now)
@@ -90,6 +90,13 @@
 	return false
 }
 
+// recordTimeout records that a request has passed its deadline, and reports whether the
+// upstream was live until now and is at fault. The request still holds its slot.
+func (u *Upstream) recordTimeout(now time.Time) bool {
+	u.loadBound.recordTimeout(u.loadAt(now))
+	return u.timeouts.Add(1) >= silentAfter && u.recordFailure(now)
+}
+
 // recordAnswer records that the upstream has answered a request, in whatever way.
 func (u *Upstream) recordAnswer() {
 	if u.timeouts.Load() != 0 {
@@ -124,9 +131,10 @@
 // RecordSuccess records that the upstream has answered a request, and resets the counts
 // of failed attempts and connections. An upstream that was unreachable is assumed to be
 // cold for ColdMillis from now on. The suspicion of an upstream that is not probed is
-// cleared.
+// cleared. The request still holds its slot.
 func (u *Upstream) RecordSuccess(now time.Time) {
 	u.recordAnswer()
+	u.loadBound.recordAnswer(u.loadAt(now))
 	if u.isUnreachable() {
 		cold := time.Duration(u.declared.Load().ColdMillis) * time.Millisecond
 		u.coldUntil.Store(now.Add(cold).UnixNano())
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -31,6 +31,9 @@
 	pools map[string]versionPools
 	// spillovers holds the spillover of each service, by the service's name.
 	spillovers map[string]*spillover
+	// loadBounds holds the load bound of each service that has a version, by the service's
+	// name.
+	loadBounds map[string]*loadBound
 	// upstreams holds each upstream, by its address and incarnation.
 	upstreams map[upstreamID]*Upstream
 	// affinity configures the choice of upstreams by the object of a request. If it is
@@ -195,12 +198,15 @@
 		seats:       seats,
 		limiters:    p.limitersFor(set, seats, now),
 		pools:       map[string]versionPools{},
+		loadBounds:  map[string]*loadBound{},
 		upstreams:   map[upstreamID]*Upstream{},
 		affinity:    p.affinity,
 	}
 	for version := range set.Versions.All() {
+		bound := p.loadBoundFor(version.Service, next.loadBounds)
+		next.loadBounds[version.Service] = bound
 		for _, declared := range version.Upstreams {
-			next.upstreams[idOf(declared)] = p.upstreamFor(declared, version.Name, seats, now)
+			next.upstreams[idOf(declared)] = p.upstreamFor(declared, version.Name, bound, seats, now)
 		}
 	}
 	for service := range set.Services.All() {
@@ -239,6 +245,18 @@
 	return limiters
 }
 
+// loadBoundFor returns the load bound of a service: the one in p, or the one that another
+// version of the service has got in the next plan, or a new one.
+func (p *Plan) loadBoundFor(service string, next map[string]*loadBound) *loadBound {
+	if bound, found := p.loadBounds[service]; found {
+		return bound
+	}
+	if bound, found := next[service]; found {
+		return bound
+	}
+	return newLoadBound()
+}
+
 // idOf returns the ID of a declared upstream.
 func idOf(declared declarer.Upstream) upstreamID {
 	return upstreamID{
@@ -253,11 +271,17 @@
 
 // upstreamFor returns the state of a declared upstream. It reuses the state of the
 // upstream with the same ID in p, if there is one.
-func (p *Plan) upstreamFor(declared declarer.Upstream, version string, seats []splitter.Seat, now time.Time) *Upstream {
+func (p *Plan) upstreamFor(
+	declared declarer.Upstream,
+	version string,
+	bound *loadBound,
+	seats []splitter.Seat,
+	now time.Time,
+) *Upstream {
 	upstream, found := p.upstreams[idOf(declared)]
 	switch {
 	case !found:
-		upstream = newUpstream(declared, version, p.affinity != nil, now)
+		upstream = newUpstream(declared, version, bound, p.affinity != nil, now)
 	case upstream.Declared() != declared || upstream.Version() != version:
 		upstream.applyDeclaration(declared, version)
 	}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -62,7 +62,7 @@
 
 // Usable reports whether the upstream is eligible and a slot is free.
 func (c *candidate) Usable(criteria criteria) bool {
-	return c.hasFreeSlot() && c.mayServe(criteria)
+	return c.hasFreeSlot() && c.loadBound.admits(c.loadAt(criteria.now)) && c.mayServe(criteria)
 }
 
 // Eligible reports whether the upstream counts among the choices for the request's object:
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -21,6 +21,8 @@
 	seed uint64
 	// slots limits the requests that this instance has at the upstream.
 	slots *limiter.Slots
+	// loadBound is the load bound of the upstream's service; never nil.
+	loadBound *loadBound
 	// coldBucket is this instance's part of the rate that the upstream can serve while
 	// it is cold.
 	coldBucket *limiter.Bucket
@@ -49,10 +51,11 @@
 }
 
 // newUpstream returns the state of an upstream that is live and has no requests.
-func newUpstream(declared declarer.Upstream, version string, unprobed bool, now time.Time) *Upstream {
+func newUpstream(declared declarer.Upstream, version string, bound *loadBound, unprobed bool, now time.Time) *Upstream {
 	upstream := &Upstream{
 		seed:       hasher.Sum(declared.Name),
 		slots:      limiter.NewSlots(declared.Slots),
+		loadBound:  bound,
 		coldBucket: limiter.NewBucket(limiter.Limit{}, now),
 		unprobed:   unprobed,
 	}
