--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -22,9 +22,8 @@
 		return
 	}
 	s.updatePlan(s.inputs.withDeclaration(declaration))
-	// Teams and failure domains are added and removed only by declarations.
+	// Teams are added and removed only by declarations.
 	s.setLenders(s.plans.Load())
-	s.updateLocator()
 	s.receiver.CancelInvalid()
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
@@ -46,6 +45,18 @@
 		plan = plan.WithTable(router.New(next.declaration.Revision, next.configurationSet()), now)
 	}
 	s.applyParts(plan, now)
+	s.advancePlan(plan)
+}
+
+// advancePlan puts a plan into force. A plan of another declaration, which may have other
+// failure domains, comes into force after its locator, so that an instance that serves
+// requests also answers look-ups. The caller holds planMu.
+func (s *Steerer) advancePlan(plan *admitter.Plan) {
+	s.locatorMu.Lock()
+	defer s.locatorMu.Unlock()
+	if plan.Table().RevisionNumber() != s.plans.Load().Table().RevisionNumber() {
+		s.publishLocator(plan.Table())
+	}
 	s.plans.Advance(*plan)
 }
 
@@ -133,15 +144,21 @@
 	return incarnations
 }
 
-// updateLocator publishes a locator of the available instances.
+// updateLocator publishes a locator of the available instances for the plan in force.
 func (s *Steerer) updateLocator() {
 	s.locatorMu.Lock()
 	defer s.locatorMu.Unlock()
+	s.publishLocator(s.plans.Load().Table())
+}
+
+// publishLocator publishes a locator of the available instances for a routing table. The
+// caller holds locatorMu.
+func (s *Steerer) publishLocator(table *router.Table) {
 	s.locatorGeneration++
-	set := s.plans.Load().Table().Set()
+	set := table.Set()
 	s.locators.Advance(*locator.New(locator.Source{
 		Generation:  s.locatorGeneration,
-		Revision:    s.plans.Load().Table().RevisionNumber(),
+		Revision:    table.RevisionNumber(),
 		Set:         set,
 		Blocks:      locator.DeclaredBlocks(set),
 		Members:     s.availableMembers(),
