--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -7,10 +7,10 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -60,9 +60,6 @@
 	// complete is set while objects holds the whole view; otherwise the next call lists.
 	complete bool
 
-	// restarting is set when Restart has canceled the call in progress. The error of that
-	// call does not count as a failure of the store.
-	restarting atomic.Bool
 	// mu guards offered and cancelCall.
 	mu sync.Mutex
 	// offered is the newest offered view that has not been applied yet, or nil.
@@ -105,7 +102,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.cancelCall != nil {
-		w.restarting.Store(true)
 		w.cancelCall()
 	}
 }
@@ -146,7 +142,7 @@
 			continue
 		}
 		changed, err := w.listOrWatch(ctx)
-		if err != nil && (w.hasOffer() || w.restarting.Swap(false)) {
+		if errors.Is(err, errInterrupted) {
 			continue
 		}
 		if err != nil {
@@ -190,13 +186,6 @@
 	return retrier.Sleep(ctx, time.Duration(w.pauseMillis)*time.Millisecond)
 }
 
-// hasOffer reports whether an offered view has not been applied yet.
-func (w *Watcher[T]) hasOffer() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.offered != nil
-}
-
 // applyOffer replaces the view by the offered one if that is newer than the last change
 // known here, and reports whether it did.
 func (w *Watcher[T]) applyOffer() bool {
@@ -211,20 +200,33 @@
 	return true
 }
 
+// errInterrupted is the error of a call that Restart or Offer has canceled.
+var errInterrupted = errors.New("call interrupted")
+
 // listOrWatch lists all objects if the view is not complete, and otherwise waits for
-// changes. It returns true after a list, and after a watch that returned changes.
+// changes. It reports whether the view has changed.
 func (w *Watcher[T]) listOrWatch(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.setCancelCall(cancel)
 	defer w.setCancelCall(nil)
+	call := w.watch
 	if !w.complete {
-		return true, w.list(ctx)
+		call = w.list
+	}
+	changed, err := call(callCtx)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return false, errInterrupted
 	}
+	return changed, err
+}
+
+// watch waits for changes and applies them to the view. It reports whether there were any.
+func (w *Watcher[T]) watch(ctx context.Context) (bool, error) {
 	if w.watchTimeout != nil {
-		var cancelTimeout context.CancelFunc
-		ctx, cancelTimeout = context.WithTimeout(ctx, w.watchTimeout())
-		defer cancelTimeout()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, w.watchTimeout())
+		defer cancel()
 	}
 	changes, err := w.reader.Watch(ctx, w.prefix, w.revision)
 	if err != nil {
@@ -250,16 +252,17 @@
 	w.cancelCall = cancel
 }
 
-func (w *Watcher[T]) list(ctx context.Context) error {
+// list lists all objects, and returns true.
+func (w *Watcher[T]) list(ctx context.Context) (bool, error) {
 	changes, err := w.reader.List(ctx, w.prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	w.replaceView(View[T]{
 		Revision: changes.Revision,
 		Objects:  changes.Objects,
 	})
-	return nil
+	return true, nil
 }
 
 // replaceView replaces the watcher's view by a complete one.
--- a/pkg/query/watcher/watcher_test.go
+++ b/pkg/query/watcher/watcher_test.go
@@ -164,3 +164,45 @@
 		t.Fatalf("after the offer: got %+v, want the value new", second)
 	}
 }
+
+// failingStore is a store whose second watch fails after a change. During the first watch,
+// which succeeds all the same, the watcher is restarted.
+type failingStore struct {
+	*memstorer.Store
+	watches int
+	restart func()
+}
+
+func (s *failingStore) Watch(ctx context.Context, prefix string, after uint64) (storer.Changes[[]byte], error) {
+	s.watches++
+	switch s.watches {
+	case 1:
+		s.restart()
+		return storer.Changes[[]byte]{
+			Revision: after,
+		}, nil
+	case 2:
+		if _, err := s.Put(ctx, prefix+"1", []byte("new"), storer.Always()); err != nil {
+			return storer.Changes[[]byte]{}, err
+		}
+		return storer.Changes[[]byte]{}, storer.ErrUnavailable
+	default:
+		<-ctx.Done()
+		return storer.Changes[[]byte]{}, ctx.Err()
+	}
+}
+
+// TestErrorAfterARestartIsNotLost checks that the watcher lists again after the store has
+// failed, also if Restart has canceled a call before that succeeded all the same.
+func TestErrorAfterARestartIsNotLost(t *testing.T) {
+	store := &failingStore{
+		Store: memstorer.New(),
+	}
+	w := watcher.New[[]byte](store, "a/", always)
+	store.restart = w.Restart
+	views := runWatcher(t, w)
+	nextView(t, views)
+	if second := nextView(t, views); len(second.Objects) != 1 {
+		t.Fatalf("after the error: got %+v, want 1 object", second)
+	}
+}
