--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -50,15 +50,21 @@
 	// timeout to the store.
 	watchTimeout func() time.Duration
 	// objects holds the objects of the view by their names, and revision is the store's
-	// revision up to which they are known.
+	// revision from which the next watch continues.
 	objects  map[string]storer.Object[T]
 	revision uint64
-	// changedAt is the revision of the last list, offer, or watch with changes. revision
-	// is higher if the store has answered since that nothing has changed. That answer may
-	// be wrong, so offers are compared with changedAt.
+	// unchangedAt is the revision up to which the store has last answered that nothing has
+	// changed. That answer may be wrong, because a watch can end while the store holds
+	// changes back. So the next watch still continues from revision; only if that one
+	// finds nothing either does unchangedAt become the revision.
+	unchangedAt uint64
+	// changedAt is the revision of the last list, offer, or watch with changes. Offers are
+	// compared with it.
 	changedAt uint64
 	// complete is set while objects holds the whole view; otherwise the next call lists.
-	complete bool
+	// verifying is set if that list only verifies that nothing has changed.
+	complete  bool
+	verifying bool
 
 	// mu guards offered and cancelCall.
 	mu sync.Mutex
@@ -147,6 +153,7 @@
 		}
 		if err != nil {
 			w.complete = false
+			w.verifying = false
 			onError(err)
 			if backoff.Wait(ctx) != nil {
 				break
@@ -228,14 +235,17 @@
 		ctx, cancel = context.WithTimeout(ctx, w.watchTimeout())
 		defer cancel()
 	}
+	begun := time.Now()
 	changes, err := w.reader.Watch(ctx, w.prefix, w.revision)
 	if err != nil {
 		return false, err
 	}
-	w.revision = max(w.revision, changes.Revision)
 	if len(changes.Objects)+len(changes.Removed) == 0 {
+		w.recordUnchanged(changes.Revision, time.Since(begun))
 		return false, nil
 	}
+	w.revision = max(w.revision, changes.Revision)
+	w.unchangedAt = w.revision
 	w.changedAt = w.revision
 	for _, object := range changes.Objects {
 		w.objects[object.Name] = object
@@ -246,23 +256,55 @@
 	return true, nil
 }
 
+// maxReplay is the longest time for which the next watch may continue from before the last
+// answer. The store does not keep its history for much longer.
+const maxReplay = 10 * time.Second
+
+// recordUnchanged records that the store has answered, to a watch that took some time, that
+// nothing has changed up to a revision. After a long watch the next call lists instead of
+// continuing from before the watch.
+func (w *Watcher[T]) recordUnchanged(revision uint64, took time.Duration) {
+	if took > maxReplay {
+		w.complete = false
+		w.verifying = true
+		return
+	}
+	w.revision = max(w.revision, w.unchangedAt)
+	w.unchangedAt = revision
+}
+
 func (w *Watcher[T]) setCancelCall(cancel context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelCall = cancel
 }
 
-// list lists all objects, and returns true.
+// list lists all objects, and reports whether the view is a new one. A list that verifies
+// a view which has not changed gives no new one.
 func (w *Watcher[T]) list(ctx context.Context) (bool, error) {
 	changes, err := w.reader.List(ctx, w.prefix)
 	if err != nil {
 		return false, err
 	}
+	changed := !w.verifying || !w.holds(changes.Objects)
 	w.replaceView(View[T]{
 		Revision: changes.Revision,
 		Objects:  changes.Objects,
 	})
-	return true, nil
+	return changed, nil
+}
+
+// holds reports whether the view consists of these objects at these revisions.
+func (w *Watcher[T]) holds(objects []storer.Object[T]) bool {
+	if len(objects) != len(w.objects) {
+		return false
+	}
+	for _, object := range objects {
+		if held, found := w.objects[object.Name]; !found || held.Revision != object.Revision {
+			return false
+		}
+	}
+	return true
 }
 
 // replaceView replaces the watcher's view by a complete one.
@@ -272,8 +314,10 @@
 		w.objects[object.Name] = object
 	}
 	w.revision = view.Revision
+	w.unchangedAt = view.Revision
 	w.changedAt = view.Revision
 	w.complete = true
+	w.verifying = false
 }
 
 func (w *Watcher[T]) view() View[T] {
--- a/pkg/query/watcher/watcher_test.go
+++ b/pkg/query/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,39 @@
 	}
 }
 
+// holdingStore is a store whose first watch ends without the change that is made during it,
+// though it answers for a later revision. It makes the change itself.
+type holdingStore struct {
+	*memstorer.Store
+	held atomic.Bool
+}
+
+func (s *holdingStore) Watch(ctx context.Context, prefix string, after uint64) (storer.Changes[[]byte], error) {
+	if s.held.Swap(true) {
+		return s.Store.Watch(ctx, prefix, after)
+	}
+	written, err := s.Put(ctx, prefix+"1", []byte("new"), storer.Always())
+	return storer.Changes[[]byte]{
+		Revision: written.Revision,
+	}, err
+}
+
+// TestChangeThatAWatchHeldBackIsSeenByTheNext checks that the next watch gets a change that
+// the store has held back from the one before.
+func TestChangeThatAWatchHeldBackIsSeenByTheNext(t *testing.T) {
+	store := &holdingStore{
+		Store: memstorer.New(),
+	}
+	if _, err := store.Put(t.Context(), "a/1", []byte("old"), storer.Always()); err != nil {
+		t.Fatal(err)
+	}
+	views := runWatcher(t, watcher.New[[]byte](store, "a/", always))
+	nextView(t, views)
+	if second := nextView(t, views); string(second.Objects[0].Value) != "new" {
+		t.Fatalf("after the second watch: got %+v, want the value new", second)
+	}
+}
+
 // failingStore is a store whose second watch fails after a change. During the first watch,
 // which succeeds all the same, the watcher is restarted.
 type failingStore struct {
