--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -184,9 +184,10 @@
 type Answer struct {
 	// Response is the answer to pass on, or nil if it must not be passed on.
 	Response *http.Response
-	// Report is what the upstream tells of itself. It is empty if there is no answer, or
-	// none that is known to be the upstream's answer to this attempt.
-	Report registrar.Report
+	// HasReport says that the upstream has answered this attempt, even if only to refuse
+	// the request. Report is then what it tells of itself.
+	HasReport bool
+	Report    registrar.Report
 }
 
 // Send makes one attempt to send a request and returns the answer. The caller must
@@ -221,8 +222,9 @@
 	}
 	exchange.Answered()
 	return Answer{
-		Response: response,
-		Report:   f.translator.ReadReport(response.Header),
+		Response:  response,
+		HasReport: true,
+		Report:    f.translator.ReadReport(response, time.Now()),
 	}, nil
 }
 
@@ -233,7 +235,8 @@
 		return Answer{}
 	}
 	return Answer{
-		Report: f.translator.ReadReport(response.Header),
+		HasReport: true,
+		Report:    f.translator.ReadReport(response, time.Now()),
 	}
 }
 
--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -53,19 +53,20 @@
 // beliefGroups maps each log message that reports a part of the state to the name of that
 // part. A later message replaces an earlier one of the same part.
 var beliefGroups = map[string]string{
-	"Started":           "life",
-	"DrainBegun":        "life",
-	"ConfigInForce":     "declaration",
-	"UpstreamsListed":   "upstreams",
-	"MembersListed":     "members",
-	"EvacuationsListed": "evacuations",
-	"MovesListed":       "moves",
-	"WatchingChanged":   "watching",
-	"LimitsConfirmed":   "limits",
-	"PlatformLost":      "platform",
-	"PlatformRegained":  "platform",
-	"UpstreamSuspect":   "suspicion",
-	"PeerLost":          "links",
+	"Started":            "life",
+	"DrainBegun":         "life",
+	"ConfigInForce":      "declaration",
+	"UpstreamsListed":    "upstreams",
+	"MembersListed":      "members",
+	"EvacuationsListed":  "evacuations",
+	"MovesListed":        "moves",
+	"WatchingChanged":    "watching",
+	"LimitsConfirmed":    "limits",
+	"PlatformLost":       "platform",
+	"PlatformRegained":   "platform",
+	"UpstreamSuspect":    "suspicion",
+	"UpstreamAdvertised": "advertisement",
+	"PeerLost":           "links",
 }
 
 // Explain returns the explanation of the request in a question.
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -54,6 +54,9 @@
 	// upstreamSuspected is called when a live upstream becomes suspect because it
 	// failed a request.
 	upstreamSuspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
+	// upstreamAdvertised is called when an upstream says something else of its limit or its
+	// stop than before.
+	upstreamAdvertised func(upstream *admitter.Upstream)
 }
 
 // Options holds the dependencies and the settings of a receiver.
@@ -87,6 +90,9 @@
 	// UpstreamSuspected is called when a live upstream becomes suspect because it
 	// failed a request. It must not be nil.
 	UpstreamSuspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
+	// UpstreamAdvertised, if not nil, is called when an upstream says something else of its
+	// limit or its stop than before.
+	UpstreamAdvertised func(upstream *admitter.Upstream)
 }
 
 // New returns a receiver with the given dependencies.
@@ -99,21 +105,26 @@
 	if attemptEnded == nil {
 		attemptEnded = func(Attempt) {}
 	}
+	upstreamAdvertised := options.UpstreamAdvertised
+	if upstreamAdvertised == nil {
+		upstreamAdvertised = func(*admitter.Upstream) {}
+	}
 	return &Receiver{
-		admitter:          options.Admitter,
-		forwarder:         options.Forwarder,
-		inFlight:          options.InFlight,
-		budgets:           options.Budgets,
-		attempts:          options.Attempts,
-		finishMillis:      options.FinishMillis,
-		retryFailures:     options.RetryFailures,
-		metrics:           options.Metrics,
-		translator:        options.Translator,
-		lookupHandler:     options.LookupHandler,
-		requestEnded:      requestEnded,
-		attemptEnded:      attemptEnded,
-		waitingForRate:    options.WaitingForRate,
-		upstreamSuspected: options.UpstreamSuspected,
+		admitter:           options.Admitter,
+		forwarder:          options.Forwarder,
+		inFlight:           options.InFlight,
+		budgets:            options.Budgets,
+		attempts:           options.Attempts,
+		finishMillis:       options.FinishMillis,
+		retryFailures:      options.RetryFailures,
+		metrics:            options.Metrics,
+		translator:         options.Translator,
+		lookupHandler:      options.LookupHandler,
+		requestEnded:       requestEnded,
+		attemptEnded:       attemptEnded,
+		waitingForRate:     options.WaitingForRate,
+		upstreamSuspected:  options.UpstreamSuspected,
+		upstreamAdvertised: upstreamAdvertised,
 	}
 }
 
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -186,11 +186,14 @@
 		attempt.Status = answer.Response.StatusCode
 	}
 	r.attemptEnded(attempt)
+	if answer.HasReport && upstream.RecordAdvertisement(answer.Report, attempt.SentAt, attempt.EndedAt) {
+		r.upstreamAdvertised(upstream)
+	}
 	if err != nil {
 		r.recordFailure(upstream, err, answer.Report, admission.DeadlineFromCaller)
 		return nil, err
 	}
-	upstream.RecordReport(answer.Report, attempt.EndedAt)
+	upstream.RecordLoad(answer.Report, attempt.EndedAt)
 	return answer.Response, nil
 }
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -162,7 +162,7 @@
 	}
 	s := a.instance.simulation
 	if verdict == answered {
-		a.chosen.RecordReport(report, s.now)
+		a.chosen.RecordLoad(report, s.now)
 		a.chosen.RecordSuccess(s.now)
 		a.finish()
 		s.end(a.request, true, time.Time{})
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -186,19 +186,20 @@
 		forwarder.WithTranslator(s.platform.Translator),
 	)
 	s.receiver = receiver.New(receiver.Options{
-		Admitter:          admitter.New(s.plans, s.freshness),
-		Forwarder:         s.forwarder,
-		InFlight:          s.inFlight,
-		Budgets:           retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
-		Attempts:          s.settings.Retries.Attempts,
-		FinishMillis:      s.settings.Callers.FinishMillis,
-		RetryFailures:     true,
-		Metrics:           exporter.NewRequestCounters(s.registry),
-		Translator:        s.platform.Translator,
-		RequestEnded:      s.requestLog.requestEnded,
-		AttemptEnded:      s.countAttempt,
-		WaitingForRate:    s.borrower.PollNow,
-		UpstreamSuspected: s.logSuspect,
+		Admitter:           admitter.New(s.plans, s.freshness),
+		Forwarder:          s.forwarder,
+		InFlight:           s.inFlight,
+		Budgets:            retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Attempts:           s.settings.Retries.Attempts,
+		FinishMillis:       s.settings.Callers.FinishMillis,
+		RetryFailures:      true,
+		Metrics:            exporter.NewRequestCounters(s.registry),
+		Translator:         s.platform.Translator,
+		RequestEnded:       s.requestLog.requestEnded,
+		AttemptEnded:       s.countAttempt,
+		WaitingForRate:     s.borrower.PollNow,
+		UpstreamSuspected:  s.logSuspect,
+		UpstreamAdvertised: s.logAdvertised,
 	})
 }
 
@@ -251,3 +252,14 @@
 		Str("Detail", refusal.Detail).
 		Msg("UpstreamSuspect")
 }
+
+// logAdvertised logs what an upstream has said to this instance about its limit and its stop.
+func (s *Steerer) logAdvertised(upstream *admitter.Upstream) {
+	advertisement := upstream.Advertisement()
+	s.log.Info().
+		Str("Upstream", upstream.Declared().Name).
+		Bool("Limited", advertisement.Limited).
+		Float64("LimitPerSecond", advertisement.LimitPerSecond).
+		Bool("Leaving", advertisement.Leaving).
+		Msg("UpstreamAdvertised")
+}
--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -87,7 +87,7 @@
 
 // ReadReport returns an empty report, because upstreams that use these headers tell nothing
 // of themselves.
-func (Native) ReadReport(http.Header) registrar.Report {
+func (Native) ReadReport(*http.Response, time.Time) registrar.Report {
 	return registrar.Report{}
 }
 
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -48,8 +48,9 @@
 	// CheckAnswer returns the reason not to pass an answer on, or nil if there is none:
 	// the upstream did not run the request, or the answer belongs to another request.
 	CheckAnswer(response *http.Response) *arbiter.Refusal
-	// ReadReport reads what an upstream tells of itself in the header of an answer.
-	ReadReport(header http.Header) registrar.Report
+	// ReadReport reads what an upstream tells of itself in an answer that arrived at the
+	// time now. What it cannot read counts as not told.
+	ReadReport(response *http.Response, now time.Time) registrar.Report
 	// RewriteAnswer rewrites the header of an answer before it is sent to the caller.
 	RewriteAnswer(header http.Header)
 	// WriteRefusal writes the answer to a request that was refused or has failed.
--- a/pkg/command/admitter/load.go
+++ b/pkg/command/admitter/load.go
@@ -17,9 +17,9 @@
 	return (float64(u.slots.InUse()) + others) / float64(u.declared.Load().Slots)
 }
 
-// RecordReport records what the upstream tells of itself in its answer to a request that
-// still holds its slot.
-func (u *Upstream) RecordReport(report registrar.Report, now time.Time) {
+// RecordLoad records the load that the upstream tells in its answer to a request that still
+// holds its slot. The load in a refusal of the request is left to RecordRefusal.
+func (u *Upstream) RecordLoad(report registrar.Report, now time.Time) {
 	if !report.HasLoad {
 		return
 	}
--- a/pkg/command/admitter/load_test.go
+++ b/pkg/command/admitter/load_test.go
@@ -32,7 +32,7 @@
 		{
 			name: "an answer tells of three requests of others",
 			record: func(upstream *admitter.Upstream, now time.Time) {
-				upstream.RecordReport(told(2, 2), now)
+				upstream.RecordLoad(told(2, 2), now)
 			},
 			want: 2,
 		},
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -45,6 +45,9 @@
 	// unprobed reports that nothing probes the upstream's health. Then no report can
 	// clear a suspicion, and it expires at suspectUntil instead.
 	unprobed bool
+	// advertisement is what the upstream has said about its limit and its stop; nil if
+	// nothing.
+	advertisement atomic.Pointer[Advertisement]
 	// othersRequests is the number of requests that all other instances have at the
 	// upstream, estimated from its answers; nil before the first.
 	othersRequests atomic.Pointer[loadObservation]
