--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -81,7 +81,6 @@
 	// cachedHolders caches the results of Holders by resource, until the members or the
 	// number of holders change.
 	cachedHolders map[string][]string
-	minChanges    map[string]float64
 	// reports holds the newest report of each other instance. An instance that sends no
 	// more reports keeps its last one, and so its fraction.
 	reports map[string]indexedReport
