--- a/internal/steerer/advertisements.go
+++ b/internal/steerer/advertisements.go
@@ -30,6 +30,7 @@
 	Limited     bool
 	PerSecond   float64
 	AgeMillis   int64
+	Leaving     bool
 }
 
 var advertisementsCodec = encoder.CBOR[advertisements]{}
@@ -44,6 +45,7 @@
 			Limited:     notice.Limited,
 			PerSecond:   notice.PerSecond,
 			AgeMillis:   notice.AgeMillis,
+			Leaving:     notice.Leaving,
 		})
 	}
 	return message
@@ -59,6 +61,7 @@
 			Limited:     received.Limited,
 			PerSecond:   received.PerSecond,
 			AgeMillis:   received.AgeMillis,
+			Leaving:     received.Leaving,
 		})
 	}
 	return digest
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -34,6 +34,7 @@
 					Limited:     true,
 					PerSecond:   4.5,
 					AgeMillis:   6,
+					Leaving:     true,
 				},
 			},
 		}),
--- a/pkg/command/admitter/advertisement.go
+++ b/pkg/command/admitter/advertisement.go
@@ -16,7 +16,8 @@
 	// LimitAt is when the upstream last stated a limit or, if it is not Limited any more,
 	// when it first answered without one; zero if it has never stated one.
 	LimitAt time.Time
-	// Leaving says that the upstream is about to stop.
+	// Leaving says that the upstream is about to stop. It holds until the upstream withdraws
+	// its registration as leaving.
 	Leaving bool
 }
 
@@ -31,6 +32,9 @@
 // RecordAdvertisement records what the upstream says in its answer to a request that was
 // sent at sentAt, and reports whether that differs from before in more than the time.
 func (u *Upstream) RecordAdvertisement(report registrar.Report, sentAt, now time.Time) bool {
+	if report.Leaving {
+		u.health.Store(uint32(Leaving))
+	}
 	return u.replaceAdvertisement(func(previous Advertisement) Advertisement {
 		return previous.withReport(report, sentAt, now)
 	})
@@ -51,6 +55,22 @@
 	})
 }
 
+// RecordLeavingNotice records that the upstream has told another instance that it is about to
+// stop, and reports whether that is news.
+func (u *Upstream) RecordLeavingNotice() bool {
+	u.health.Store(uint32(Leaving))
+	return u.setLeaving(true)
+}
+
+// setLeaving replaces what the upstream has said about its stop, and reports whether it has
+// changed.
+func (u *Upstream) setLeaving(leaving bool) bool {
+	return u.replaceAdvertisement(func(previous Advertisement) Advertisement {
+		previous.Leaving = leaving
+		return previous
+	})
+}
+
 // replaceAdvertisement replaces the advertisement by the one that next returns for it, and
 // reports whether they differ in more than their times.
 func (u *Upstream) replaceAdvertisement(next func(Advertisement) Advertisement) bool {
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -30,8 +30,8 @@
 	// Suspect means that the upstream is at fault for a failed attempt or probe. It
 	// receives requests only when no live upstream is left.
 	Suspect
-	// Leaving means that the upstream has announced that it stops (it is draining). It
-	// receives no new requests.
+	// Leaving means that the upstream has announced, in its registration or in an answer,
+	// that it stops (it is draining). It receives no new requests.
 	Leaving
 )
 
@@ -48,13 +48,15 @@
 }
 
 // applyLeaving updates the health by the state that the upstream has registered. An
-// upstream that has withdrawn the announcement that it leaves is live again. The
-// previous declaration is nil for a new upstream.
+// upstream that has withdrawn the announcement that it leaves is live again; one that has
+// announced it only in its answers stays Leaving. The previous declaration is nil for a new
+// upstream.
 func (u *Upstream) applyLeaving(previous *declarer.Upstream, declared declarer.Upstream) {
 	switch {
 	case declared.Leaving:
 		u.health.Store(uint32(Leaving))
 	case previous != nil && previous.Leaving:
+		u.setLeaving(false)
 		u.health.CompareAndSwap(uint32(Leaving), uint32(Live))
 	}
 }
--- a/pkg/command/rationer/digest.go
+++ b/pkg/command/rationer/digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
 // renewInterval is the time after which a limit that still holds is told to the others
@@ -22,16 +23,23 @@
 	// all instances together; otherwise it has stated one before and does not any more.
 	Limited   bool
 	PerSecond float64
-	// AgeMillis is how long ago an instance was told so, in milliseconds.
+	// AgeMillis is how long ago an instance was told of the limit or of its end, in
+	// milliseconds. If it is negative, none has ever been told of one.
 	AgeMillis int64
+	// Leaving says that the upstream is about to stop.
+	Leaving bool
 }
 
+// noLimitAge is the AgeMillis of an upstream that has never stated a limit.
+const noLimitAge = -1
+
 // sharedNotice is what all instances have last been told of an upstream.
 type sharedNotice struct {
 	limited   bool
 	perSecond float64
-	// at is when an instance was told so.
-	at time.Time
+	// at is when an instance was told of the limit or of its end; zero if none was.
+	at      time.Time
+	leaving bool
 }
 
 // NextDigest returns what this instance has to tell the others now, sorted by upstream, and
@@ -41,22 +49,17 @@
 	present := map[string]bool{}
 	for _, upstream := range plan.Upstreams() {
 		advertisement := upstream.Advertisement()
-		if advertisement.LimitAt.IsZero() {
+		if advertisement == (admitter.Advertisement{}) {
 			continue
 		}
 		declared := upstream.Declared()
 		present[declared.Name] = true
-		if !r.isDue(r.shared[declared.Name], advertisement) {
+		if !isDue(r.shared[declared.Name], advertisement) {
 			continue
 		}
-		r.recordShared(declared.Name, advertisement.Limited, advertisement.LimitPerSecond, advertisement.LimitAt)
-		digest = append(digest, Notice{
-			Upstream:    declared.Name,
-			Incarnation: declared.Incarnation,
-			Limited:     advertisement.Limited,
-			PerSecond:   advertisement.LimitPerSecond,
-			AgeMillis:   now.Sub(advertisement.LimitAt).Milliseconds(),
-		})
+		notice := newNotice(declared, advertisement, now)
+		r.recordShared(notice, advertisement.LimitAt)
+		digest = append(digest, notice)
 	}
 	for name := range r.shared {
 		if !present[name] {
@@ -67,21 +70,42 @@
 	return digest
 }
 
+// newNotice returns the notice of an upstream.
+func newNotice(declared declarer.Upstream, advertisement admitter.Advertisement, now time.Time) Notice {
+	notice := Notice{
+		Upstream:    declared.Name,
+		Incarnation: declared.Incarnation,
+		Limited:     advertisement.Limited,
+		PerSecond:   advertisement.LimitPerSecond,
+		AgeMillis:   noLimitAge,
+		Leaving:     advertisement.Leaving,
+	}
+	if !advertisement.LimitAt.IsZero() {
+		notice.AgeMillis = max(now.Sub(advertisement.LimitAt).Milliseconds(), 0)
+	}
+	return notice
+}
+
 // isDue reports whether the others have to be told of an advertisement: it is news, or a limit
 // that holds for renewInterval longer than they know.
-func (r *Rationer) isDue(known sharedNotice, advertisement admitter.Advertisement) bool {
+func isDue(known sharedNotice, advertisement admitter.Advertisement) bool {
+	if advertisement.Leaving && !known.leaving {
+		return true
+	}
 	if known.limited != advertisement.Limited || known.perSecond != advertisement.LimitPerSecond {
 		return advertisement.LimitAt.After(known.at)
 	}
 	return advertisement.Limited && advertisement.LimitAt.Sub(known.at) >= renewInterval
 }
 
-// recordShared records what all instances have been told of an upstream.
-func (r *Rationer) recordShared(name string, limited bool, perSecond float64, at time.Time) {
-	r.shared[name] = sharedNotice{
-		limited:   limited,
-		perSecond: perSecond,
+// recordShared records what all instances have been told of an upstream; at is the time of
+// what the notice says of its limit.
+func (r *Rationer) recordShared(notice Notice, at time.Time) {
+	r.shared[notice.Upstream] = sharedNotice{
+		limited:   notice.Limited,
+		perSecond: notice.PerSecond,
 		at:        at,
+		leaving:   notice.Leaving,
 	}
 }
 
@@ -91,20 +115,30 @@
 	var news []*admitter.Upstream
 	upstreams := upstreamsByName(plan)
 	for _, notice := range digest {
-		upstream, found := upstreams[declaredName{
+		upstream, found := upstreams[upstreamName{
 			name:        notice.Upstream,
 			incarnation: notice.Incarnation,
 		}]
-		if !found {
-			continue
-		}
-		at := now.Add(-time.Duration(notice.AgeMillis) * time.Millisecond)
-		if at.After(r.shared[notice.Upstream].at) {
-			r.recordShared(notice.Upstream, notice.Limited, notice.PerSecond, at)
-		}
-		if upstream.RecordLimitNotice(notice.Limited, notice.PerSecond, at) {
+		if found && r.receive(upstream, notice, now) {
 			news = append(news, upstream)
 		}
 	}
 	return news
 }
+
+// receive applies the notice of an upstream, and reports whether it was news.
+func (r *Rationer) receive(upstream *admitter.Upstream, notice Notice, now time.Time) bool {
+	at := time.Time{}
+	if notice.AgeMillis != noLimitAge {
+		at = now.Add(-time.Duration(notice.AgeMillis) * time.Millisecond)
+	}
+	known := r.shared[notice.Upstream]
+	if at.After(known.at) || notice.Leaving != known.leaving {
+		r.recordShared(notice, at)
+	}
+	isNews := upstream.RecordLimitNotice(notice.Limited, notice.PerSecond, at)
+	if notice.Leaving {
+		isNews = upstream.RecordLeavingNotice() || isNews
+	}
+	return isNews
+}
--- a/pkg/command/rationer/rationer.go
+++ b/pkg/command/rationer/rationer.go
@@ -107,24 +107,24 @@
 	}
 }
 
-// declaredName is a name of an upstream with its incarnation, which together tell one start of
-// it from another.
-type declaredName struct {
+// upstreamName is the name of an upstream with its incarnation, which together tell one start
+// of it from another.
+type upstreamName struct {
 	name        string
 	incarnation string
 }
 
 // upstreamsByName returns the upstreams of a plan by their names.
-func upstreamsByName(plan *admitter.Plan) map[declaredName]*admitter.Upstream {
-	upstreams := map[declaredName]*admitter.Upstream{}
+func upstreamsByName(plan *admitter.Plan) map[upstreamName]*admitter.Upstream {
+	upstreams := map[upstreamName]*admitter.Upstream{}
 	for _, upstream := range plan.Upstreams() {
 		upstreams[nameOf(upstream.Declared())] = upstream
 	}
 	return upstreams
 }
 
-func nameOf(declared declarer.Upstream) declaredName {
-	return declaredName{
+func nameOf(declared declarer.Upstream) upstreamName {
+	return upstreamName{
 		name:        declared.Name,
 		incarnation: declared.Incarnation,
 	}
