--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -54,8 +54,8 @@
 	// upstreamSuspected is called when a live upstream becomes suspect because it
 	// failed a request.
 	upstreamSuspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
-	// upstreamAdvertised is called when an upstream says something else of its limit or its
-	// stop than before.
+	// upstreamAdvertised is called when an upstream says something else of itself than before
+	// (see admitter.Advertisement).
 	upstreamAdvertised func(upstream *admitter.Upstream)
 }
 
@@ -90,8 +90,8 @@
 	// UpstreamSuspected is called when a live upstream becomes suspect because it
 	// failed a request. It must not be nil.
 	UpstreamSuspected func(upstream *admitter.Upstream, refusal *arbiter.Refusal)
-	// UpstreamAdvertised, if not nil, is called when an upstream says something else of its
-	// limit or its stop than before.
+	// UpstreamAdvertised, if not nil, is called when an upstream says something else of
+	// itself than before (see admitter.Advertisement).
 	UpstreamAdvertised func(upstream *admitter.Upstream)
 }
 
--- a/internal/steerer/advertisements.go
+++ b/internal/steerer/advertisements.go
@@ -108,11 +108,14 @@
 // logAdvertisement logs what an upstream has said, to this instance or to another one.
 func (s *Steerer) logAdvertisement(upstream *admitter.Upstream, source string) {
 	advertisement := upstream.Advertisement()
-	s.log.Info().
+	line := s.log.Info().
 		Str("Upstream", upstream.Declared().Name).
 		Bool("Limited", advertisement.Limited).
 		Float64("LimitPerSecond", advertisement.LimitPerSecond).
 		Bool("Leaving", advertisement.Leaving).
-		Str("Source", source).
-		Msg("UpstreamAdvertised")
+		Str("Source", source)
+	if wait := time.Until(advertisement.RetryAt); wait > 0 {
+		line = line.Int64("RetryMillis", wait.Milliseconds())
+	}
+	line.Msg("UpstreamAdvertised")
 }
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -197,8 +197,11 @@
 			return upstream, nil
 		}
 	}
-	refusal := arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot")
-	return nil, refusal.WithRetryAt(now.Add(NoRoomRetryMillis * time.Millisecond))
+	retryAt := now.Add(NoRoomRetryMillis * time.Millisecond)
+	if next := pools.nextRetryAt(random, wanted); next.After(retryAt) {
+		retryAt = next
+	}
+	return nil, arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot").WithRetryAt(retryAt)
 }
 
 // teamRegions returns the regions in which the team's requests may run. An empty list
--- a/pkg/command/admitter/advertisement.go
+++ b/pkg/command/admitter/advertisement.go
@@ -6,8 +6,8 @@
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
-// Advertisement is what an upstream has said about its limit and its stop, to this instance
-// or to another one. It is immutable.
+// Advertisement is what an upstream has said about itself: its limit and its stop, to this
+// instance or to another one, and when this instance may retry. It is immutable.
 type Advertisement struct {
 	// Limited says that the upstream states a limit, which is LimitPerSecond requests per
 	// second from all instances together.
@@ -19,6 +19,10 @@
 	// Leaving says that the upstream is about to stop. It holds until the upstream withdraws
 	// its registration as leaving.
 	Leaving bool
+	// RetryAt is the time before which the upstream takes no requests from this instance,
+	// because it has turned one away; zero if it has never named such a time. It says nothing
+	// about other instances.
+	RetryAt time.Time
 }
 
 // Advertisement returns what the upstream has said; the zero value if nothing.
@@ -96,6 +100,9 @@
 // upstream stays so.
 func (a Advertisement) withReport(report registrar.Report, sentAt, now time.Time) Advertisement {
 	a.Leaving = a.Leaving || report.Leaving
+	if report.RetryAt.After(a.RetryAt) {
+		a.RetryAt = report.RetryAt
+	}
 	switch {
 	case report.HasLimit:
 		a.Limited = true
@@ -109,6 +116,11 @@
 	return a
 }
 
+// acceptsAt reports whether the upstream takes requests from this instance at a time.
+func (a *Advertisement) acceptsAt(now time.Time) bool {
+	return a == nil || !now.Before(a.RetryAt)
+}
+
 // differs reports whether two advertisements differ in more than their times.
 func (a Advertisement) differs(other Advertisement) bool {
 	a.LimitAt = other.LimitAt
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -80,13 +80,16 @@
 	return c.mayServe(criteria)
 }
 
-// mayServe reports whether the upstream is live, not held back by its cold rate, lies in an
-// allowed region and is not the one to avoid. A suspect upstream may serve as well if
-// suspects are allowed or its suspicion has expired.
+// mayServe reports whether the upstream is live, not held back by its cold rate or by the time
+// at which this instance may retry, lies in an allowed region and is not the one to avoid. A
+// suspect upstream may serve as well if suspects are allowed or its suspicion has expired.
 func (c *candidate) mayServe(criteria criteria) bool {
 	if c.Upstream == criteria.avoid || !c.admitsCold(criteria.now) || !criteria.allowsRegion(c.region) {
 		return false
 	}
+	if !c.advertisement.Load().acceptsAt(criteria.now) {
+		return false
+	}
 	switch c.Health() {
 	case Live:
 		return true
@@ -252,3 +255,27 @@
 	}
 	return nil, false
 }
+
+// nextRetryAt returns the earliest time at which an upstream of the pool that may serve a
+// request takes requests from this instance; zero if one does at any time, or there is none.
+func (p *Pool) nextRetryAt(criteria criteria) time.Time {
+	var earliest time.Time
+	if p == nil {
+		return earliest
+	}
+	for _, tier := range p.tiers {
+		for _, member := range tier {
+			if !criteria.allowsRegion(member.region) || member.Health() == Leaving {
+				continue
+			}
+			retryAt := member.Advertisement().RetryAt
+			if retryAt.IsZero() {
+				return retryAt
+			}
+			if earliest.IsZero() || retryAt.Before(earliest) {
+				earliest = retryAt
+			}
+		}
+	}
+	return earliest
+}
--- a/pkg/command/admitter/rollout.go
+++ b/pkg/command/admitter/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
@@ -30,6 +31,20 @@
 	return fallback.Acquire(objectHash, criteria)
 }
 
+// nextRetryAt returns the earliest time at which an upstream that may serve the object takes
+// requests from this instance; zero if one does at any time.
+func (p versionPools) nextRetryAt(objectHash uint64, criteria criteria) time.Time {
+	primary, fallback := p.poolsForObject(objectHash)
+	earliest := primary.nextRetryAt(criteria)
+	if fallback == nil {
+		return earliest
+	}
+	if retryAt := fallback.nextRetryAt(criteria); retryAt.Before(earliest) {
+		return retryAt
+	}
+	return earliest
+}
+
 // poolsForObject returns the pool that serves an object, and the pool to use if that one
 // has no free slot. The fallback is nil if there is none.
 func (p versionPools) poolsForObject(objectHash uint64) (primary, fallback *Pool) {
--- a/pkg/command/rationer/digest.go
+++ b/pkg/command/rationer/digest.go
@@ -49,7 +49,7 @@
 	present := map[string]bool{}
 	for _, upstream := range plan.Upstreams() {
 		advertisement := upstream.Advertisement()
-		if advertisement == (admitter.Advertisement{}) {
+		if advertisement.LimitAt.IsZero() && !advertisement.Leaving {
 			continue
 		}
 		declared := upstream.Declared()
