--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -137,6 +137,8 @@
 	team       string
 	idempotent bool
 	deadline   time.Time
+	// unshared says that the request gets a connection on which no other is sent.
+	unshared bool
 }
 
 // NewOutbound prepares a caller's request for sending. It removes the key and the other
@@ -168,6 +170,14 @@
 	}
 }
 
+// WithUnsharedConnection returns a copy that gets a connection on which no other request is
+// sent. A request that is sent to the same upstream again needs it: an answer to the earlier
+// attempt, which has the same ID, could be written once more on a kept connection.
+func (o Outbound) WithUnsharedConnection() Outbound {
+	o.unshared = true
+	return o
+}
+
 // Body returns the body of the request.
 func (o Outbound) Body() *Body {
 	return o.body
@@ -243,10 +253,10 @@
 // transportFor returns the transport for a request. A request that is not idempotent
 // uses a pooled connection only if the translator detects answers to other requests.
 func (f *Forwarder) transportFor(outbound Outbound) *http.Transport {
-	if outbound.idempotent || f.translator.DetectsMismatches() {
-		return f.pooled
+	if outbound.unshared || !outbound.idempotent && !f.translator.DetectsMismatches() {
+		return f.singleUse
 	}
-	return f.singleUse
+	return f.pooled
 }
 
 // newRequest returns the HTTP request for one attempt.
--- /dev/null
+++ b/internal/receiver/attempts.go
@@ -0,0 +1,109 @@
+package receiver
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+)
+
+// attempts holds the attempts to send one request.
+type attempts struct {
+	receiver  *Receiver
+	outbound  forwarder.Outbound
+	admission admitter.Admission
+	outcome   *Outcome
+	// lastAnswer is the failed answer of the last attempt, if it got one.
+	lastAnswer heldAnswer
+	// failed holds the upstreams of the attempts so far, which have all failed.
+	failed []*admitter.Upstream
+	// mayHaveRunErr is the first error after which the request may have run. If a
+	// later attempt ends with NotRun, that holds for the later attempt only.
+	mayHaveRunErr error
+}
+
+// next makes the next attempt. If no upstream can be acquired, it returns the answer of the
+// attempt before.
+func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
+	if len(a.failed) > 0 {
+		a.receiver.metrics.CountRetry()
+	}
+	now := time.Now()
+	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
+	if refusal != nil {
+		return a.lastAnswer, a.overallError(refusal)
+	}
+	a.lastAnswer.discard()
+	a.lastAnswer = heldAnswer{}
+	placement := a.admission.PlacementAt(upstream, now)
+	a.outcome.recordAttempt(upstream, placement)
+	a.receiver.metrics.CountAttempt(placement.Rank)
+	response, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
+	if err != nil {
+		upstream.Release()
+		return heldAnswer{}, a.fail(upstream, err)
+	}
+	a.lastAnswer = heldAnswer{
+		response: response,
+		upstream: upstream,
+	}
+	if a.receiver.isFailure(response) {
+		if upstream.RecordFailedAnswer(time.Now()) {
+			a.receiver.upstreamSuspected(upstream, errAnswerFailed)
+		}
+		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
+	}
+	upstream.RecordSuccess(time.Now())
+	return a.lastAnswer, nil
+}
+
+// lastFailed returns the upstream of the last attempt, or nil before the first one.
+func (a *attempts) lastFailed() *admitter.Upstream {
+	if len(a.failed) == 0 {
+		return nil
+	}
+	return a.failed[len(a.failed)-1]
+}
+
+// outboundFor returns the request for an attempt at an upstream.
+func (a *attempts) outboundFor(upstream *admitter.Upstream) forwarder.Outbound {
+	if slices.Contains(a.failed, upstream) {
+		return a.outbound.WithUnsharedConnection()
+	}
+	return a.outbound
+}
+
+// fail records an attempt that has failed with err, and returns the error of the request.
+func (a *attempts) fail(upstream *admitter.Upstream, err error) error {
+	a.failed = append(a.failed, upstream)
+	return a.overallError(err)
+}
+
+// overallError returns the error of the request after an attempt that failed with err:
+// mayHaveRunErr if there is one, else err.
+func (a *attempts) overallError(err error) error {
+	if a.mayHaveRunErr == nil && arbiter.VerdictOf(err) == arbiter.MayHaveRun {
+		a.mayHaveRunErr = err
+	}
+	if a.mayHaveRunErr != nil {
+		return a.mayHaveRunErr
+	}
+	return err
+}
+
+// errAnswerFailed is the error of an attempt whose answer has a 5xx status. Its verdict is
+// MayHaveRun and not Ran, so that an idempotent request is sent again. The answer is
+// passed on if there is no further attempt. A further attempt discards it; if that one
+// gets no answer, the caller gets this error.
+var errAnswerFailed = arbiter.Fail(arbiter.UpstreamFailed, "the upstream answered that it failed")
+
+// isFailure reports whether an answer counts as a failed attempt: it has a 5xx status, and
+// RetryFailures is set.
+func (r *Receiver) isFailure(response *http.Response) bool {
+	return r.retryFailures && response.StatusCode >= http.StatusInternalServerError
+}
--- a/internal/receiver/exchange_test.go
+++ b/internal/receiver/exchange_test.go
@@ -238,6 +238,34 @@
 	}
 }
 
+// TestRequestIsNotSentTwiceOnOneConnection lets the only upstream shed a request and keep the
+// connection. The request must be sent again on another one: on the first, the upstream
+// could write its refusal once more, which has the ID of both attempts.
+func TestRequestIsNotSentTwiceOnOneConnection(t *testing.T) {
+	var arrived atomic.Int64
+	upstream := newScriptedUpstream(t, func(_ testing.TB, conn net.Conn, request *bufio.Reader) {
+		for readRequest(request) == nil {
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nquilt"
+			if arrived.Add(1) == 1 {
+				answer = "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n"
+			}
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	})
+	entry := newEntry(t, upstream.address)
+	response, err := (&http.Client{Transport: &http.Transport{}}).Do(entry.request(t, http.MethodGet, "/orders/1", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	requireVerdict(t, response, arbiter.Ran, "")
+	if attempts, connections := arrived.Load(), upstream.received.Load(); attempts != 2 || connections != 2 {
+		t.Fatalf("got %d attempts on %d connections, want 2 on 2", attempts, connections)
+	}
+}
+
 // requireVerdict fails the test unless the answer has this verdict and this reason.
 func requireVerdict(t *testing.T, response *http.Response, verdict arbiter.Verdict, reason arbiter.Reason) {
 	t.Helper()
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -98,70 +97,17 @@
 		Attempts:   admission.Attempts(r.attempts),
 		Deadline:   admission.Deadline,
 	}
-	var lastAnswer heldAnswer
-	var failedUpstream *admitter.Upstream
-	// mayHaveRunErr is the first error after which the request may have run. If a
-	// later attempt ends with NotRun, that holds for the later attempt only.
-	var mayHaveRunErr error
-	// overallError returns the error of the request after an attempt that failed with
-	// err: mayHaveRunErr if there is one, else err.
-	overallError := func(err error) error {
-		if mayHaveRunErr == nil && arbiter.VerdictOf(err) == arbiter.MayHaveRun {
-			mayHaveRunErr = err
-		}
-		if mayHaveRunErr != nil {
-			return mayHaveRunErr
-		}
-		return err
-	}
-	return retrier.Run(ctx, r.budgets.For(admission.Service), policy, func(attempt int) (heldAnswer, error) {
-		if attempt > 1 {
-			r.metrics.CountRetry()
-		}
-		now := time.Now()
-		upstream, refusal := admission.Acquire(now, rand.Uint64(), failedUpstream)
-		if refusal != nil {
-			return lastAnswer, overallError(refusal)
-		}
-		lastAnswer.discard()
-		lastAnswer = heldAnswer{}
-		placement := admission.PlacementAt(upstream, now)
-		outcome.recordAttempt(upstream, placement)
-		r.metrics.CountAttempt(placement.Rank)
-		response, err := r.sendTo(ctx, upstream, outbound, admission)
-		if err != nil {
-			upstream.Release()
-			failedUpstream = upstream
-			return lastAnswer, overallError(err)
-		}
-		lastAnswer = heldAnswer{
-			response: response,
-			upstream: upstream,
-		}
-		if r.isFailure(response) {
-			failedUpstream = upstream
-			if upstream.RecordFailedAnswer(time.Now()) {
-				r.upstreamSuspected(upstream, errAnswerFailed)
-			}
-			return lastAnswer, overallError(errAnswerFailed)
-		}
-		upstream.RecordSuccess(time.Now())
-		return lastAnswer, nil
+	attempts := &attempts{
+		receiver:  r,
+		outbound:  outbound,
+		admission: admission,
+		outcome:   outcome,
+	}
+	return retrier.Run(ctx, r.budgets.For(admission.Service), policy, func(int) (heldAnswer, error) {
+		return attempts.next(ctx)
 	})
 }
 
-// errAnswerFailed is the error of an attempt whose answer has a 5xx status. Its verdict is
-// MayHaveRun and not Ran, so that an idempotent request is sent again. The answer is
-// passed on if there is no further attempt. A further attempt discards it; if that one
-// gets no answer, the caller gets this error.
-var errAnswerFailed = arbiter.Fail(arbiter.UpstreamFailed, "the upstream answered that it failed")
-
-// isFailure reports whether an answer counts as a failed attempt: it has a 5xx status, and
-// RetryFailures is set.
-func (r *Receiver) isFailure(response *http.Response) bool {
-	return r.retryFailures && response.StatusCode >= http.StatusInternalServerError
-}
-
 // sendTo makes one attempt to send a request to an upstream, and records what the
 // result shows about the upstream's health and load.
 func (r *Receiver) sendTo(
