--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -63,9 +63,18 @@
 
 var _ picker.Hashed[criteria] = (*candidate)(nil)
 
-// Usable reports whether the upstream is eligible and a slot is free.
+// Usable reports whether the upstream is eligible, and has a free slot, a load below its
+// service's bound and room in its limit. A request that only the limit keeps away counts as
+// demand for it.
 func (c *candidate) Usable(criteria criteria) bool {
-	return c.hasFreeSlot() && c.loadBound.admits(c.loadAt(criteria.now)) && c.mayServe(criteria)
+	if !c.hasFreeSlot() || !c.loadBound.admits(c.loadAt(criteria.now)) || !c.mayServe(criteria) {
+		return false
+	}
+	if c.admitsLimit(criteria.now) {
+		return true
+	}
+	c.limitDemand.Add(1)
+	return false
 }
 
 // Eligible reports whether the upstream counts among the choices for the request's object:
