--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -53,15 +53,25 @@
 		upstream: upstream,
 	}
 	if a.receiver.isFailure(response) {
-		if upstream.RecordFailedAnswer(time.Now()) {
-			a.receiver.upstreamSuspected(upstream, errAnswerFailed)
-		}
+		a.recordFailedAnswer(upstream, response.StatusCode)
 		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
 	}
 	upstream.RecordSuccess(time.Now())
 	return a.lastAnswer, nil
 }
 
+// recordFailedAnswer records what an answer with a 5xx status shows about the upstream.
+func (a *attempts) recordFailedAnswer(upstream *admitter.Upstream, status int) {
+	now := time.Now()
+	if status == http.StatusGatewayTimeout {
+		upstream.RecordExpiredAnswer(a.admission.DeadlineFromCaller, now)
+		return
+	}
+	if upstream.RecordFailedAnswer(now) {
+		a.receiver.upstreamSuspected(upstream, errAnswerFailed)
+	}
+}
+
 // lastFailed returns the upstream of the last attempt, or nil before the first one.
 func (a *attempts) lastFailed() *admitter.Upstream {
 	if len(a.failed) == 0 {
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -117,8 +117,8 @@
 	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
 }
 
-// RecordFailedAnswer records that the upstream has answered with a 5xx status, and
-// reports whether it was live until now. An upstream that is not probed is then suspect
+// RecordFailedAnswer records that the upstream has answered with a 5xx status other than that
+// of an expired deadline, and reports whether it was live until now. An upstream that is not probed is then suspect
 // for initialSuspicion. The time does not double, because the answer shows that the
 // upstream is running. RecordFailedAnswer has no effect on an upstream that is probed.
 func (u *Upstream) RecordFailedAnswer(now time.Time) bool {
@@ -130,6 +130,16 @@
 	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
 }
 
+// RecordExpiredAnswer records that the upstream has answered that a request's deadline passed
+// there. That shows its load, as a deadline without an answer does, and that it is running.
+// deadlineFromCaller is as for RecordRefusal.
+func (u *Upstream) RecordExpiredAnswer(deadlineFromCaller bool, now time.Time) {
+	u.recordAnswer()
+	if !deadlineFromCaller {
+		u.loadBound.recordTimeout(u.loadAt(now))
+	}
+}
+
 // RecordSuccess records that the upstream has answered a request, and resets the counts
 // of failed attempts and connections. An upstream that was unreachable is assumed to be
 // cold for ColdMillis from now on. The suspicion of an upstream that is not probed is
--- a/pkg/command/admitter/health_test.go
+++ b/pkg/command/admitter/health_test.go
@@ -17,12 +17,14 @@
 		timeout = iota
 		answer
 		failedAnswer
+		expiredAnswer
 		shed
 	)
 	cases := []struct {
-		name   string
-		events []int
-		want   admitter.Health
+		name     string
+		unprobed bool
+		events   []int
+		want     admitter.Health
 	}{
 		{
 			name:   "two deadlines",
@@ -49,6 +51,24 @@
 			events: []int{timeout, timeout, failedAnswer, timeout, timeout},
 			want:   admitter.Live,
 		},
+		{
+			name:     "a failed answer",
+			unprobed: true,
+			events:   []int{failedAnswer},
+			want:     admitter.Suspect,
+		},
+		{
+			name:     "answers that deadlines have passed",
+			unprobed: true,
+			events:   []int{expiredAnswer, expiredAnswer, expiredAnswer, expiredAnswer},
+			want:     admitter.Live,
+		},
+		{
+			name:     "such an answer between deadlines",
+			unprobed: true,
+			events:   []int{timeout, timeout, expiredAnswer, timeout, timeout},
+			want:     admitter.Live,
+		},
 		{
 			name:   "three deadlines in a row after an answer",
 			events: []int{timeout, answer, timeout, timeout, timeout},
@@ -58,7 +78,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			plan := admitter.InitialPlan("derby", "derby-1").WithTable(router.New(1, runningVersion("shopfront-v1")), now)
+			plan := admitter.InitialPlan("derby", "derby-1")
+			if c.unprobed {
+				plan = plan.WithAffinity(admitter.Affinity{
+					Choices: 1,
+				})
+			}
+			plan = plan.WithTable(router.New(1, runningVersion("shopfront-v1")), now)
 			upstream := onlyUpstream(t, plan)
 			for _, event := range c.events {
 				switch event {
@@ -68,6 +94,8 @@
 					upstream.RecordSuccess(now)
 				case failedAnswer:
 					upstream.RecordFailedAnswer(now)
+				case expiredAnswer:
+					upstream.RecordExpiredAnswer(false, now)
 				case shed:
 					upstream.RecordRefusal(arbiter.Refuse(arbiter.UpstreamShed, "shed"), registrar.Report{}, false, now)
 				}
