--- a/internal/simulator/limit_test.go
+++ b/internal/simulator/limit_test.go
@@ -80,50 +80,29 @@
 			perSecond: 13,
 		},
 	}
-	const (
-		begin = 15 * time.Second
-		end   = 40 * time.Second
-		seeds = 5
-	)
+	const seeds = 5
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			limited := func(name string) bool {
-				hash := fnv.New32a()
-				hash.Write([]byte(name))
-				return float64(hash.Sum32()%100) < c.share*100
-			}
 			for seed := range uint64(seeds) {
 				scenario := baseScenario(seed)
 				for i := range scenario.Requests {
 					scenario.Requests[i].PerSecond *= c.load
 				}
-				setLimit := func(perSecond float64) func(string, simulator.Behavior) simulator.Behavior {
-					return func(name string, behavior simulator.Behavior) simulator.Behavior {
-						if limited(name) {
-							behavior.LimitPerSecond = perSecond
-						}
-						return behavior
-					}
-				}
-				scenario.Changes = []simulator.Change{
-					{
-						At:       begin,
-						Upstream: setLimit(c.perSecond),
-					},
-					{
-						At:       end,
-						Upstream: setLimit(0),
-					},
+				limits := statedLimits{
+					share:     c.share,
+					perSecond: c.perSecond,
 				}
+				scenario.Changes = limits.changes()
 				outcome := simulator.Run(scenario)
-				allowed := int(limitFactor*c.perSecond*limitWindow.Seconds()) + limitSlack
 				for name, arrivals := range outcome.Arrivals {
-					if got := mostInWindow(arrivals, begin+limitContact, end); limited(name) && got > allowed {
-						t.Errorf("seed %d: upstream %s got %d requests in %v, want at most %d", seed, name, got, limitWindow, allowed)
+					got := mostInWindow(arrivals, limitsBegin+limitContact, limitsEnd)
+					if limits.apply(name) && got > limits.allowed() {
+						t.Errorf("seed %d: upstream %s got %d requests in %v, want at most %d", seed, name, got, limitWindow, limits.allowed())
 					}
 				}
-				if got, want := shareAnswered(outcome.Results, begin, end), bearableShare(scenario, limited, c.perSecond); got < want {
+				want := limits.bearableShare(scenario)
+				if got := shareAnswered(outcome.Results, limitsBegin, limitsEnd); got < want {
 					t.Errorf("seed %d: got %.2f of the requests answered while limits hold, want %.2f", seed, got, want)
 				}
 			}
@@ -131,10 +110,61 @@
 	}
 }
 
-// bearableShare returns the share of the requests that the upstreams can bear even if the
-// others know no objects, and if a quarter of each limit is used for nothing.
-func bearableShare(scenario simulator.Scenario, limited func(string) bool, perSecond float64) float64 {
-	const usedShare = 0.75
+// limitsBegin and limitsEnd are when upstreams begin and end to state limits.
+const (
+	limitsBegin = 15 * time.Second
+	limitsEnd   = 40 * time.Second
+)
+
+// statedLimits are the limits that some upstreams state.
+type statedLimits struct {
+	// share is the share of the upstreams that state the limit perSecond.
+	share     float64
+	perSecond float64
+}
+
+// apply reports whether an upstream states the limit.
+func (l statedLimits) apply(upstream string) bool {
+	hash := fnv.New32a()
+	hash.Write([]byte(upstream))
+	return float64(hash.Sum32()%100) < l.share*100
+}
+
+// allowed returns how many requests an upstream may get in limitWindow.
+func (l statedLimits) allowed() int {
+	return int(limitFactor*l.perSecond*limitWindow.Seconds()) + limitSlack
+}
+
+// changes returns the changes with which the limits begin and end.
+func (l statedLimits) changes() []simulator.Change {
+	set := func(perSecond float64) func(string, simulator.Behavior) simulator.Behavior {
+		return func(name string, behavior simulator.Behavior) simulator.Behavior {
+			if l.apply(name) {
+				behavior.LimitPerSecond = perSecond
+			}
+			return behavior
+		}
+	}
+	return []simulator.Change{
+		{
+			At:       limitsBegin,
+			Upstream: set(l.perSecond),
+		},
+		{
+			At:       limitsEnd,
+			Upstream: set(0),
+		},
+	}
+}
+
+// bearableShare returns the share of the requests that the upstreams can bear at least: the
+// limited ones three quarters of their limits, the others what they can if they know no
+// object, and of all that nine tenths, because requests cluster.
+func (l statedLimits) bearableShare(scenario simulator.Scenario) float64 {
+	const (
+		usedShare   = 0.75
+		evenedShare = 0.9
+	)
 	demand, work := 0.0, 0.0
 	for _, kind := range scenario.Requests {
 		demand += kind.PerSecond
@@ -145,12 +175,12 @@
 	version, _ := scenario.Set.Versions.Get(service + "-v1")
 	for _, upstream := range version.Upstreams {
 		own := float64(upstream.Slots) / meanWork
-		if limited(upstream.Name) {
-			own = min(own, usedShare*perSecond)
+		if l.apply(upstream.Name) {
+			own = min(own, usedShare*l.perSecond)
 		}
 		bearable += own
 	}
-	return min(bearable/demand, 1) * 0.9
+	return min(bearable/demand, 1) * evenedShare
 }
 
 // shareAnswered returns the share of the requests sent in a time that were answered.
