--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -36,6 +36,7 @@
 	now := time.Now()
 	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
 	if refusal != nil {
+		a.outcome.LoadBound = a.admission.LoadBound()
 		return a.lastAnswer, a.overallError(refusal)
 	}
 	a.lastAnswer.discard()
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -31,6 +31,9 @@
 	Placement admitter.Placement
 	// Attempts is the number of attempts.
 	Attempts int
+	// LoadBound is the service's load bound if an attempt found no upstream with room for
+	// the request, or 0 (see admitter.Admission.LoadBound).
+	LoadBound float64
 	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
 	Status int
 	// Refusal is why the request failed, or nil.
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -97,20 +97,26 @@
 	if outcome.Attempts > 0 {
 		line = addPlacementFields(line, outcome.Placement)
 	}
+	if outcome.LoadBound > 0 {
+		line = line.Float64("LoadBound", roundLoad(outcome.LoadBound))
+	}
 	if leftOut > 0 {
 		line = line.Int64("LeftOut", leftOut)
 	}
 	return line
 }
 
-// loadPrecision rounds the loads in log lines to hundredths.
-const loadPrecision = 100
+// roundLoad rounds a load to hundredths.
+func roundLoad(load float64) float64 {
+	const hundredths = 100
+	return math.Round(load*hundredths) / hundredths
+}
 
 // addPlacementFields adds what the choice of an upstream was based on.
 func addPlacementFields(line *zerolog.Event, placement admitter.Placement) *zerolog.Event {
 	line = line.
 		Int("Rank", placement.Rank).
-		Float64("Load", math.Round(placement.Load*loadPrecision)/loadPrecision)
+		Float64("Load", roundLoad(placement.Load))
 	if !placement.LoadObservedAt.IsZero() {
 		line = line.Int64("LoadAgeMillis", placement.ChosenAt.Sub(placement.LoadObservedAt).Milliseconds())
 	}
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -204,6 +204,16 @@
 	return nil, arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot").WithRetryAt(retryAt)
 }
 
+// LoadBound returns the load, in requests for each slot, from which on this instance sends
+// the upstreams of the request's service no more requests; 0 if the service has none.
+func (a Admission) LoadBound() float64 {
+	bound, found := a.currentPlan().loadBounds[a.Service]
+	if !found {
+		return 0
+	}
+	return bound.value()
+}
+
 // teamRegions returns the regions in which the team's requests may run. An empty list
 // means all.
 func (a Admission) teamRegions() []string {
--- a/pkg/command/admitter/loadbound.go
+++ b/pkg/command/admitter/loadbound.go
@@ -39,9 +39,14 @@
 	return bound
 }
 
+// value returns the bound.
+func (b *loadBound) value() float64 {
+	return math.Float64frombits(b.bits.Load())
+}
+
 // admits reports whether an upstream with this load may get another request.
 func (b *loadBound) admits(load float64) bool {
-	return load < math.Float64frombits(b.bits.Load())
+	return load < b.value()
 }
 
 // recordTimeout records that a request has passed its deadline at an upstream with this
