Do not end the process over a name of another collection

What callers saw: nothing yet. An object whose name is shorter than the prefix of its collection ended the process ("slice bounds out of range"). This platform's adapter gives each object the prefix; a peer's view is applied as it comes.

Cause: the prefix was cut off by its length, without a look at the name.

Evidence: TestOddObjectOfAPeerCostsOnlyItself panicked before in its first case.

Change: such an object is unusable and logged like one that cannot be decoded.

--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -177,21 +179,27 @@
 	return usable
 }
 
+// errOtherCollection means that an object's name does not have the prefix of the collection.
+var errOtherCollection = errors.New("the name is not one of this collection")
+
 func (r *typedReflector[T]) decodeObject(object storer.Object[[]byte]) decodedObject[T] {
-	value, err := r.collection.Codec.Decode(object.Value)
-	if err != nil {
+	decoded := decodedObject[T]{
+		revision: object.Revision,
+	}
+	var found bool
+	if decoded.name, found = strings.CutPrefix(object.Name, r.collection.Prefix); found {
+		decoded.value, decoded.err = r.collection.Codec.Decode(object.Value)
+	} else {
+		decoded.err = errOtherCollection
+	}
+	if decoded.err != nil {
 		r.steerer.log.Warn().
 			Str("Object", object.Name).
 			Uint64("Revision", object.Revision).
-			Err(err).
+			Err(decoded.err).
 			Msg("ObjectUnusable")
 	}
-	return decodedObject[T]{
-		name:     object.Name[len(r.collection.Prefix):],
-		revision: object.Revision,
-		value:    value,
-		err:      err,
-	}
+	return decoded
 }
 
 func (r *typedReflector[T]) fetchIfBehind(peer registrar.Member, peerRevision uint64) {
