Do not cut requests when SIGTERM is repeated during a stop

Callers: a whole request gets neither an answer nor a refusal under planned work only. Cause: the second SIGTERM halted the instance, which aborts all requests in flight. Whoever supervises a process may repeat the signal, for example when two rolling stops overlap. Change: a further SIGTERM changes nothing; an interrupt during the stop halts the instance. One channel takes all signals, so that their order is kept.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -92,15 +92,13 @@
 	}
 }
 
-// runUntilSignalled runs the instance until a signal stops it: the first SIGTERM or
-// interrupt drains the instance, and the second halts it. SIGHUP calls reload.
+// runUntilSignalled runs the instance until a signal stops it. The first SIGTERM or
+// interrupt drains it. A further SIGTERM changes nothing, as whoever supervises the process
+// may repeat it, but an interrupt halts an instance that is draining. SIGHUP calls reload.
 func runUntilSignalled(s *invocation, instance entryInstance, reload func() error) error {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
-	stopSignals := make(chan os.Signal, 2)
-	signal.Notify(stopSignals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(stopSignals)
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	group, ctx := errgroup.WithContext(s.ctx)
 	servingCtx, drain := context.WithCancel(ctx)
 	defer drain()
@@ -110,15 +108,16 @@
 		return instance.Run(servingCtx)
 	})
 	group.Go(func() error {
-		onStopSignal := func() { drain() }
 		for {
 			select {
-			case <-stopSignals:
-				onStopSignal()
-				onStopSignal = instance.Halt
-			case <-reloadSignals:
-				if err := reload(); err != nil {
-					fmt.Fprintf(s.stderr, "hemlockport: the settings file is invalid or cannot be read, the settings in force stay: %v\n", err)
+			case received := <-signals:
+				switch {
+				case received == syscall.SIGHUP:
+					reportReload(s, reload())
+				case received == os.Interrupt && servingCtx.Err() != nil:
+					instance.Halt()
+				default:
+					drain()
 				}
 			case <-ended:
 				return nil
@@ -128,6 +127,16 @@
 	return group.Wait()
 }
 
+// signalBuffer is the number of signals that can wait to be handled. A further one is lost.
+const signalBuffer = 8
+
+// reportReload reports why the settings could not be read again, if they could not.
+func reportReload(s *invocation, err error) {
+	if err != nil {
+		fmt.Fprintf(s.stderr, "hemlockport: the settings file is invalid or cannot be read, the settings in force stay: %v\n", err)
+	}
+}
+
 func printSettings(s *invocation, output Output, settings configurer.Settings) error {
 	return printResult(s, output, settings, func(w io.Writer, settings configurer.Settings) {
 		data, err := encoder.TOML[configurer.Settings]{}.Encode(settings)
