Take signals before an instance opens its listeners

Callers: an instance that has just opened its listeners ends without an answer. Cause: the signals were taken over only after the instance was made, so that a SIGHUP between the two ended the process, which is what the system does with it. Change: they are taken over first and handled once the instance runs. No run has shown the fault, and there is no test of it: the time between the two steps cannot be hit from outside.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -48,11 +48,15 @@
 	if c.PrintSettings {
 		return printSettings(s, c.Output, settings.WithoutSecrets())
 	}
+	// A signal must not end the process while the instance opens its listeners.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	instance, err := newInstance(s, settings)
 	if err != nil {
 		return err
 	}
-	return runUntilSignalled(s, instance, c.reloader(instance))
+	return runUntilSignalled(s, instance, signals, c.reloader(instance))
 }
 
 // entryInstance is an entry instance on any platform.
@@ -95,10 +99,7 @@
 // runUntilSignalled runs the instance until a signal stops it. The first SIGTERM or
 // interrupt drains it. A further SIGTERM changes nothing, as whoever supervises the process
 // may repeat it, but an interrupt halts an instance that is draining. SIGHUP calls reload.
-func runUntilSignalled(s *invocation, instance entryInstance, reload func() error) error {
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
+func runUntilSignalled(s *invocation, instance entryInstance, signals <-chan os.Signal, reload func() error) error {
 	group, ctx := errgroup.WithContext(s.ctx)
 	servingCtx, drain := context.WithCancel(ctx)
 	defer drain()
