--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -48,11 +48,15 @@
 	if c.PrintSettings {
 		return printSettings(s, c.Output, settings.WithoutSecrets())
 	}
+	// A signal must not end the process while the instance opens its listeners.
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
 	instance, err := newInstance(s, settings)
 	if err != nil {
 		return err
 	}
-	return runUntilSignalled(s, instance, c.reloader(instance))
+	return runUntilSignalled(s, instance, signals, c.reloader(instance))
 }
 
 // entryInstance is an entry instance on any platform.
@@ -92,15 +96,10 @@
 	}
 }
 
-// runUntilSignalled runs the instance until a signal stops it: the first SIGTERM or
-// interrupt drains the instance, and the second halts it. SIGHUP calls reload.
-func runUntilSignalled(s *invocation, instance entryInstance, reload func() error) error {
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
-	stopSignals := make(chan os.Signal, 2)
-	signal.Notify(stopSignals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(stopSignals)
+// runUntilSignalled runs the instance until a signal stops it. The first SIGTERM or
+// interrupt drains it. A further SIGTERM changes nothing, as whoever supervises the process
+// may repeat it, but an interrupt halts an instance that is draining. SIGHUP calls reload.
+func runUntilSignalled(s *invocation, instance entryInstance, signals <-chan os.Signal, reload func() error) error {
 	group, ctx := errgroup.WithContext(s.ctx)
 	servingCtx, drain := context.WithCancel(ctx)
 	defer drain()
@@ -110,15 +109,16 @@
 		return instance.Run(servingCtx)
 	})
 	group.Go(func() error {
-		onStopSignal := func() { drain() }
 		for {
 			select {
-			case <-stopSignals:
-				onStopSignal()
-				onStopSignal = instance.Halt
-			case <-reloadSignals:
-				if err := reload(); err != nil {
-					fmt.Fprintf(s.stderr, "hemlockport: the settings file is invalid or cannot be read, the settings in force stay: %v\n", err)
+			case received := <-signals:
+				switch {
+				case received == syscall.SIGHUP:
+					reportReload(s, reload())
+				case received == os.Interrupt && servingCtx.Err() != nil:
+					instance.Halt()
+				default:
+					drain()
 				}
 			case <-ended:
 				return nil
@@ -128,6 +128,16 @@
 	return group.Wait()
 }
 
+// signalBuffer is the number of signals that can wait to be handled. A further one is lost.
+const signalBuffer = 8
+
+// reportReload reports why the settings could not be read again, if they could not.
+func reportReload(s *invocation, err error) {
+	if err != nil {
+		fmt.Fprintf(s.stderr, "hemlockport: the settings file is invalid or cannot be read, the settings in force stay: %v\n", err)
+	}
+}
+
 func printSettings(s *invocation, output Output, settings configurer.Settings) error {
 	return printResult(s, output, settings, func(w io.Writer, settings configurer.Settings) {
 		data, err := encoder.TOML[configurer.Settings]{}.Encode(settings)
