Write the last log lines before the process ends

What operators saw: of 36 planned stops the log showed 36 DrainBegun, 14 DrainEnded and no Stopped, and never why a request was cut at a stop.

Cause: lines are buffered for up to 100 ms and the process ended without writing them.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
@@ -48,7 +47,9 @@
 	if c.PrintSettings {
 		return printSettings(s, c.Output, settings.WithoutSecrets())
 	}
-	instance, err := newInstance(s, settings)
+	logWriter := newNonBlockingWriter(s.stdout)
+	defer logWriter.flush()
+	instance, err := newInstance(s, settings, logWriter)
 	if err != nil {
 		return err
 	}
@@ -66,8 +67,9 @@
 	Reload(settings configurer.Settings)
 }
 
-// newInstance returns an instance for the platform that the settings select.
-func newInstance(s *invocation, settings configurer.Settings) (entryInstance, error) {
+// newInstance returns an instance for the platform that the settings select. On an external
+// platform it logs to logWriter.
+func newInstance(s *invocation, settings configurer.Settings, logWriter io.Writer) (entryInstance, error) {
 	if settings.Platform.Adapter == configurer.AdapterOwn {
 		return server.New(settings, newLog(s.stderr, settings.Log))
 	}
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return steerer.New(settings, adapted, newLog(newNonBlockingWriter(s.stdout), settings.Log))
+	return steerer.New(settings, adapted, newLog(logWriter, settings.Log))
 }
 
 // reloader returns a function that reads the settings file again and passes the
@@ -138,22 +140,6 @@
 	})
 }
 
-const (
-	// logBufferLines limits the log lines that wait to be written. If the log's reader
-	// stalls, lines are dropped, so that logging never blocks the instance.
-	logBufferLines = 4096
-	// logPollInterval is the time between two checks for buffered lines.
-	logPollInterval = 100 * time.Millisecond
-)
-
-// newNonBlockingWriter returns a writer that buffers lines and never blocks. It logs how
-// many lines it has dropped.
-func newNonBlockingWriter(w io.Writer) io.Writer {
-	return diode.NewWriter(w, logBufferLines, logPollInterval, func(missed int) {
-		fmt.Fprintf(w, "{\"level\":\"warn\",\"Lines\":%d,\"message\":\"LinesDropped\"}\n", missed)
-	})
-}
-
 // newLog returns a logger with the given level and format.
 func newLog(w io.Writer, settings configurer.Log) zerolog.Logger {
 	if settings.Form == "text" {
--- a/internal/commander/serve_test.go
+++ b/internal/commander/serve_test.go
@@ -53,3 +53,47 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestLastLinesAreWritten guards against log lines that are lost because the process ends
+// while they are buffered, and against a process that a stalled reader keeps from ending.
+func TestLastLinesAreWritten(t *testing.T) {
+	cases := []struct {
+		name    string
+		blocked bool
+	}{
+		{
+			name: "the destination takes lines",
+		},
+		{
+			name:    "the destination is blocked",
+			blocked: true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			destination := &blockedWriter{
+				release: make(chan struct{}),
+			}
+			if !c.blocked {
+				close(destination.release)
+			}
+			writer := newNonBlockingWriter(destination)
+			log := newLog(writer, configurer.Defaults().Log)
+			log.Info().Msg("Stopped")
+			start := time.Now()
+			writer.flush()
+			if elapsed := time.Since(start); elapsed > 2*time.Second {
+				t.Fatalf("flush: got %v, want at most 2s", elapsed)
+			}
+			if c.blocked {
+				close(destination.release)
+				return
+			}
+			destination.mutex.Lock()
+			defer destination.mutex.Unlock()
+			if destination.written == 0 {
+				t.Fatal("got no bytes after flush, want the last line")
+			}
+		})
+	}
+}
