Answer the requests that the end of a drain aborts

What callers saw: at the end of a planned stop requests were cut with no answer, also those that had not been passed on.

Cause: at the end of Drain.LimitMillis the requests were cancelled and their connections closed in the same moment, so that the handlers' answers went nowhere.

Change: requests are aborted with the reason RequestAborted, and their connections stay open for 0.2 s more for the answers: 502 if the request may have run, 503 if it provably has not (a body that had not been read). An instance that is halted still closes at once. Instances on the own platform do the same.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -82,6 +82,10 @@
 			got:  string(arbiter.TeamOverRate),
 			want: "TeamOverRate",
 		},
+		{
+			got:  string(arbiter.RequestAborted),
+			want: "RequestAborted",
+		},
 		{
 			got:  string(arbiter.NoRoom),
 			want: "NoRoom",
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -45,7 +46,7 @@
 
 	// requestsCtx is the parent context of all requests; abort cancels it.
 	requestsCtx context.Context
-	abort       context.CancelFunc
+	abort       context.CancelCauseFunc
 	// closeAnnounced reports that the server is draining, so that the last response of
 	// each connection closes it.
 	closeAnnounced atomic.Bool
@@ -63,7 +64,7 @@
 // New returns a server. It calls onPanic with the value of each panic of the handler,
 // except http.ErrAbortHandler, which only aborts the response.
 func New(handler http.Handler, limits Limits, onPanic func(reason any)) *Server {
-	requestsCtx, abort := context.WithCancel(context.Background())
+	requestsCtx, abort := context.WithCancelCause(context.Background())
 	return &Server{
 		handler:     handler,
 		limits:      limits,
@@ -99,6 +100,10 @@
 // has timed out or found no free file descriptor.
 const acceptPause = 5 * time.Millisecond
 
+// finalResponseTimeout is how long the connections of aborted requests stay open for their
+// responses.
+const finalResponseTimeout = 200 * time.Millisecond
+
 // reportPanic calls onPanic with a handler's panic, unless it is the one that aborts a
 // response.
 func (s *Server) reportPanic(reason any) {
@@ -130,7 +135,9 @@
 
 // Shutdown closes the listener and the idle connections, and closes each of the others
 // after the responses to the requests that have started. When ctx ends, it aborts the
-// remaining requests and returns the error of ctx.
+// remaining requests, with the cause of ctx, and returns the error of ctx. If ctx has ended
+// by its deadline, their handlers have finalResponseTimeout to respond; otherwise the
+// connections are closed immediately.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopped.Store(true)
 	s.closeAnnounced.Store(true)
@@ -147,11 +154,17 @@
 	})
 	select {
 	case <-ended:
-		s.abort()
+		s.abort(nil)
 		return nil
 	case <-ctx.Done():
 	}
-	s.abort()
+	s.abort(context.Cause(ctx))
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		select {
+		case <-ended:
+		case <-time.After(finalResponseTimeout):
+		}
+	}
 	s.conns.Range(func(key, _ any) bool {
 		key.(*conn).netConn.Close()
 		return true
--- a/internal/pipeliner/stop_test.go
+++ b/internal/pipeliner/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -164,3 +165,99 @@
 		})
 	}
 }
+
+// TestAbortedRequestsAreAnswered guards against connections that are closed at the end of
+// Shutdown before the handlers of the aborted requests can respond.
+func TestAbortedRequestsAreAnswered(t *testing.T) {
+	const view = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	cases := []struct {
+		name     string
+		requests string
+		count    int
+		// halted says that Shutdown's context is cancelled instead of reaching its deadline.
+		halted bool
+	}{
+		{
+			name:     "one request",
+			requests: view,
+			count:    1,
+		},
+		{
+			name:     "pipelined requests",
+			requests: view + view,
+			count:    2,
+		},
+		{
+			name:     "halted",
+			requests: view,
+			count:    1,
+			halted:   true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			errStopped := errors.New("stopped")
+			started := make(chan struct{}, c.count)
+			server, caller := startServer(t, func(w http.ResponseWriter, request *http.Request) {
+				started <- struct{}{}
+				<-request.Context().Done()
+				if !c.halted && !errors.Is(context.Cause(request.Context()), errStopped) {
+					t.Errorf("got cause %v, want %v", context.Cause(request.Context()), errStopped)
+				}
+				time.Sleep(stopPause)
+				w.WriteHeader(http.StatusBadGateway)
+			})
+			send(t, caller, c.requests)
+			for range c.count {
+				<-started
+			}
+			ctx, cancel := context.WithTimeoutCause(t.Context(), stopPause, errStopped)
+			defer cancel()
+			if c.halted {
+				cancel()
+			}
+			if err := server.Shutdown(ctx); err == nil {
+				t.Error("Shutdown: got no error, want that of its context")
+			}
+			reader := bufio.NewReader(caller)
+			if c.halted {
+				if _, err := reader.ReadByte(); err == nil {
+					t.Error("got a response after a halt, want none")
+				}
+				return
+			}
+			for range c.count {
+				if got := receive(t, reader, http.MethodGet); got.status != http.StatusBadGateway {
+					t.Fatalf("got %+v, want status 502", got)
+				}
+			}
+		})
+	}
+}
+
+// TestConnectionsCloseDespiteStuckHandlers guards against a Shutdown that waits for the responses
+// of handlers that ignore the end of their context.
+func TestConnectionsCloseDespiteStuckHandlers(t *testing.T) {
+	const handlerTime = time.Second
+	started := make(chan struct{})
+	server, caller := startServer(t, func(http.ResponseWriter, *http.Request) {
+		close(started)
+		time.Sleep(handlerTime)
+	})
+	send(t, caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), stopPause)
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return server.Shutdown(ctx) })
+	_ = caller.SetReadDeadline(time.Now().Add(handlerTime / 2))
+	if _, err := caller.Read(make([]byte, 1)); isTimeout(err) {
+		t.Error("the connection is open long after the end of Shutdown, want it closed")
+	}
+	_ = group.Wait()
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -31,7 +31,7 @@
 	body, refusal := forwarder.ReadBody(request.Body, request.ContentLength)
 	if refusal != nil {
 		admission.Refund(time.Now())
-		return refusal
+		return unreadRefusal(ctx, refusal)
 	}
 	outbound := forwarder.NewOutbound(request, body, admission.Team(), admission.Idempotent, admission.Deadline)
 	answer, err := r.sendWithRetries(ctx, outbound, admission, outcome)
@@ -49,6 +49,16 @@
 	return refusal
 }
 
+// unreadRefusal returns the refusal of a request whose body could not be read: the one that
+// has ended ctx if there is one, as the request has not run, and otherwise the given one.
+func unreadRefusal(ctx context.Context, refusal *arbiter.Refusal) *arbiter.Refusal {
+	var cause *arbiter.Refusal
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause.WithVerdict(arbiter.NotRun)
+	}
+	return refusal
+}
+
 // finalAnswerTimeout is how long a caller gets to read the final answer, which says
 // why its request has ended.
 const finalAnswerTimeout = time.Second
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -146,6 +147,8 @@
 func (s *Server) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
 	callers := s.httpServer(s.callerHandler())
 	callers.MaxHeaderBytes = s.settings.Callers.MaxHeaderBytes
+	requests, abort := context.WithCancelCause(context.Background())
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	peers := s.httpServer(s.peerHandler())
 	peers.WriteTimeout = 0
 	operators := s.httpServer(s.operatorHandler())
@@ -158,12 +161,30 @@
 	})
 	return func(ctx context.Context) {
 		if callers.Shutdown(ctx) != nil {
+			abort(context.Cause(ctx))
+			awaitFinalAnswers(ctx, callers)
 			callers.Close()
 		}
 		s.listeners.lingering.Wait()
 	}
 }
 
+// finalAnswersTimeout is how long the connections of aborted requests stay open for their
+// answers.
+const finalAnswersTimeout = 200 * time.Millisecond
+
+// awaitFinalAnswers waits for the answers to requests that were aborted because ctx has
+// reached its deadline. If ctx was cancelled, it returns at once.
+func awaitFinalAnswers(ctx context.Context, callers *http.Server) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	answered, cancel := context.WithTimeout(context.Background(), finalAnswersTimeout)
+	defer cancel()
+	// An error means that some requests have no answer yet.
+	_ = callers.Shutdown(answered)
+}
+
 func (s *Server) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -11,14 +11,19 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 )
 
 // ErrHalted means that the instance was halted before it had drained.
 var ErrHalted = errors.New("halted before the drain was complete; requests in flight were aborted")
 
+// errStopped is the cause with which requests are aborted at the end of a drain.
+var errStopped = arbiter.Fail(arbiter.RequestAborted, "the instance stopped before the upstream answered")
+
 // StopServing stops a server: its requests may finish until the context ends; those that
-// have not finished by then are aborted.
+// have not finished by then are aborted with the context's cause. If the context has ended
+// by its deadline, they are still answered.
 type StopServing func(ctx context.Context)
 
 // Stopper controls the lifecycle of one instance. It is safe for concurrent use, but Run
@@ -85,7 +90,8 @@
 		stopServing(work)
 		return false
 	}
-	ctx, cancel := context.WithTimeout(work, time.Duration(limitMillis)*time.Millisecond)
+	limit := time.Duration(limitMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeoutCause(work, limit, errStopped)
 	defer cancel()
 	stopServing(ctx)
 	return true
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -43,6 +43,8 @@
 	DeadlineExceeded Reason = "DeadlineExceeded"
 	// CallerGone means that the caller disconnected before an answer could be passed on.
 	CallerGone Reason = "CallerGone"
+	// RequestAborted means that the instance stopped before the upstream answered.
+	RequestAborted Reason = "RequestAborted"
 	// UpstreamUnreached means that no connection to the upstream could be made.
 	UpstreamUnreached Reason = "UpstreamUnreached"
 	// UpstreamShed means that the upstream shed the request: it has no capacity and has
@@ -80,6 +82,7 @@
 		RequestTruncated,
 		DeadlineExceeded,
 		CallerGone,
+		RequestAborted,
 		UpstreamUnreached,
 		UpstreamShed,
 		UpstreamBroken,
