Refuse requests whose work does not fit before the end of a drain

What callers saw: in a planned stop of one instance, in calm, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated.

Cause: a draining instance sent every request and every further attempt to an upstream until the end of its grace, however long the answer would take.

Change: the end of the drain is an instant that the path of a request reads (pkg/command/drainer). A request whose first attempt may have run keeps that verdict. Instances on the own platform do the same.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -86,6 +86,10 @@
 			got:  string(arbiter.RequestAborted),
 			want: "RequestAborted",
 		},
+		{
+			got:  string(arbiter.InstanceStopping),
+			want: "InstanceStopping",
+		},
 		{
 			got:  string(arbiter.NoRoom),
 			want: "NoRoom",
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -27,13 +27,16 @@
 	mayHaveRunErr error
 }
 
-// next makes the next attempt. If no upstream can be acquired, it returns the answer of the
-// attempt before.
+// next makes the next attempt. If no upstream can be acquired, or the instance stops before
+// an answer is expected, it returns the answer of the attempt before.
 func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
+	now := time.Now()
+	if refusal := a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now); refusal != nil {
+		return a.lastAnswer, a.overallError(refusal)
+	}
 	if len(a.failed) > 0 {
 		a.receiver.metrics.CountRetry()
 	}
-	now := time.Now()
 	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
 	if refusal != nil {
 		a.outcome.LoadBound = a.admission.LoadBound()
@@ -47,13 +50,16 @@
 	response, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
 	if err != nil {
 		upstream.Release()
+		a.recordDuration(now, err)
 		return heldAnswer{}, a.fail(upstream, err)
 	}
 	a.lastAnswer = heldAnswer{
 		response: response,
 		upstream: upstream,
+		sentAt:   now,
 	}
 	if a.receiver.isFailure(response) {
+		a.recordDuration(now, errAnswerFailed)
 		a.recordFailedAnswer(upstream, response.StatusCode)
 		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
 	}
@@ -61,6 +67,16 @@
 	return a.lastAnswer, nil
 }
 
+// recordDuration records how long a failed attempt took, unless the upstream has not run the
+// request: that says nothing about how long an answer takes.
+func (a *attempts) recordDuration(sentAt time.Time, err error) {
+	if arbiter.VerdictOf(err) == arbiter.NotRun {
+		return
+	}
+	now := time.Now()
+	a.receiver.drainer.Record(a.admission.Route.Declared.Name, now.Sub(sentAt), now)
+}
+
 // recordFailedAnswer records what an answer with a 5xx status shows about the upstream.
 func (a *attempts) recordFailedAnswer(upstream *admitter.Upstream, status int) {
 	now := time.Now()
--- a/internal/receiver/forward_test.go
+++ b/internal/receiver/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -31,6 +32,7 @@
 type entry struct {
 	receiver *receiver.Receiver
 	plans    *holder.Cell[admitter.Plan]
+	drainer  *drainer.Drainer
 	address  string
 }
 
@@ -50,9 +52,11 @@
 	plans.Advance(*plan)
 	requestForwarder := forwarder.New()
 	t.Cleanup(requestForwarder.Close)
+	requestDrainer := drainer.New(time.Now())
 	requestReceiver := receiver.New(receiver.Options{
 		Admitter:          admitter.New(plans, admitter.NewFreshness(time.Now())),
 		Forwarder:         requestForwarder,
+		Drainer:           requestDrainer,
 		InFlight:          tracker.New[receiver.InFlightRequest](1024),
 		Translator:        translator.Native{},
 		Budgets:           retrier.NewBudgets(retrier.DefaultRatio, retrier.DefaultReserve),
@@ -66,6 +70,7 @@
 	return &entry{
 		receiver: requestReceiver,
 		plans:    plans,
+		drainer:  requestDrainer,
 		address:  server.Listener.Addr().String(),
 	}
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 )
@@ -34,6 +35,7 @@
 	forwarder *forwarder.Forwarder
 	inFlight  *tracker.Tracker[InFlightRequest]
 	budgets   *retrier.Budgets
+	drainer   *drainer.Drainer
 	attempts  int
 	// finishMillis is how long a request in flight may continue after CancelInvalid has
 	// found that its key is no longer valid, in milliseconds.
@@ -65,6 +67,8 @@
 	Forwarder *forwarder.Forwarder
 	InFlight  *tracker.Tracker[InFlightRequest]
 	Budgets   *retrier.Budgets
+	// Drainer decides which requests are still sent while the instance drains.
+	Drainer *drainer.Drainer
 	// Attempts is the maximum number of attempts per request where the route sets
 	// none; at least 1.
 	Attempts int
@@ -114,6 +118,7 @@
 		forwarder:          options.Forwarder,
 		inFlight:           options.InFlight,
 		budgets:            options.Budgets,
+		drainer:            options.Drainer,
 		attempts:           options.Attempts,
 		finishMillis:       options.FinishMillis,
 		retryFailures:      options.RetryFailures,
@@ -181,6 +186,9 @@
 	}
 	admission, refusal := r.admitter.Admit(admissionRequest)
 	outcome.recordAdmission(admission)
+	if stopping := r.refuseWhileStopping(admission, refusal, now); stopping != nil {
+		return stopping
+	}
 	if refusal != nil && !r.waitForRate(request.Context(), admission, refusal, now) {
 		return refusal
 	}
@@ -208,6 +216,34 @@
 	return r.forwardAndRelay(ctx, w, request, admission, outcome)
 }
 
+// refuseWhileStopping returns a refusal if the instance drains and an answer is not expected
+// in time to a request that was admitted or may wait for its team's rate. The refusal of
+// the admission is nil or says why it was not admitted.
+func (r *Receiver) refuseWhileStopping(
+	admission admitter.Admission,
+	refusal *arbiter.Refusal,
+	arrived time.Time,
+) *arbiter.Refusal {
+	if refusal != nil && refusal.Reason != arbiter.TeamOverRate {
+		return nil
+	}
+	now := time.Now()
+	stopping := r.drainer.Check(drainRequest(admission, arrived), now)
+	if stopping != nil && refusal == nil {
+		admission.Refund(now)
+	}
+	return stopping
+}
+
+// drainRequest returns what the drainer needs to know of a request.
+func drainRequest(admission admitter.Admission, arrived time.Time) drainer.Request {
+	return drainer.Request{
+		Route:    admission.Route.Declared.Name,
+		Arrived:  arrived,
+		Deadline: admission.Deadline,
+	}
+}
+
 // waitForRate waits until the team's rate admits a request that was refused with
 // TeamOverRate, and returns true then. It returns false if the request was refused for
 // another reason, cannot wait, or was not admitted in time.
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -43,6 +43,8 @@
 	translator.StripNotForwarded(answer.response.Header)
 	r.translator.RewriteAnswer(answer.response.Header)
 	refusal = relay(w, answer.response)
+	now := time.Now()
+	r.drainer.Record(admission.Route.Declared.Name, now.Sub(answer.sentAt), now)
 	if refusal != nil {
 		r.recordFailure(answer.upstream, refusal, registrar.Report{}, admission.DeadlineFromCaller)
 	}
@@ -80,6 +82,8 @@
 type heldAnswer struct {
 	response *http.Response
 	upstream *admitter.Upstream
+	// sentAt is when the attempt began that got the answer.
+	sentAt time.Time
 }
 
 // discard closes the answer's body, whether or not it was read, and releases the
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/stopper"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 )
 
 // callTimeout bounds each call to the platform or to peers during a drain.
@@ -19,8 +20,9 @@
 	s.updateLocator()
 	s.hub.HeartbeatNow()
 	callWithTimeout(work, s.markSeatsLeaving)
-	serveUntil := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
-	if !stopper.ServeThenStop(work, serveUntil, s.settings.Drain.LimitMillis, stopServing) {
+	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis)
+	s.drainer.Begin(schedule)
+	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the platform is not
 		// called any more.
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,6 +42,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/applier"
 	"github.com/hemlockport/hemlockport/pkg/command/budgeter"
 	"github.com/hemlockport/hemlockport/pkg/command/claimer"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/command/recorder"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -82,6 +83,7 @@
 	borrower   *borrower.Borrower
 	forwarder  *forwarder.Forwarder
 	receiver   *receiver.Receiver
+	drainer    *drainer.Drainer
 	inFlight   *tracker.Tracker[receiver.InFlightRequest]
 	prober     *prober.Prober
 
@@ -170,6 +172,7 @@
 		prober:    prober.New(),
 		inFlight:  tracker.New[receiver.InFlightRequest](settings.Callers.MaxInFlight),
 		lifecycle: stopper.New(),
+		drainer:   drainer.New(time.Now()),
 	}
 	s.freshness = admitter.NewFreshness(time.Now())
 	s.claimer = s.newClaimer()
@@ -205,6 +208,7 @@
 		Forwarder:         s.forwarder,
 		InFlight:          s.inFlight,
 		Budgets:           retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Drainer:           s.drainer,
 		Attempts:          s.settings.Retries.Attempts,
 		FinishMillis:      s.settings.Callers.FinishMillis,
 		Metrics:           exporter.NewRequestCounters(s.registry),
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/stopper"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
@@ -13,17 +14,22 @@
 const deregisterTimeout = time.Second
 
 // drain stops the instance gracefully. It withdraws the instance from lookups, accepts
-// requests for a grace period from callers that hold older lookup answers, and then
-// finishes the requests in flight.
+// requests for a grace period from callers that hold older lookup answers, as far as the
+// answers are expected before the end of the drain, and then finishes the requests in flight.
 func (s *Steerer) drain(work context.Context, stopServing stopper.StopServing) {
+	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis)
+	s.drainer.Begin(schedule)
 	s.leaving.Store(true)
 	s.callerServer.AnnounceClose()
-	s.log.Info().Int("InFlight", s.inFlight.Count()).Msg("DrainBegun")
+	s.log.Info().
+		Int("InFlight", s.inFlight.Count()).
+		Time("ServeUntil", schedule.ServeUntil).
+		Time("End", schedule.End).
+		Msg("DrainBegun")
 	s.updateLocator()
 	s.hub.HeartbeatNow()
-	serveUntil := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
 	s.deregister(work)
-	if !stopper.ServeThenStop(work, serveUntil, s.settings.Drain.LimitMillis, stopServing) {
+	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the drain is not complete.
 		return
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -22,6 +22,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
@@ -51,6 +52,7 @@
 	borrower     *borrower.Borrower
 	forwarder    *forwarder.Forwarder
 	receiver     *receiver.Receiver
+	drainer      *drainer.Drainer
 	inFlight     *tracker.Tracker[receiver.InFlightRequest]
 
 	// planMu serializes the writers of the plan and guards the data that the plan is
@@ -134,6 +136,7 @@
 			places: placesOf(settings),
 		},
 		lifecycle:    stopper.New(),
+		drainer:      drainer.New(time.Now()),
 		startedAt:    time.Now(),
 		graceFrom:    map[string]time.Time{},
 		entryMissing: make(chan struct{}, 1),
@@ -195,6 +198,7 @@
 		Forwarder:          s.forwarder,
 		InFlight:           s.inFlight,
 		Budgets:            retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Drainer:            s.drainer,
 		Attempts:           s.settings.Retries.Attempts,
 		FinishMillis:       s.settings.Callers.FinishMillis,
 		RetryFailures:      true,
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 )
 
@@ -82,16 +83,15 @@
 	return err
 }
 
-// ServeThenStop serves until serveUntil, then calls stopServing with a context that ends
-// after limitMillis milliseconds, and returns true. If the work context ends before
-// serveUntil, it aborts the requests and returns false.
-func ServeThenStop(work context.Context, serveUntil time.Time, limitMillis int, stopServing StopServing) bool {
-	if retrier.Sleep(work, time.Until(serveUntil)) != nil {
+// ServeThenStop serves until the schedule's ServeUntil, then calls stopServing with a context
+// that ends at the schedule's End, and returns true. If the work context ends before
+// ServeUntil, it aborts the requests and returns false.
+func ServeThenStop(work context.Context, schedule drainer.Schedule, stopServing StopServing) bool {
+	if retrier.Sleep(work, time.Until(schedule.ServeUntil)) != nil {
 		stopServing(work)
 		return false
 	}
-	limit := time.Duration(limitMillis) * time.Millisecond
-	ctx, cancel := context.WithTimeoutCause(work, limit, errStopped)
+	ctx, cancel := context.WithDeadlineCause(work, schedule.End, errStopped)
 	defer cancel()
 	stopServing(ctx)
 	return true
--- a/internal/translator/status.go
+++ b/internal/translator/status.go
@@ -20,6 +20,7 @@
 	arbiter.NoRoom:           http.StatusServiceUnavailable,
 	arbiter.NotReady:         http.StatusServiceUnavailable,
 	arbiter.InstanceFull:     http.StatusServiceUnavailable,
+	arbiter.InstanceStopping: http.StatusServiceUnavailable,
 	arbiter.RequestMalformed: http.StatusBadRequest,
 	arbiter.RequestTruncated: http.StatusBadRequest,
 	arbiter.DeadlineExceeded: http.StatusGatewayTimeout,
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -34,6 +34,9 @@
 	NotReady Reason = "NotReady"
 	// InstanceFull means that the instance has too many requests in flight.
 	InstanceFull Reason = "InstanceFull"
+	// InstanceStopping means that the instance drains and an answer is not expected before it
+	// stops.
+	InstanceStopping Reason = "InstanceStopping"
 	// RequestMalformed means that the request is not well formed or not supported.
 	RequestMalformed Reason = "RequestMalformed"
 	// RequestTruncated means that the request's body ended early or came too slowly.
@@ -78,6 +81,7 @@
 		NoRoom,
 		NotReady,
 		InstanceFull,
+		InstanceStopping,
 		RequestMalformed,
 		RequestTruncated,
 		DeadlineExceeded,
--- /dev/null
+++ b/pkg/command/drainer/drainer_test.go
@@ -0,0 +1,105 @@
+package drainer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
+)
+
+// TestRequestsThatDoNotFitAreRefused guards against requests that are sent although their
+// answers are not expected before the drain ends, and against refusals of those that fit.
+func TestRequestsThatDoNotFitAreRefused(t *testing.T) {
+	cases := []struct {
+		name string
+		// usual is how long attempts on the route have taken; zero if none is known.
+		usual time.Duration
+		// running says that the instance does not drain.
+		running bool
+		// arrived and checked are the times since the drain began, and timeout is the
+		// request's, since it arrived. Requests are accepted for 3s and finished in 2s more.
+		arrived time.Duration
+		checked time.Duration
+		timeout time.Duration
+		refused bool
+	}{
+		{
+			name:    "no drain",
+			running: true,
+			usual:   time.Minute,
+			timeout: time.Minute,
+		},
+		{
+			name:    "the timeout fits",
+			timeout: 5 * time.Second,
+		},
+		{
+			name:    "the timeout does not fit and nothing is known",
+			arrived: time.Second,
+			checked: time.Second,
+			timeout: 5 * time.Second,
+			refused: true,
+		},
+		{
+			name:    "the usual duration fits",
+			usual:   time.Second,
+			arrived: 2900 * time.Millisecond,
+			checked: 2900 * time.Millisecond,
+			timeout: 5 * time.Second,
+		},
+		{
+			name:    "the usual duration does not fit",
+			usual:   3500 * time.Millisecond,
+			arrived: 2900 * time.Millisecond,
+			checked: 2900 * time.Millisecond,
+			timeout: 8 * time.Second,
+			refused: true,
+		},
+		{
+			name:    "a later attempt does not fit",
+			usual:   time.Second,
+			arrived: -time.Second,
+			checked: 4500 * time.Millisecond,
+			timeout: 8 * time.Second,
+			refused: true,
+		},
+		{
+			name:    "arrived after the time for requests",
+			usual:   time.Millisecond,
+			arrived: 3001 * time.Millisecond,
+			checked: 3001 * time.Millisecond,
+			timeout: time.Second,
+			refused: true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			begun := time.Now()
+			d := drainer.New(begun)
+			for range 100 {
+				if c.usual > 0 {
+					d.Record("view", c.usual, begun)
+				}
+			}
+			if !c.running {
+				d.Begin(drainer.NewSchedule(begun, 3000, 2000))
+			}
+			now := begun.Add(c.checked)
+			refusal := d.Check(drainer.Request{
+				Route:    "view",
+				Arrived:  begun.Add(c.arrived),
+				Deadline: begun.Add(c.arrived + c.timeout),
+			}, now)
+			if (refusal != nil) != c.refused {
+				t.Fatalf("got refusal %v, want one: %t", refusal, c.refused)
+			}
+			if refusal == nil {
+				return
+			}
+			if refusal.Verdict != arbiter.NotRun || refusal.Reason != arbiter.InstanceStopping || !refusal.RetryAt.Equal(now) {
+				t.Fatalf("got %+v, want InstanceStopping, NotRun and a retry now", refusal)
+			}
+		})
+	}
+}
