State when the platform kills, and end the drain before that

What operators would see: the settings for Thimblegate held a drain that fits a kill 6 s after SIGTERM, in two numbers, although the platform states the time (bounds.grace_s). On a deployment with less time every request that runs would be cut by the kill, and with more time the drain ended early.

Change: Drain.KillSeconds holds the time; the drain ends a tenth of it before the kill at the latest, and takes requests for half of the time until then at the latest. For 6 s these are the values of before: 2.7 and 5.4 s.

Evidence: TestScheduleEndsBeforeTheKill.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -17,6 +17,8 @@
 	// maxMillis is the largest value of every time in the settings: one hour, in
 	// milliseconds.
 	maxMillis = 3_600_000
+	// maxKillSeconds is the largest value of Drain.KillSeconds: one day.
+	maxKillSeconds = 86_400
 	// maxPlacingValue limits every cost and load in Placing.
 	maxPlacingValue = 100
 	// maxCount limits every count and every rate in the settings.
@@ -95,6 +97,8 @@
 	v.checkMillis("Lookups.ValidMillis", s.Lookups.ValidMillis, 1)
 	v.checkMillis("Drain.GraceMillis", s.Drain.GraceMillis, 0)
 	v.checkMillis("Drain.LimitMillis", s.Drain.LimitMillis, 1)
+	kill := s.Drain.KillSeconds
+	v.require(kill >= 0 && kill <= maxKillSeconds, "Drain.KillSeconds", fmt.Sprint(kill), "0 to 86400 seconds")
 }
 
 // checkPlaces checks the settings that are required only on the Thimblegate platform.
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -238,6 +238,10 @@
 	// finish, in milliseconds. Requests that have not finished by then are cancelled.
 	// At least 1; 30000 by default.
 	LimitMillis int
+	// KillSeconds is how long after the start of the drain the platform kills the process,
+	// in seconds. It shortens GraceMillis and LimitMillis so that the process ends earlier
+	// (see drainer.Schedule.WithKill). 0, the default, means that it is not killed.
+	KillSeconds float64
 }
 
 // Log configures the log.
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -34,6 +34,8 @@
 [Platform]
 Adapter = "Thimblegate"
 Address = "http://10.200.1.7:8382"
+[Drain]
+KillSeconds = 6
 `
 
 func TestInvalidSettingsNameTheFaultyFields(t *testing.T) {
@@ -76,12 +78,13 @@
 Ratio = 2.0
 [Drain]
 LimitMillis = 0
+KillSeconds = -1
 [Log]
 Level = "loud"
 Form = "xml"
 `,
 			fields: []string{
-				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Log.Level", "Log.Form",
+				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds", "Log.Level", "Log.Form",
 			},
 		},
 	}
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1251,6 +1251,7 @@
 			Drain: configurer.Drain{
 				GraceMillis: 53,
 				LimitMillis: 54,
+				KillSeconds: 55.5,
 			},
 			Log: configurer.Log{
 				Level: "level",
@@ -1334,6 +1335,7 @@
 			Drain: configurer.Drain{
 				GraceMillis: 53,
 				LimitMillis: 54,
+				KillSeconds: 55.5,
 			},
 			Log: configurer.Log{
 				Level: "level",
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -15,12 +15,14 @@
 // accepts requests from callers with older lookup answers for the grace period, lets
 // running requests finish, and releases the seats.
 func (s *Server) drain(work context.Context, stopServing stopper.StopServing) {
+	begun := time.Now()
 	s.leaving.Store(true)
 	s.recordEvent("DrainBegun", s.self.Incarnation, "")
 	s.updateLocator()
 	s.hub.HeartbeatNow()
 	callWithTimeout(work, s.markSeatsLeaving)
-	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis)
+	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis).
+		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
 	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the platform is not
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -17,7 +17,9 @@
 // requests for a grace period from callers that hold older lookup answers, as far as the
 // answers are expected before the end of the drain, and then finishes the requests in flight.
 func (s *Steerer) drain(work context.Context, stopServing stopper.StopServing) {
-	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis)
+	begun := time.Now()
+	schedule := drainer.NewSchedule(begun, s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis).
+		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
 	s.leaving.Store(true)
 	s.callerServer.AnnounceClose()
--- a/pkg/command/drainer/drainer.go
+++ b/pkg/command/drainer/drainer.go
@@ -31,6 +31,29 @@
 	}
 }
 
+// endReserve is the part of the time until the kill that is left for the answers to aborted
+// requests and for the end of the process: one in endReserve.
+const endReserve = 10
+
+// WithKill returns a copy whose steps come early enough for a drain that has begun at a time
+// and whose process is killed killSeconds after that: End is one tenth of the time before
+// the kill at the latest, and ServeUntil is halfway to End at the latest. If killSeconds is
+// 0, the process is not killed.
+func (s Schedule) WithKill(begun time.Time, killSeconds float64) Schedule {
+	if killSeconds == 0 {
+		return s
+	}
+	untilKill := time.Duration(killSeconds * float64(time.Second))
+	untilEnd := untilKill - untilKill/endReserve
+	if end := begun.Add(untilEnd); end.Before(s.End) {
+		s.End = end
+	}
+	if halfway := begun.Add(untilEnd / 2); halfway.Before(s.ServeUntil) {
+		s.ServeUntil = halfway
+	}
+	return s
+}
+
 // Drainer decides whether a request is sent to an upstream. It is safe for concurrent use
 // and takes no lock.
 type Drainer struct {
--- a/pkg/command/drainer/drainer_test.go
+++ b/pkg/command/drainer/drainer_test.go
@@ -103,3 +103,65 @@
 		})
 	}
 }
+
+// TestScheduleEndsBeforeTheKill guards against requests that still run when the platform
+// kills the process, and against a drain that ends long before the kill.
+func TestScheduleEndsBeforeTheKill(t *testing.T) {
+	cases := []struct {
+		name           string
+		graceMillis    int
+		limitMillis    int
+		killSeconds    float64
+		wantServeUntil time.Duration
+		wantEnd        time.Duration
+	}{
+		{
+			name:           "no kill",
+			graceMillis:    3000,
+			limitMillis:    60_000,
+			wantServeUntil: 3 * time.Second,
+			wantEnd:        63 * time.Second,
+		},
+		{
+			name:           "killed after 6s",
+			graceMillis:    3000,
+			limitMillis:    60_000,
+			killSeconds:    6,
+			wantServeUntil: 2700 * time.Millisecond,
+			wantEnd:        5400 * time.Millisecond,
+		},
+		{
+			name:           "killed after 2.5s",
+			graceMillis:    3000,
+			limitMillis:    60_000,
+			killSeconds:    2.5,
+			wantServeUntil: 1125 * time.Millisecond,
+			wantEnd:        2250 * time.Millisecond,
+		},
+		{
+			name:           "killed after 20s",
+			graceMillis:    2700,
+			limitMillis:    60_000,
+			killSeconds:    20,
+			wantServeUntil: 2700 * time.Millisecond,
+			wantEnd:        18 * time.Second,
+		},
+		{
+			name:           "the limits end the drain before the kill",
+			graceMillis:    500,
+			limitMillis:    1000,
+			killSeconds:    6,
+			wantServeUntil: 500 * time.Millisecond,
+			wantEnd:        1500 * time.Millisecond,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			begun := time.Now()
+			got := drainer.NewSchedule(begun, c.graceMillis, c.limitMillis).WithKill(begun, c.killSeconds)
+			if serveUntil, end := got.ServeUntil.Sub(begun), got.End.Sub(begun); serveUntil != c.wantServeUntil || end != c.wantEnd {
+				t.Fatalf("got %v and %v, want %v and %v", serveUntil, end, c.wantServeUntil, c.wantEnd)
+			}
+		})
+	}
+}
