--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -82,6 +82,14 @@
 			got:  string(arbiter.TeamOverRate),
 			want: "TeamOverRate",
 		},
+		{
+			got:  string(arbiter.RequestAborted),
+			want: "RequestAborted",
+		},
+		{
+			got:  string(arbiter.InstanceStopping),
+			want: "InstanceStopping",
+		},
 		{
 			got:  string(arbiter.NoRoom),
 			want: "NoRoom",
@@ -1243,6 +1251,7 @@
 			Drain: configurer.Drain{
 				GraceMillis: 53,
 				LimitMillis: 54,
+				KillSeconds: 55.5,
 			},
 			Log: configurer.Log{
 				Level: "level",
@@ -1326,6 +1335,7 @@
 			Drain: configurer.Drain{
 				GraceMillis: 53,
 				LimitMillis: 54,
+				KillSeconds: 55.5,
 			},
 			Log: configurer.Log{
 				Level: "level",
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/stopper"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 )
 
 // callTimeout bounds each call to the platform or to peers during a drain.
@@ -14,13 +15,16 @@
 // accepts requests from callers with older lookup answers for the grace period, lets
 // running requests finish, and releases the seats.
 func (s *Server) drain(work context.Context, stopServing stopper.StopServing) {
+	begun := time.Now()
 	s.leaving.Store(true)
 	s.recordEvent("DrainBegun", s.self.Incarnation, "")
 	s.updateLocator()
 	s.hub.HeartbeatNow()
 	callWithTimeout(work, s.markSeatsLeaving)
-	serveUntil := time.Now().Add(time.Duration(s.settings.Drain.GraceMillis) * time.Millisecond)
-	if !stopper.ServeThenStop(work, serveUntil, s.settings.Drain.LimitMillis, stopServing) {
+	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis).
+		WithKill(begun, s.settings.Drain.KillSeconds)
+	s.drainer.Begin(schedule)
+	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the platform is not
 		// called any more.
 		return
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -11,14 +11,20 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 )
 
 // ErrHalted means that the instance was halted before it had drained.
 var ErrHalted = errors.New("halted before the drain was complete; requests in flight were aborted")
 
+// errStopped is the cause with which requests are aborted at the end of a drain.
+var errStopped = arbiter.Fail(arbiter.RequestAborted, "the instance stopped before the upstream answered")
+
 // StopServing stops a server: its requests may finish until the context ends; those that
-// have not finished by then are aborted.
+// have not finished by then are aborted with the context's cause. If the context has ended
+// by its deadline, they are still answered.
 type StopServing func(ctx context.Context)
 
 // Stopper controls the lifecycle of one instance. It is safe for concurrent use, but Run
@@ -77,15 +83,15 @@
 	return err
 }
 
-// ServeThenStop serves until serveUntil, then calls stopServing with a context that ends
-// after limitMillis milliseconds, and returns true. If the work context ends before
-// serveUntil, it aborts the requests and returns false.
-func ServeThenStop(work context.Context, serveUntil time.Time, limitMillis int, stopServing StopServing) bool {
-	if retrier.Sleep(work, time.Until(serveUntil)) != nil {
+// ServeThenStop serves until the schedule's ServeUntil, then calls stopServing with a context
+// that ends at the schedule's End, and returns true. If the work context ends before
+// ServeUntil, it aborts the requests and returns false.
+func ServeThenStop(work context.Context, schedule drainer.Schedule, stopServing StopServing) bool {
+	if retrier.Sleep(work, time.Until(schedule.ServeUntil)) != nil {
 		stopServing(work)
 		return false
 	}
-	ctx, cancel := context.WithTimeout(work, time.Duration(limitMillis)*time.Millisecond)
+	ctx, cancel := context.WithDeadlineCause(work, schedule.End, errStopped)
 	defer cancel()
 	stopServing(ctx)
 	return true
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -34,6 +34,9 @@
 	NotReady Reason = "NotReady"
 	// InstanceFull means that the instance has too many requests in flight.
 	InstanceFull Reason = "InstanceFull"
+	// InstanceStopping means that the instance drains and an answer is not expected before it
+	// stops.
+	InstanceStopping Reason = "InstanceStopping"
 	// RequestMalformed means that the request is not well formed or not supported.
 	RequestMalformed Reason = "RequestMalformed"
 	// RequestTruncated means that the request's body ended early or came too slowly.
@@ -43,6 +46,8 @@
 	DeadlineExceeded Reason = "DeadlineExceeded"
 	// CallerGone means that the caller disconnected before an answer could be passed on.
 	CallerGone Reason = "CallerGone"
+	// RequestAborted means that the instance stopped before the upstream answered.
+	RequestAborted Reason = "RequestAborted"
 	// UpstreamUnreached means that no connection to the upstream could be made.
 	UpstreamUnreached Reason = "UpstreamUnreached"
 	// UpstreamShed means that the upstream shed the request: it has no capacity and has
@@ -76,10 +81,12 @@
 		NoRoom,
 		NotReady,
 		InstanceFull,
+		InstanceStopping,
 		RequestMalformed,
 		RequestTruncated,
 		DeadlineExceeded,
 		CallerGone,
+		RequestAborted,
 		UpstreamUnreached,
 		UpstreamShed,
 		UpstreamBroken,
