Keep the answers behind one that breaks off before it was sent

Callers: requests that had been passed on to sound upstreams ended with a closed connection and no answer. Cause: an answer of more than 32 KB, or of unknown length, that broke off aborted its connection even if it was still buffered, and pipelined requests behind it went with it. Evidence: TestBrokenAnswerCostsNoOtherOnItsConnection failed in all three cases (unexpected EOF). Change: a response of which nothing has left the buffer is dropped, and the refusal takes its place: 502, may have run. The connection goes on.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -161,6 +161,19 @@
 	return e.conn.writer.Flush()
 }
 
+// Reset drops what has been written of the response, so that another one can take its place.
+// It returns false if a part of the response has left the buffer.
+func (e *exchange) Reset() bool {
+	if e.streaming || e.broken {
+		return false
+	}
+	clear(e.header)
+	e.status = 0
+	e.statusSet = false
+	e.buffered.Reset()
+	return true
+}
+
 // SetReadDeadline sets the deadline for reading the request's body. Once the body has
 // been read, it has no effect.
 func (e *exchange) SetReadDeadline(deadline time.Time) error {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -167,14 +167,21 @@
 	r.requestEnded(outcome)
 	switch {
 	case refusal == nil:
-	case refusal.Reason == arbiter.AnswerBroken:
-		// net/http aborts the connection or stream on this panic.
+	case refusal.Reason == arbiter.AnswerBroken && !reset(w):
+		// The server aborts the connection or stream on this panic.
 		panic(http.ErrAbortHandler)
 	default:
 		r.translator.WriteRefusal(w, request, refusal, outcome.Ended)
 	}
 }
 
+// reset drops a response of which nothing has been sent to the caller, so that a refusal can
+// take its place, and reports whether it did.
+func reset(w http.ResponseWriter) bool {
+	response, ok := w.(interface{ Reset() bool })
+	return ok && response.Reset()
+}
+
 // serve admits a request, sends it to an upstream and passes the answer on. If the
 // request fails, it returns why: with the reason AnswerBroken if part of the answer
 // has been written, with any other reason if nothing has been written.
--- a/internal/receiver/relay.go
+++ b/internal/receiver/relay.go
@@ -28,8 +28,9 @@
 
 // relay passes an upstream's answer on to the caller. A small answer is read completely
 // first, so that the caller gets a refusal if it is truncated. If a larger answer is
-// truncated, relay returns a refusal with the reason AnswerBroken, upon which ServeHTTP
-// aborts the caller's connection, so that a truncated answer never looks complete.
+// truncated, relay returns a refusal with the reason AnswerBroken. Upon that ServeHTTP writes
+// the refusal if nothing of the answer has been sent to the caller, and otherwise aborts the
+// caller's connection, so that a truncated answer never looks complete.
 func relay(w http.ResponseWriter, response *http.Response) *arbiter.Refusal {
 	buffer := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(buffer)
--- a/internal/translator/status.go
+++ b/internal/translator/status.go
@@ -7,7 +7,7 @@
 )
 
 // statusByReason maps reasons to HTTP statuses. All other reasons have status 502: failures
-// of upstreams, and CallerGone and AnswerBroken, whose status no caller reads.
+// of upstreams, and CallerGone, whose status no caller reads.
 var statusByReason = map[arbiter.Reason]int{
 	arbiter.UnknownService:   http.StatusNotFound,
 	arbiter.KeyMissing:       http.StatusUnauthorized,
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -62,8 +62,8 @@
 	// UpstreamReplaced means that another upstream has the address now.
 	UpstreamReplaced Reason = "UpstreamReplaced"
 	// AnswerBroken means that the answer could not be completed after its header had been
-	// passed on, because the upstream or the caller failed. The caller does not receive
-	// this reason: its connection or stream is aborted.
+	// written, because the upstream or the caller failed. If a part of the answer has been
+	// sent, the caller does not receive this reason: its connection or stream is aborted.
 	AnswerBroken Reason = "AnswerBroken"
 )
 
