Tell the store's era in the lines about views, and log when it rises

The lines gave a view's revision but not the history that it belongs to. No decision depends on the era yet. The golden bytes of a value without an era are as they were; changes-era.json.golden is new.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -914,6 +914,21 @@
 				"removed1",
 				"removed2",
 			},
+		}).WithSparse(),
+		comparer.NewCase("changes-era.json", encoder.JSON[storer.Changes[[]byte]]{}, storer.Changes[[]byte]{
+			Era:      5,
+			Revision: 2,
+			Objects: []storer.Object[[]byte]{
+				{
+					Name:     "name",
+					Revision: 6,
+					Value:    []byte("value"),
+				},
+			},
+			Removed: []string{
+				"removed1",
+				"removed2",
+			},
 		}),
 		comparer.NewCase("objects.json", encoder.JSON[reporter.Objects]{}, reporter.Objects{
 			Revision: 2,
--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -64,6 +64,7 @@
 	"LimitsConfirmed":    "limits",
 	"PlatformLost":       "platform",
 	"PlatformRegained":   "platform",
+	"StoreRestored":      "store",
 	"UpstreamSuspect":    "suspicion",
 	"UpstreamAdvertised": "advertisement",
 	"PeerLost":           "links",
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -20,7 +20,7 @@
 	leaving := s.leaving.Load()
 	return linker.Heartbeat{
 		Revision:  s.applier.Revision(),
-		Roster:    s.roster.Load().Revision(),
+		Roster:    s.roster.Load().Position().Revision,
 		AgeMillis: time.Since(s.freshness.ConfirmedAt()).Milliseconds(),
 		Leaving:   leaving,
 		Seatless:  !leaving && s.seats.own() == nil && s.applier.Revision() != 0,
@@ -67,7 +67,7 @@
 	if heartbeat.Revision > s.applier.Revision() {
 		return true
 	}
-	return heartbeat.Roster > s.roster.Load().Revision() && !s.watchesPlatform()
+	return heartbeat.Roster > s.roster.Load().Position().Revision && !s.watchesPlatform()
 }
 
 // fetchFromPeers fetches from peers that are ahead, until none is or a fetch fails.
@@ -87,7 +87,7 @@
 	if peer.Heartbeat.Revision > s.applier.Revision() {
 		s.applyConfigOf(peer.Member)
 	}
-	if peer.Heartbeat.Roster > s.roster.Load().Revision() && !s.watchesPlatform() {
+	if peer.Heartbeat.Roster > s.roster.Load().Position().Revision && !s.watchesPlatform() {
 		s.applyRosterOf(peer.Member)
 	}
 	return !s.isBehind(peer.Heartbeat)
--- a/internal/server/sync.go
+++ b/internal/server/sync.go
@@ -27,6 +27,14 @@
 	Members  []registrar.Member
 }
 
+// position returns the point in the store's history of the roster. This project's own platform
+// has one era only.
+func (l rosterList) position() storer.Position {
+	return storer.Position{
+		Revision: l.Revision,
+	}
+}
+
 // fetchTimeout bounds one fetch of a configuration or a roster.
 const fetchTimeout = 5 * time.Second
 
@@ -49,7 +57,7 @@
 		func(context.Context, reporter.Empty) (rosterList, error) {
 			roster := s.roster.Load()
 			return rosterList{
-				Revision: roster.Revision(),
+				Revision: roster.Position().Revision,
 				Members:  roster.Members(),
 			}, nil
 		},
@@ -90,7 +98,7 @@
 		for _, object := range view.Objects {
 			seated = append(seated, object.Value)
 		}
-		s.setRoster(registrar.NewRoster(view.Revision, seated...))
+		s.setRoster(registrar.NewRoster(view.Position(), seated...))
 	}, s.storeAnswered, s.storeFailed)
 }
 
@@ -99,7 +107,7 @@
 func (s *Server) setRoster(roster registrar.Roster) {
 	s.rosterMutex.Lock()
 	defer s.rosterMutex.Unlock()
-	if roster.Revision() < s.roster.Load().Revision() {
+	if s.roster.Load().Position().IsAfter(roster.Position()) {
 		return
 	}
 	s.roster.Store(&roster)
@@ -112,7 +120,7 @@
 // applyRosterOf fetches the roster of a peer that has a newer one, and puts it in use.
 func (s *Server) applyRosterOf(peer registrar.Member) {
 	if listed, found := callPeer(s, peer, topicRoster, rosterCodec); found {
-		s.setRoster(registrar.NewRoster(listed.Revision, listed.Members...))
+		s.setRoster(registrar.NewRoster(listed.position(), listed.Members...))
 	}
 }
 
--- a/internal/steerer/collections.go
+++ b/internal/steerer/collections.go
@@ -28,7 +28,7 @@
 // applyDeclarations applies the operators' declaration, and records that it is confirmed
 // to be the newest. It runs for each new view, whether from the platform or from a peer,
 // but not when the platform answers that nothing has changed.
-func (s *Steerer) applyDeclarations(objects []decodedObject[declarer.Declaration], _ uint64) {
+func (s *Steerer) applyDeclarations(objects []decodedObject[declarer.Declaration], _ storer.Position) {
 	for _, object := range objects {
 		s.applyDeclaration(object.value)
 	}
@@ -36,17 +36,17 @@
 }
 
 // applyRegistrations applies the registrations of upstreams.
-func (s *Steerer) applyRegistrations(objects []decodedObject[registrar.Registration], revision uint64) {
+func (s *Steerer) applyRegistrations(objects []decodedObject[registrar.Registration], position storer.Position) {
 	listed := make([]registrar.Registration, 0, len(objects))
 	for _, object := range objects {
 		listed = append(listed, object.value.WithName(object.name))
 	}
 	s.setRegistrations(listed)
-	s.log.Info().Int("Upstreams", len(listed)).Uint64("Revision", revision).Msg("UpstreamsListed")
+	s.log.Info().Int("Upstreams", len(listed)).EmbedObject(loggedPosition(position)).Msg("UpstreamsListed")
 }
 
 // applyEvacuations applies the list of evacuated failure domains.
-func (s *Steerer) applyEvacuations(objects []decodedObject[Evacuation], revision uint64) {
+func (s *Steerer) applyEvacuations(objects []decodedObject[Evacuation], position storer.Position) {
 	places := make([]string, 0, len(objects))
 	for _, object := range objects {
 		places = append(places, object.name)
@@ -54,16 +54,16 @@
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	s.updatePlan(s.inputs.withEvacuatedPlaces(places, time.Now()))
-	s.log.Info().Strs("Places", places).Uint64("Revision", revision).Msg("EvacuationsListed")
+	s.log.Info().Strs("Places", places).EmbedObject(loggedPosition(position)).Msg("EvacuationsListed")
 }
 
 // applyMembers applies the list of entry instances.
-func (s *Steerer) applyMembers(objects []decodedObject[registrar.Member], revision uint64) {
+func (s *Steerer) applyMembers(objects []decodedObject[registrar.Member], position storer.Position) {
 	listed := make([]registrar.Member, 0, len(objects))
 	for _, object := range objects {
 		listed = append(listed, object.value)
 	}
-	s.setRoster(registrar.NewRoster(revision, listed...))
+	s.setRoster(registrar.NewRoster(position, listed...))
 }
 
 // storeAnswered handles an answer of the store, and ends an outage if there was one.
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -182,7 +182,7 @@
 	}
 	broadcast.confirmed[other.Incarnation] = true
 	// Before the first roster it is not known which instances have to confirm.
-	listed := s.roster.Load().Revision() != 0
+	listed := !s.roster.Load().Position().IsZero()
 	if broadcast.complete || !listed || !broadcast.confirmedByAll(s.otherMembers()) {
 		return
 	}
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -197,7 +197,7 @@
 			s.updateLocator()
 			s.removeDead(ctx)
 			s.updatePrimaryWatcher()
-			if roster := s.roster.Load(); roster.Revision() != 0 {
+			if roster := s.roster.Load(); !roster.Position().IsZero() {
 				s.ensureEntry(*roster)
 			}
 			s.fetchFromPeers()
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -99,7 +99,7 @@
 
 // applyMoves applies the moves that operators have requested. An order to another version
 // starts a new move, and a final state on the platform prevails over the one here.
-func (s *Steerer) applyMoves(objects []decodedObject[MoveOrder], revision uint64) {
+func (s *Steerer) applyMoves(objects []decodedObject[MoveOrder], position storer.Position) {
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	next := map[string]*trackedMove{}
@@ -126,7 +126,7 @@
 	s.moves = next
 	s.publishCounters()
 	s.updatePlan(s.inputs.withMoves(s.movesForPlan()))
-	s.log.Info().Int("Moves", len(next)).Uint64("Revision", revision).Msg("MovesListed")
+	s.log.Info().Int("Moves", len(next)).EmbedObject(loggedPosition(position)).Msg("MovesListed")
 }
 
 func (s *Steerer) startMove(order MoveOrder) *trackedMove {
--- /dev/null
+++ b/internal/steerer/position.go
@@ -0,0 +1,27 @@
+package steerer
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockport/hemlockport/pkg/storer"
+)
+
+// loggedPosition adds a position in the store's history to a log line.
+type loggedPosition storer.Position
+
+// MarshalZerologObject adds the fields Era and Revision.
+func (p loggedPosition) MarshalZerologObject(line *zerolog.Event) {
+	line.Uint64("Era", p.Era).Uint64("Revision", p.Revision)
+}
+
+// observeEra records the store's era of a view, and logs it if the store has returned from an
+// older copy since an earlier view. Any goroutine may call it.
+func (s *Steerer) observeEra(position storer.Position) {
+	before := s.storeEra.Load()
+	for position.Era > before && !s.storeEra.CompareAndSwap(before, position.Era) {
+		before = s.storeEra.Load()
+	}
+	if before != 0 && position.Era > before {
+		s.log.Warn().EmbedObject(loggedPosition(position)).Uint64("Before", before).Msg("StoreRestored")
+	}
+}
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -61,7 +61,7 @@
 	topic      string
 	watcher    *watcher.Watcher[[]byte]
 	// onUpdate is called with the usable objects of each new view.
-	onUpdate func(objects []decodedObject[T], revision uint64)
+	onUpdate func(objects []decodedObject[T], position storer.Position)
 	// history holds the local copy: the latest view and what is needed to compute changes
 	// since earlier ones; nil before the first view.
 	history atomic.Pointer[watcher.History[[]byte]]
@@ -87,7 +87,7 @@
 
 // newReflector returns a reflector and registers a handler with which peers fetch its
 // view. The topic of the handler is unique to the collection.
-func newReflector[T any](s *Steerer, collection Collection[T], onUpdate func([]decodedObject[T], uint64)) *typedReflector[T] {
+func newReflector[T any](s *Steerer, collection Collection[T], onUpdate func([]decodedObject[T], storer.Position)) *typedReflector[T] {
 	r := &typedReflector[T]{
 		steerer:    s,
 		collection: collection,
@@ -151,7 +151,8 @@
 		next = history.WithView(view)
 	}
 	r.history.Store(&next)
-	r.onUpdate(r.decodeChanged(view), view.Revision)
+	r.steerer.observeEra(view.Position())
+	r.onUpdate(r.decodeChanged(view), view.Position())
 	if r.steerer.watching.Load() {
 		r.steerer.hub.HeartbeatPlaceNow()
 	}
@@ -231,7 +232,9 @@
 	s.log.Info().
 		Str("Peer", peer.Name).
 		Str("Topic", r.topic).
+		Uint64("Era", view.Era).
 		Uint64("Revision", delta.Revision).
+		Uint64("EraBefore", base.Era).
 		Uint64("Before", base.Revision).
 		Int("Changed", len(delta.Objects)).
 		Int("Removed", len(delta.Removed)).
--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -16,7 +16,7 @@
 	s.updatePeerLinks()
 	s.updateSeats()
 	s.updateLocator()
-	s.log.Info().Int("Members", len(roster.Members())).Uint64("Revision", roster.Revision()).Msg("MembersListed")
+	s.log.Info().Int("Members", len(roster.Members())).EmbedObject(loggedPosition(roster.Position())).Msg("MembersListed")
 }
 
 // detectRestart informs the apportioner if the list holds an earlier incarnation of
@@ -47,7 +47,7 @@
 			members[i] = current
 		}
 	}
-	return registrar.NewRoster(listed.Revision(), members...)
+	return registrar.NewRoster(listed.Position(), members...)
 }
 
 // refreshRoster updates the roster with the incarnations that have linked since the
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -101,6 +101,8 @@
 	// storeLostNanos is when the platform's store stopped answering, in nanoseconds
 	// since the Unix epoch, or 0 while it answers.
 	storeLostNanos atomic.Int64
+	// storeEra is the latest era of the store that a view was from; 0 before the first view.
+	storeEra atomic.Uint64
 
 	// lifecycle starts and ends all tasks of the instance.
 	lifecycle *stopper.Stopper
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -17,7 +17,7 @@
 // does not answer keeps trying.
 func (s *Steerer) updateWatching() {
 	watching := s.storeLostNanos.Load() != 0 || s.countWatchersBefore() < watchersPerPlace
-	if s.roster.Load().Revision() == 0 {
+	if s.roster.Load().Position().IsZero() {
 		// The peers of this instance are not known yet.
 		watching = false
 	}
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -29,12 +29,22 @@
 
 // View holds all objects below a prefix at one revision of the store.
 type View[T any] struct {
+	// Era is the store's era to which Revision belongs.
+	Era uint64
 	// Revision is the store's revision up to which the view is complete.
 	Revision uint64
 	// Objects holds the objects in the order of their names.
 	Objects []storer.Object[T]
 }
 
+// Position returns the point in the store's history up to which the view is complete.
+func (v View[T]) Position() storer.Position {
+	return storer.Position{
+		Era:      v.Era,
+		Revision: v.Revision,
+	}
+}
+
 // Watcher keeps the view of one prefix up to date. One goroutine calls Run; any goroutine
 // may call Offer and Restart.
 type Watcher[T any] struct {
@@ -50,9 +60,10 @@
 	// timeout to the store.
 	watchTimeout func() time.Duration
 	// objects holds the objects of the view by their names, and revision is the store's
-	// revision from which the next watch continues.
+	// revision from which the next watch continues. era is the store's era of the view.
 	objects  map[string]storer.Object[T]
 	revision uint64
+	era      uint64
 	// unchangedAt is the revision up to which the store has last answered that nothing has
 	// changed. That answer may be wrong, because a watch can end while the store holds
 	// changes back. So the next watch still continues from revision; only if that one
@@ -244,6 +255,7 @@
 		w.recordUnchanged(changes.Revision, time.Since(begun))
 		return false, nil
 	}
+	w.era = changes.Era
 	w.revision = max(w.revision, changes.Revision)
 	w.unchangedAt = w.revision
 	w.changedAt = w.revision
@@ -288,6 +300,7 @@
 	}
 	changed := !w.verifying || !w.holds(changes.Objects)
 	w.replaceView(View[T]{
+		Era:      changes.Era,
 		Revision: changes.Revision,
 		Objects:  changes.Objects,
 	})
@@ -313,6 +326,7 @@
 	for _, object := range view.Objects {
 		w.objects[object.Name] = object
 	}
+	w.era = view.Era
 	w.revision = view.Revision
 	w.unchangedAt = view.Revision
 	w.changedAt = view.Revision
@@ -322,6 +336,7 @@
 
 func (w *Watcher[T]) view() View[T] {
 	view := View[T]{
+		Era:      w.era,
 		Revision: w.revision,
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.objects)) {
--- a/pkg/registrar/member.go
+++ b/pkg/registrar/member.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
 // SeatPrefix is the prefix of the names of all seats in the store.
@@ -111,27 +113,28 @@
 // that are held or, on an external platform, of all instances that are registered
 // there.
 type Roster struct {
-	// revision is the store's revision up to which the list is complete.
-	revision uint64
+	// position is the point in the store's history up to which the list is complete.
+	position storer.Position
 	members  []Member
 }
 
-// NewRoster returns a roster of the given members without the vacant seats. The
-// revision is the store's up to which they are complete.
-func NewRoster(revision uint64, members ...Member) Roster {
+// NewRoster returns a roster of the given members without the vacant seats. They are
+// complete up to position in the store's history.
+func NewRoster(position storer.Position, members ...Member) Roster {
 	sorted := slices.DeleteFunc(slices.Clone(members), Member.IsVacant)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(strings.Compare(a.Place, b.Place), cmp.Compare(a.Seat, b.Seat))
 	})
 	return Roster{
-		revision: revision,
+		position: position,
 		members:  sorted,
 	}
 }
 
-// Revision returns the store's revision up to which the roster is complete.
-func (r Roster) Revision() uint64 {
-	return r.revision
+// Position returns the point in the store's history up to which the roster is complete; zero
+// for an empty roster from before the first list.
+func (r Roster) Position() storer.Position {
+	return r.position
 }
 
 // Members returns a copy of the members.
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -19,6 +19,9 @@
 
 // Changes are the changes to the objects below a prefix, or a whole list of them.
 type Changes[T any] struct {
+	// Era is the store's era, as Position says. This project's own platform has one only:
+	// 0.
+	Era uint64 `json:",omitzero"`
 	// Revision is the store's revision up to which the changes are complete.
 	Revision uint64
 	// Objects are the objects that were written and still exist, in the order of their
@@ -29,6 +32,14 @@
 	Removed []string
 }
 
+// Position returns the point in the store's history up to which the changes are complete.
+func (c Changes[T]) Position() Position {
+	return Position{
+		Era:      c.Era,
+		Revision: c.Revision,
+	}
+}
+
 // Reader is the query side of a store. An error of its methods is an *Error with the
 // verdict arbiter.NotRun, because reading changes nothing.
 type Reader[T any] interface {
--- a/pkg/storer/typed.go
+++ b/pkg/storer/typed.go
@@ -97,6 +97,7 @@
 		objects = append(objects, decoded)
 	}
 	return Changes[T]{
+		Era:      changes.Era,
 		Revision: changes.Revision,
 		Objects:  objects,
 		Removed:  changes.Removed,
