--- a/internal/memstorer/memstorer.go
+++ b/internal/memstorer/memstorer.go
@@ -20,6 +20,8 @@
 // Store is an object store in memory. It is safe for concurrent use.
 type Store struct {
 	mutex sync.Mutex
+	// era is incremented by each Restore.
+	era uint64
 	// revision is incremented by each write.
 	revision uint64
 	objects  map[string]storer.Object[[]byte]
@@ -221,6 +223,7 @@
 // objectsBelow returns all objects below prefix. The caller holds the mutex.
 func (s *Store) objectsBelow(prefix string) storer.Changes[[]byte] {
 	changes := storer.Changes[[]byte]{
+		Era:      s.era,
 		Revision: s.revision,
 	}
 	for name, object := range s.objects {
@@ -241,6 +244,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	changes := storer.Changes[[]byte]{
+		Era:      s.era,
 		Revision: s.revision,
 	}
 	if after > s.revision || (len(s.history) > 0 && after+1 < s.history[0].revision) {
