Order what is known of the store by its era first

Cause: views, deltas, heartbeats and watches were ordered by the store's revision alone. After a return from an older copy revisions go back and are given out again, so a view from before counted as newer than the store's, went round from peer to peer, and a watch after its revision missed the writes that got the same revisions again. Change: storer.Position orders by era, then revision. A watch answer of another era makes the watcher list; an answer of an earlier era than one before fails. Offers, History.Since, deltas, DeltaRequest and heartbeats carry the era. The first view of a later era makes the other collections be listed again (ObserveEra), as a watch after a revision that was given out again may wait for long. Era fields are left out while zero, so earlier builds read the messages; a peer that reports no era counts as being in the local one. Golden bytes of values without an era are as they were (WithSparse); the files *-era hold the new fields.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -339,6 +339,29 @@
 			StoreLost:   true,
 			EveryMillis: 13,
 			Seatless:    true,
+		}).WithSparse(),
+		comparer.NewCase("beat-era.cbor", encoder.CBOR[linker.Heartbeat]{}, linker.Heartbeat{
+			Revision:  2,
+			Roster:    3,
+			AgeMillis: 4,
+			Leaving:   true,
+			Feeds: [5]uint64{
+				7,
+				8,
+				9,
+				10,
+				11,
+			},
+			Eras: [5]uint64{
+				14,
+				15,
+				16,
+				17,
+				18,
+			},
+			StoreLost:   true,
+			EveryMillis: 13,
+			Seatless:    true,
 		}),
 		comparer.NewCase("member.cbor", encoder.CBOR[registrar.Member]{}, registrar.Member{
 			Incarnation:   "incarnation",
@@ -674,6 +697,10 @@
 		}),
 		comparer.NewCase("since.cbor", encoder.CBOR[steerer.DeltaRequest]{}, steerer.DeltaRequest{
 			Revision: 2,
+		}).WithSparse(),
+		comparer.NewCase("since-era.cbor", encoder.CBOR[steerer.DeltaRequest]{}, steerer.DeltaRequest{
+			Revision: 2,
+			Era:      3,
 		}),
 		comparer.NewCase("delta.cbor", encoder.CBOR[watcher.Delta[[]byte]]{}, watcher.Delta[[]byte]{
 			After:    2,
@@ -689,6 +716,22 @@
 				"removed1",
 				"removed2",
 			},
+		}).WithSparse(),
+		comparer.NewCase("delta-era.cbor", encoder.CBOR[watcher.Delta[[]byte]]{}, watcher.Delta[[]byte]{
+			Era:      4,
+			After:    2,
+			Revision: 3,
+			Objects: []storer.Object[[]byte]{
+				{
+					Name:     "name",
+					Revision: 7,
+					Value:    []byte("value"),
+				},
+			},
+			Removed: []string{
+				"removed1",
+				"removed2",
+			},
 		}),
 		comparer.NewCase("nothing.cbor", encoder.CBOR[reporter.Empty]{}, reporter.Empty{}),
 		comparer.NewCase("editor-status.json", encoder.JSON[editor.Status]{}, editor.Status{
--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
+	"github.com/hemlockport/hemlockport/pkg/storer"
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
 
@@ -66,6 +67,9 @@
 	// Feeds holds, for each collection that the sender has a local copy of, the
 	// store's revision of the last change in that copy.
 	Feeds [MaxCollections]uint64
+	// Eras holds, for each revision of Feeds, the store's era that it belongs to. Builds
+	// before it don't report it.
+	Eras [MaxCollections]uint64 `cbor:",omitzero"`
 	// StoreLost reports that the platform does not answer the sender.
 	StoreLost bool `cbor:",omitempty"`
 	// EveryMillis is the sender's present interval between two heartbeats on this link,
@@ -76,6 +80,21 @@
 	Seatless bool `cbor:",omitempty"`
 }
 
+// Position returns the position in the store's history of the sender's copy of a collection.
+func (h Heartbeat) Position(collection int) storer.Position {
+	return storer.Position{
+		Era:      h.Eras[collection],
+		Revision: h.Feeds[collection],
+	}
+}
+
+// WithPosition returns a copy with that position for the sender's copy of a collection.
+func (h Heartbeat) WithPosition(collection int, position storer.Position) Heartbeat {
+	h.Eras[collection] = position.Era
+	h.Feeds[collection] = position.Revision
+	return h
+}
+
 // Differs reports whether two heartbeats differ in more than the fields that
 // change with time alone, AgeMillis and EveryMillis.
 func (h Heartbeat) Differs(other Heartbeat) bool {
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -36,7 +36,7 @@
 		StoreLost: s.storeLostNanos.Load() != 0,
 	}
 	for i, reflector := range s.reflectors {
-		heartbeat.Feeds[i] = reflector.revision()
+		heartbeat = heartbeat.WithPosition(i, reflector.position())
 	}
 	return heartbeat
 }
@@ -62,14 +62,14 @@
 	}
 }
 
-// fetchNewer fetches the collections for which the peer knows a later revision.
+// fetchNewer fetches the collections for which the peer knows a later position.
 func (s *Steerer) fetchNewer(peer registrar.Member, heartbeat linker.Heartbeat) {
 	for i, reflector := range s.reflectors {
-		reflector.fetchIfBehind(peer, heartbeat.Feeds[i])
+		reflector.fetchIfBehind(peer, heartbeat.Position(i))
 	}
 }
 
-// fetchFromPeers fetches from the peers that still know a later revision.
+// fetchFromPeers fetches from the peers that still know a later position.
 func (s *Steerer) fetchFromPeers() {
 	for _, peer := range s.hub.Peers() {
 		s.fetchNewer(peer.Member, peer.Heartbeat)
--- a/internal/steerer/position.go
+++ b/internal/steerer/position.go
@@ -14,14 +14,21 @@
 	line.Uint64("Era", p.Era).Uint64("Revision", p.Revision)
 }
 
-// observeEra records the store's era of a view, and logs it if the store has returned from an
-// older copy since an earlier view. Any goroutine may call it.
+// observeEra records the store's era of a view. If the store has returned from an older copy
+// since an earlier view, observeEra logs that and makes the collections whose views are from
+// before the return be listed again. Any goroutine may call it.
 func (s *Steerer) observeEra(position storer.Position) {
 	before := s.storeEra.Load()
 	for position.Era > before && !s.storeEra.CompareAndSwap(before, position.Era) {
 		before = s.storeEra.Load()
 	}
-	if before != 0 && position.Era > before {
+	if position.Era <= before {
+		return
+	}
+	if before != 0 {
 		s.log.Warn().EmbedObject(loggedPosition(position)).Uint64("Before", before).Msg("StoreRestored")
 	}
+	for _, reflector := range s.reflectors {
+		reflector.observeEra(position.Era)
+	}
 }
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -25,11 +25,21 @@
 	fetchTimeout = 2 * time.Second
 )
 
-// DeltaRequest requests the changes in a collection since a revision.
+// DeltaRequest requests the changes in a collection since a position in the store's history.
 type DeltaRequest struct {
 	// Revision is the store's revision of the requesting instance's view; 0 requests the
 	// whole collection.
 	Revision uint64
+	// Era is the store's era to which Revision belongs.
+	Era uint64 `cbor:",omitzero"`
+}
+
+// position returns the position since which changes are requested.
+func (r DeltaRequest) position() storer.Position {
+	return storer.Position{
+		Era:      r.Era,
+		Revision: r.Revision,
+	}
 }
 
 var (
@@ -47,11 +57,14 @@
 	run(ctx context.Context) error
 	// restartWatch ends the current watch and starts a new one with the current timeout.
 	restartWatch()
-	// revision returns the store's revision of the local copy; 0 before the first one.
-	revision() uint64
-	// fetchIfBehind fetches the view of a peer that knows a later revision, unless the
+	// observeEra makes the copy be listed again if it is of an earlier era of the store.
+	observeEra(era uint64)
+	// position returns the position in the store's history of the local copy; the zero value
+	// before the first one.
+	position() storer.Position
+	// fetchIfBehind fetches the view of a peer that knows a later position, unless the
 	// platform reports the change in the meantime. It does not block.
-	fetchIfBehind(peer registrar.Member, peerRevision uint64)
+	fetchIfBehind(peer registrar.Member, peerPosition storer.Position)
 }
 
 // typedReflector is the reflector of a collection of objects of type T.
@@ -100,7 +113,7 @@
 	query := handler.QueryFunc[DeltaRequest, watcher.Delta[[]byte]](
 		func(_ context.Context, request DeltaRequest) (watcher.Delta[[]byte], error) {
 			if history := r.history.Load(); history != nil {
-				return history.Since(request.Revision), nil
+				return history.Since(request.position()), nil
 			}
 			return watcher.Delta[[]byte]{}, nil
 		},
@@ -140,8 +153,12 @@
 	return watcher.View[[]byte]{}
 }
 
-func (r *typedReflector[T]) revision() uint64 {
-	return r.view().Revision
+func (r *typedReflector[T]) observeEra(era uint64) {
+	r.watcher.ObserveEra(era)
+}
+
+func (r *typedReflector[T]) position() storer.Position {
+	return r.view().Position()
 }
 
 // applyView stores a new view and passes its objects to onUpdate.
@@ -195,20 +212,30 @@
 	}
 }
 
-func (r *typedReflector[T]) fetchIfBehind(peer registrar.Member, peerRevision uint64) {
-	if peerRevision <= r.revision() || !r.fetching.CompareAndSwap(false, true) {
+func (r *typedReflector[T]) fetchIfBehind(peer registrar.Member, peerPosition storer.Position) {
+	if !r.isBehind(peerPosition) || !r.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	r.steerer.hub.Go(func() {
 		defer r.fetching.Store(false)
-		r.fetchView(peer, peerRevision)
+		r.fetchView(peer, peerPosition)
 	})
 }
 
-// fetchView fetches the changes up to at least peerRevision from a peer, and offers the
+// isBehind reports whether a peer's copy is later than the local one. A peer of a build that
+// does not report the era counts as being in the era of the local copy.
+func (r *typedReflector[T]) isBehind(peerPosition storer.Position) bool {
+	local := r.position()
+	if peerPosition.Era == 0 {
+		peerPosition.Era = local.Era
+	}
+	return peerPosition.IsAfter(local)
+}
+
+// fetchView fetches the changes up to at least peerPosition from a peer, and offers the
 // result to the watcher. It first waits for peerFetchDelay in case the platform reports
 // the change; an instance that receives its changes from this peer does not wait.
-func (r *typedReflector[T]) fetchView(peer registrar.Member, peerRevision uint64) {
+func (r *typedReflector[T]) fetchView(peer registrar.Member, peerPosition storer.Position) {
 	s := r.steerer
 	ctx, cancel := context.WithTimeout(s.lifecycle.Work(), fetchTimeout)
 	defer cancel()
@@ -216,23 +243,27 @@
 	if s.receivesFrom(peer) {
 		wait = 0
 	}
-	if !sleep(ctx, wait) || peerRevision <= r.revision() {
+	if !sleep(ctx, wait) || !r.isBehind(peerPosition) {
 		return
 	}
 	base := r.view()
 	request := DeltaRequest{
 		Revision: base.Revision,
+		Era:      base.Era,
 	}
 	delta, err := linker.Call(ctx, s.hub, peer.Incarnation, r.topic, request, deltaRequestCodec, deltaCodec)
 	if err != nil {
 		s.log.Warn().Str("Peer", peer.Name).Str("Topic", r.topic).Err(err).Msg("RelayFailed")
 		return
 	}
+	if delta.Era == 0 {
+		delta = delta.WithEra(base.Era)
+	}
 	view, applies := delta.Apply(base)
 	s.log.Info().
 		Str("Peer", peer.Name).
 		Str("Topic", r.topic).
-		Uint64("Era", view.Era).
+		Uint64("Era", delta.Era).
 		Uint64("Revision", delta.Revision).
 		Uint64("EraBefore", base.Era).
 		Uint64("Before", base.Revision).
--- a/pkg/query/watcher/delta.go
+++ b/pkg/query/watcher/delta.go
@@ -14,6 +14,8 @@
 
 // Delta is the difference between a view and a later one. It is immutable.
 type Delta[T any] struct {
+	// Era is the store's era to which After and Revision belong.
+	Era uint64 `cbor:",omitzero"`
 	// After is the revision of the earlier view; 0 means that Objects is the whole later
 	// view.
 	After uint64
@@ -25,13 +27,31 @@
 	Removed []string
 }
 
+// Position returns the point in the store's history of the later view.
+func (d Delta[T]) Position() storer.Position {
+	return storer.Position{
+		Era:      d.Era,
+		Revision: d.Revision,
+	}
+}
+
+// WithEra returns a copy in another era.
+func (d Delta[T]) WithEra(era uint64) Delta[T] {
+	d.Era = era
+	return d
+}
+
 // Apply returns the later view. It returns false if the delta starts after the given
-// view, or if the delta is the zero value.
+// view or in another era, or if the delta is the zero value.
 func (d Delta[T]) Apply(view View[T]) (View[T], bool) {
-	if d.After > view.Revision || (d.After == 0 && d.Revision == 0) {
+	if d.After > view.Revision || d.Position().IsZero() {
+		return View[T]{}, false
+	}
+	if d.After != 0 && d.Era != view.Era {
 		return View[T]{}, false
 	}
 	next := View[T]{
+		Era:      d.Era,
 		Revision: d.Revision,
 		Objects:  slices.Clone(d.Objects),
 	}
@@ -82,9 +102,9 @@
 }
 
 // WithView returns the history extended by a later view. It starts a new history if the
-// present one holds more than maxRemovals removals.
+// present one holds more than maxRemovals removals, or if the view is of another era.
 func (h History[T]) WithView(view View[T]) History[T] {
-	if len(h.removed) > maxRemovals {
+	if len(h.removed) > maxRemovals || view.Era != h.view.Era {
 		return NewHistory(view)
 	}
 	removed := make(map[string]uint64, len(h.removed))
@@ -105,16 +125,20 @@
 	}
 }
 
-// Since returns the delta from the view of a revision to the latest view. For revision 0
-// or one before the start of the history, the delta holds the whole latest view.
-func (h History[T]) Since(revision uint64) Delta[T] {
-	if revision < h.completeFrom || revision == 0 {
+// Since returns the delta from the view of a position to the latest view. For the zero
+// position, one of another era or one before the start of the history, the delta holds the
+// whole latest view.
+func (h History[T]) Since(position storer.Position) Delta[T] {
+	revision := position.Revision
+	if position.Era != h.view.Era || revision < h.completeFrom || revision == 0 {
 		return Delta[T]{
+			Era:      h.view.Era,
 			Revision: h.view.Revision,
 			Objects:  h.view.Objects,
 		}
 	}
 	delta := Delta[T]{
+		Era:      h.view.Era,
 		After:    revision,
 		Revision: h.view.Revision,
 	}
--- a/pkg/query/watcher/delta_test.go
+++ b/pkg/query/watcher/delta_test.go
@@ -67,7 +67,7 @@
 		}
 		latest := history.View()
 		for i, from := range views {
-			delta := history.Since(from.Revision)
+			delta := history.Since(from.Position())
 			got, applies := delta.Apply(from)
 			if !applies || got.Revision != latest.Revision || !sameObjects(got.Objects, latest.Objects) {
 				t.Fatalf("seed %d, from view %d: delta %+v: got %+v, want %+v", seed, i, delta, got, latest)
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -59,26 +60,29 @@
 	// watchTimeout returns the longest time that one watch may wait; nil leaves the
 	// timeout to the store.
 	watchTimeout func() time.Duration
-	// objects holds the objects of the view by their names, and revision is the store's
-	// revision from which the next watch continues. era is the store's era of the view.
+	// objects holds the objects of the view by their names. revision is the store's revision
+	// from which the next watch continues, in the era of the view.
 	objects  map[string]storer.Object[T]
-	revision uint64
 	era      uint64
+	revision uint64
 	// unchangedAt is the revision up to which the store has last answered that nothing has
 	// changed. That answer may be wrong, because a watch can end while the store holds
 	// changes back. So the next watch still continues from revision; only if that one
 	// finds nothing either does unchangedAt become the revision.
 	unchangedAt uint64
-	// changedAt is the revision of the last list, offer, or watch with changes. Offers are
+	// changedAt is the position of the last list, offer, or watch with changes. Offers are
 	// compared with it.
-	changedAt uint64
+	changedAt storer.Position
 	// complete is set while objects holds the whole view; otherwise the next call lists.
 	// verifying is set if that list only verifies that nothing has changed.
 	complete  bool
 	verifying bool
 
-	// mu guards offered and cancelCall.
+	// mu guards offered, latestEra and cancelCall.
 	mu sync.Mutex
+	// latestEra is the latest era of the store that is known here. The view of an earlier
+	// one is listed again, and an answer from an earlier one is not applied.
+	latestEra uint64
 	// offered is the newest offered view that has not been applied yet, or nil.
 	offered *View[T]
 	// cancelCall cancels the call in progress; nil while there is none.
@@ -123,14 +127,28 @@
 	}
 }
 
-// Offer passes a view that another process got from the store. If the view is newer than
+// ObserveEra tells the watcher that the store has reached an era. If that is later than any
+// known here, the call in progress is canceled, and the next one lists all objects.
+func (w *Watcher[T]) ObserveEra(era uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if era <= w.latestEra {
+		return
+	}
+	w.latestEra = era
+	if w.cancelCall != nil {
+		w.cancelCall()
+	}
+}
+
+// Offer passes a view that another process got from the store. If the view's position is after
 // the last change known here, it replaces the watcher's view, and the watch continues
 // from its revision. This holds even if the store has answered for a later revision that
 // nothing has changed.
 func (w *Watcher[T]) Offer(view View[T]) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.offered == nil || w.offered.Revision < view.Revision {
+	if w.offered == nil || view.Position().IsAfter(w.offered.Position()) {
 		w.offered = &view
 	}
 	if w.cancelCall != nil {
@@ -211,9 +229,10 @@
 	defer w.mu.Unlock()
 	offered := w.offered
 	w.offered = nil
-	if offered == nil || offered.Revision <= w.changedAt {
+	if offered == nil || !offered.Position().IsAfter(w.changedAt) {
 		return false
 	}
+	w.latestEra = max(w.latestEra, offered.Era)
 	w.replaceView(*offered)
 	return true
 }
@@ -228,6 +247,10 @@
 	defer cancel()
 	w.setCancelCall(cancel)
 	defer w.setCancelCall(nil)
+	if w.isOutdated() {
+		w.complete = false
+		w.verifying = false
+	}
 	call := w.watch
 	if !w.complete {
 		call = w.list
@@ -239,7 +262,26 @@
 	return changed, err
 }
 
+// isOutdated reports whether the view is of an earlier era than the latest.
+func (w *Watcher[T]) isOutdated() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era < w.latestEra
+}
+
+// confirmEra records the era of an answer, or returns storer.ErrEarlierEra.
+func (w *Watcher[T]) confirmEra(era uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if era < w.latestEra {
+		return fmt.Errorf("era %d after %d: %w", era, w.latestEra, storer.ErrEarlierEra)
+	}
+	w.latestEra = era
+	return nil
+}
+
 // watch waits for changes and applies them to the view. It reports whether there were any.
+// Changes of a later era are left to the next call, which lists: they need not follow the view.
 func (w *Watcher[T]) watch(ctx context.Context) (bool, error) {
 	if w.watchTimeout != nil {
 		var cancel context.CancelFunc
@@ -251,14 +293,19 @@
 	if err != nil {
 		return false, err
 	}
+	if err = w.confirmEra(changes.Era); err != nil {
+		return false, err
+	}
+	if changes.Era != w.era {
+		return false, nil
+	}
 	if len(changes.Objects)+len(changes.Removed) == 0 {
 		w.recordUnchanged(changes.Revision, time.Since(begun))
 		return false, nil
 	}
-	w.era = changes.Era
 	w.revision = max(w.revision, changes.Revision)
 	w.unchangedAt = w.revision
-	w.changedAt = w.revision
+	w.changedAt = w.position()
 	for _, object := range changes.Objects {
 		w.objects[object.Name] = object
 	}
@@ -298,6 +345,9 @@
 	if err != nil {
 		return false, err
 	}
+	if err = w.confirmEra(changes.Era); err != nil {
+		return false, err
+	}
 	changed := !w.verifying || !w.holds(changes.Objects)
 	w.replaceView(View[T]{
 		Era:      changes.Era,
@@ -329,11 +379,19 @@
 	w.era = view.Era
 	w.revision = view.Revision
 	w.unchangedAt = view.Revision
-	w.changedAt = view.Revision
+	w.changedAt = view.Position()
 	w.complete = true
 	w.verifying = false
 }
 
+// position returns the point in the store's history from which the next watch continues.
+func (w *Watcher[T]) position() storer.Position {
+	return storer.Position{
+		Era:      w.era,
+		Revision: w.revision,
+	}
+}
+
 func (w *Watcher[T]) view() View[T] {
 	view := View[T]{
 		Era:      w.era,
--- a/pkg/storer/error.go
+++ b/pkg/storer/error.go
@@ -15,6 +15,9 @@
 	// ErrCompacted means that the store no longer knows the changes after the revision
 	// of a watch. The objects are to be listed again.
 	ErrCompacted = errors.New("changes have been compacted")
+	// ErrEarlierEra means that an answer is from an earlier era than one before it, so that
+	// it says nothing about the store's present state.
+	ErrEarlierEra = errors.New("answer is from an earlier era of the store")
 	// ErrTooLarge means that a value is larger than the store accepts.
 	ErrTooLarge = errors.New("value is too large")
 	// ErrUnavailable means that the store did not answer, or cannot serve the call now.
