Decode an object again whose revision was given out for other bytes

Cause: the cache of decoded objects was keyed by name and revision. A store that returns from an older copy gives revisions out again, so the former value stayed. The other way round, an unchanged object whose revision went back was decoded anew, and a time that counts from the decoding, such as the end of an upstream's warm-up, began anew. Change: the bytes are compared, too; across eras they alone decide. Evidence: TestBytesWithARevisionGivenOutAgainAreDecoded failed before, in both ways.

--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -89,9 +90,12 @@
 type decodedObject[T any] struct {
 	// name is the object's name without the prefix of the collection.
 	name string
-	// revision is the store's revision of the object.
+	// revision is the store's revision of the object, in the era of the view that it is from.
 	revision uint64
-	value    T
+	era      uint64
+	// data is what value was decoded from.
+	data  []byte
+	value T
 	// err is why the value could not be decoded, or nil.
 	err error
 }
@@ -175,6 +179,20 @@
 	}
 }
 
+// holds reports whether the decoded object is that of a view of an era. If the store has
+// returned from an older copy since, the revision says nothing, and equal bytes are taken for
+// the same write: a value that counts from its decoding, such as a time, must not begin anew.
+func (d decodedObject[T]) holds(object storer.Object[[]byte], era uint64) bool {
+	return bytes.Equal(d.data, object.Value) && (d.era != era || d.revision == object.Revision)
+}
+
+// withRevision returns a copy at that revision of an era.
+func (d decodedObject[T]) withRevision(revision, era uint64) decodedObject[T] {
+	d.revision = revision
+	d.era = era
+	return d
+}
+
 // decodeChanged decodes the objects that have changed, and returns all usable objects of
 // the view. An object that cannot be decoded is left out, and logged once for each of
 // its revisions.
@@ -183,9 +201,10 @@
 	usable := make([]decodedObject[T], 0, len(view.Objects))
 	for _, object := range view.Objects {
 		decoded, found := r.decoded[object.Name]
-		if !found || decoded.revision != object.Revision {
+		if !found || !decoded.holds(object, view.Era) {
 			decoded = r.decodeObject(object)
 		}
+		decoded = decoded.withRevision(object.Revision, view.Era)
 		next[object.Name] = decoded
 		if decoded.err == nil {
 			usable = append(usable, decoded)
@@ -205,10 +224,10 @@
 			Msg("ObjectUnusable")
 	}
 	return decodedObject[T]{
-		name:     object.Name[len(r.collection.Prefix):],
-		revision: object.Revision,
-		value:    value,
-		err:      err,
+		name:  object.Name[len(r.collection.Prefix):],
+		data:  object.Value,
+		value: value,
+		err:   err,
 	}
 }
 
