Keep what an older copy of the store lacks, and leave out what it brings back

Callers saw: after a return of the store from an older copy, upstreams that had joined in the lost seconds got no requests until they had registered again, one that had left got requests again, and requests went to an evacuated failure domain. Cause: a list of the store replaced what was known, whatever had been known before. Change: package retainer keeps, for a bounded time after a return, the objects that the copy lacks until they are written again, and leaves out those that were known to have been removed or replaced, unless they are written anew. It is the same for all collections; a policy says what identifies an object and which value counts. An upstream that was leaving stays so, and is cold no longer than was known. A move keeps its state and reports it again, at the revision that the store lists, never while the store doesn't list it. An instance whose entry the copy lacks, or has from an earlier start, writes it again, though it is kept in the roster.

--- a/internal/steerer/collections.go
+++ b/internal/steerer/collections.go
@@ -8,6 +8,7 @@
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
@@ -16,40 +17,45 @@
 // reflector is that of its collection in linker.Heartbeat's Feeds, so the order is part
 // of the encoding.
 func (s *Steerer) newReflectors() [linker.MaxCollections]reflector {
+	declarations := retainer.New(plainRetention[declarer.Declaration]{}, keepMillis)
+	registrations := retainer.New(registrationRetention{}, s.settings.Upstreams.LapseMillis)
+	moves := retainer.New(moveRetention{}, keepMillis)
+	evacuations := retainer.New(plainRetention[Evacuation]{}, keepMillis)
+	members := retainer.New(plainRetention[registrar.Member]{}, keepMillis)
 	return [linker.MaxCollections]reflector{
-		newReflector(s, s.platform.Declarations, s.applyDeclarations),
-		newReflector(s, s.platform.Registrations, s.applyRegistrations),
-		newReflector(s, s.platform.Moves, s.applyMoves),
-		newReflector(s, s.platform.Evacuations, s.applyEvacuations),
-		newReflector(s, s.platform.Members, s.applyMembers),
+		newReflector(s, s.platform.Declarations, declarations, s.applyDeclarations),
+		newReflector(s, s.platform.Registrations, registrations, s.applyRegistrations),
+		newReflector(s, s.platform.Moves, moves, s.applyMoves),
+		newReflector(s, s.platform.Evacuations, evacuations, s.applyEvacuations),
+		newReflector(s, s.platform.Members, members, s.applyMembers),
 	}
 }
 
 // applyDeclarations applies the operators' declaration, and records that it is confirmed
 // to be the newest. It runs for each new view, whether from the platform or from a peer,
 // but not when the platform answers that nothing has changed.
-func (s *Steerer) applyDeclarations(objects []decodedObject[declarer.Declaration], _ storer.Position) {
-	for _, object := range objects {
-		s.applyDeclaration(object.value)
+func (s *Steerer) applyDeclarations(entries []retainer.Entry[declarer.Declaration], _ storer.Position) {
+	for _, entry := range entries {
+		s.applyDeclaration(entry.Value)
 	}
 	s.freshness.Confirm(time.Now())
 }
 
 // applyRegistrations applies the registrations of upstreams.
-func (s *Steerer) applyRegistrations(objects []decodedObject[registrar.Registration], position storer.Position) {
-	listed := make([]registrar.Registration, 0, len(objects))
-	for _, object := range objects {
-		listed = append(listed, object.value.WithName(object.name))
+func (s *Steerer) applyRegistrations(entries []retainer.Entry[registrar.Registration], position storer.Position) {
+	listed := make([]registrar.Registration, 0, len(entries))
+	for _, entry := range entries {
+		listed = append(listed, entry.Value.WithName(entry.Name))
 	}
 	s.setRegistrations(listed)
 	s.log.Info().Int("Upstreams", len(listed)).EmbedObject(loggedPosition(position)).Msg("UpstreamsListed")
 }
 
 // applyEvacuations applies the list of evacuated failure domains.
-func (s *Steerer) applyEvacuations(objects []decodedObject[Evacuation], position storer.Position) {
-	places := make([]string, 0, len(objects))
-	for _, object := range objects {
-		places = append(places, object.name)
+func (s *Steerer) applyEvacuations(entries []retainer.Entry[Evacuation], position storer.Position) {
+	places := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		places = append(places, entry.Name)
 	}
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
@@ -58,11 +64,16 @@
 }
 
 // applyMembers applies the list of entry instances.
-func (s *Steerer) applyMembers(objects []decodedObject[registrar.Member], position storer.Position) {
-	listed := make([]registrar.Member, 0, len(objects))
-	for _, object := range objects {
-		listed = append(listed, object.value)
+func (s *Steerer) applyMembers(entries []retainer.Entry[registrar.Member], position storer.Position) {
+	listed := make([]registrar.Member, 0, len(entries))
+	selfListed := false
+	for _, entry := range entries {
+		listed = append(listed, entry.Value)
+		if entry.Value.Incarnation == s.self.Incarnation && !entry.Kept {
+			selfListed = true
+		}
 	}
+	s.selfListed.Store(selfListed)
 	s.setRoster(registrar.NewRoster(position, listed...))
 }
 
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// refreshReflectors applies what counts now of the collections after a return of the store.
+func (s *Steerer) refreshReflectors(now time.Time) {
+	for _, reflector := range s.reflectors {
+		reflector.refresh(now)
+	}
+}
+
 // fetchFromPeers fetches from the peers that still know a later position.
 func (s *Steerer) fetchFromPeers() {
 	for _, peer := range s.hub.Peers() {
@@ -89,10 +96,9 @@
 	return storer.NewTyped(s.platform.Store, s.platform.Members.Codec)
 }
 
-// ensureEntry requests that this instance's entry be written if the list lacks it.
-func (s *Steerer) ensureEntry(roster registrar.Roster) {
-	member, found := memberByName(roster, s.self.Name)
-	if found && member.Incarnation == s.self.Incarnation {
+// ensureEntry requests that this instance's entry be written if the platform's list lacks it.
+func (s *Steerer) ensureEntry() {
+	if s.selfListed.Load() {
 		return
 	}
 	select {
@@ -186,6 +192,7 @@
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
 		s.endRegistrationGrace()
+		s.refreshReflectors(time.Now())
 		s.refreshRoster()
 		s.updateWatching()
 		s.reportDemand()
@@ -197,8 +204,8 @@
 			s.updateLocator()
 			s.removeDead(ctx)
 			s.updatePrimaryWatcher()
-			if roster := s.roster.Load(); !roster.Position().IsZero() {
-				s.ensureEntry(*roster)
+			if !s.roster.Load().Position().IsZero() {
+				s.ensureEntry()
 			}
 			s.fetchFromPeers()
 			s.refreshLenders()
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
@@ -32,7 +33,8 @@
 // planMu guards it.
 type trackedMove struct {
 	order MoveOrder
-	// revision is the store's revision of the order.
+	// revision is the store's revision of the order, or 0 while the store does not list it,
+	// after a return from a copy that lacks it.
 	revision uint64
 	// beganAt is when the first instance began the move, as far as this instance knows.
 	beganAt time.Time
@@ -99,19 +101,18 @@
 
 // applyMoves applies the moves that operators have requested. An order to another version
 // starts a new move, and a final state on the platform prevails over the one here.
-func (s *Steerer) applyMoves(objects []decodedObject[MoveOrder], position storer.Position) {
+func (s *Steerer) applyMoves(entries []retainer.Entry[MoveOrder], position storer.Position) {
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	next := map[string]*trackedMove{}
-	for _, object := range objects {
-		service := object.value.Move.Service
+	for _, entry := range entries {
+		service := entry.Value.Move.Service
 		m, found := s.moves[service]
-		if !found || m.order.Move.To != object.value.Move.To {
-			m = s.startMove(object.value)
+		if !found || m.order.Move.To != entry.Value.Move.To {
+			m = s.startMove(entry.Value)
 		}
-		m.revision = object.revision
-		m.order.State = object.value.State
-		if state := object.value.State; state != "" && state != mover.Running && state != m.state {
+		m.updateOrder(entry)
+		if state := entry.Value.State; state != "" && state != mover.Running && state != m.state {
 			s.endMove(m, state, "platform")
 		}
 		next[service] = m
@@ -129,6 +130,17 @@
 	s.log.Info().Int("Moves", len(next)).EmbedObject(loggedPosition(position)).Msg("MovesListed")
 }
 
+// updateOrder takes over the state that the platform lists of the move, and the revision at
+// which the state can be reported.
+func (m *trackedMove) updateOrder(entry retainer.Entry[MoveOrder]) {
+	if entry.Kept {
+		m.revision = 0
+		return
+	}
+	m.revision = entry.Revision
+	m.order.State = entry.Value.State
+}
+
 func (s *Steerer) startMove(order MoveOrder) *trackedMove {
 	now := time.Now()
 	s.log.Info().
@@ -318,7 +330,7 @@
 // reportDue reports whether the state on the platform, which is empty before the first
 // report, differs from the move's and it is this instance's turn to report.
 func (m *trackedMove) reportDue(now time.Time) bool {
-	return m.order.State != m.state && !now.Before(m.nextReportAt)
+	return m.revision != 0 && m.order.State != m.state && !now.Before(m.nextReportAt)
 }
 
 // nextReportTurn returns the time from which it is this instance's turn to report. Each
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/query/watcher"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -60,6 +62,8 @@
 	restartWatch()
 	// observeEra makes the copy be listed again if it is of an earlier era of the store.
 	observeEra(era uint64)
+	// refresh applies the objects that count now, if others count since the last view.
+	refresh(now time.Time)
 	// position returns the position in the store's history of the local copy; the zero value
 	// before the first one.
 	position() storer.Position
@@ -74,16 +78,21 @@
 	collection Collection[T]
 	topic      string
 	watcher    *watcher.Watcher[[]byte]
-	// onUpdate is called with the usable objects of each new view.
-	onUpdate func(objects []decodedObject[T], position storer.Position)
+	// onUpdate is called with the objects that count, after each new view and when others
+	// count.
+	onUpdate func(entries []retainer.Entry[T], position storer.Position)
 	// history holds the local copy: the latest view and what is needed to compute changes
 	// since earlier ones; nil before the first view.
 	history atomic.Pointer[watcher.History[[]byte]]
 	// fetching is set during a fetch of a view from a peer.
 	fetching atomic.Bool
 
-	// decoded holds the decoded objects by name. Only the watcher's goroutine uses it.
+	// mu guards decoded and retained, and orders the calls of onUpdate.
+	mu sync.Mutex
+	// decoded holds the decoded objects by name.
 	decoded map[string]decodedObject[T]
+	// retained holds the objects that count.
+	retained retainer.Retainer[T]
 }
 
 // decodedObject is an object of a collection after decoding.
@@ -104,13 +113,19 @@
 
 // newReflector returns a reflector and registers a handler with which peers fetch its
 // view. The topic of the handler is unique to the collection.
-func newReflector[T any](s *Steerer, collection Collection[T], onUpdate func([]decodedObject[T], storer.Position)) *typedReflector[T] {
+func newReflector[T any](
+	s *Steerer,
+	collection Collection[T],
+	retained retainer.Retainer[T],
+	onUpdate func([]retainer.Entry[T], storer.Position),
+) *typedReflector[T] {
 	r := &typedReflector[T]{
 		steerer:    s,
 		collection: collection,
 		topic:      "Feed/" + collection.Prefix,
 		onUpdate:   onUpdate,
 		decoded:    map[string]decodedObject[T]{},
+		retained:   retained,
 	}
 	r.watcher = watcher.New[[]byte](s.platform.Store, collection.Prefix, r.shouldWatch)
 	r.watcher.WithWatchTimeout(s.watchWait).WithPause(collection.PauseMillis)
@@ -165,7 +180,7 @@
 	return r.view().Position()
 }
 
-// applyView stores a new view and passes its objects to onUpdate.
+// applyView stores a new view and passes the objects that count to onUpdate.
 func (r *typedReflector[T]) applyView(view watcher.View[[]byte]) {
 	next := watcher.NewHistory(view)
 	if history := r.history.Load(); history != nil {
@@ -173,12 +188,34 @@
 	}
 	r.history.Store(&next)
 	r.steerer.observeEra(view.Position())
-	r.onUpdate(r.decodeChanged(view), view.Position())
+	r.updateRetained(view)
 	if r.steerer.watching.Load() {
 		r.steerer.hub.HeartbeatPlaceNow()
 	}
 }
 
+// updateRetained passes the objects that count with a new view to onUpdate.
+func (r *typedReflector[T]) updateRetained(view watcher.View[[]byte]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retained = r.retained.WithView(view.Position(), r.decodeChanged(view), time.Now())
+	r.onUpdate(r.retained.Counted(), view.Position())
+}
+
+func (r *typedReflector[T]) refresh(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.retained.IsDue(now) {
+		return
+	}
+	before := r.retained.Counted()
+	r.retained = r.retained.WithTime(now)
+	if retainer.SameNames(before, r.retained.Counted()) {
+		return
+	}
+	r.onUpdate(r.retained.Counted(), r.position())
+}
+
 // holds reports whether the decoded object is that of a view of an era. If the store has
 // returned from an older copy since, the revision says nothing, and equal bytes are taken for
 // the same write: a value that counts from its decoding, such as a time, must not begin anew.
@@ -193,12 +230,21 @@
 	return d
 }
 
+// entry returns the object as the retainer takes it.
+func (d decodedObject[T]) entry() retainer.Entry[T] {
+	return retainer.Entry[T]{
+		Name:     d.name,
+		Revision: d.revision,
+		Value:    d.value,
+	}
+}
+
 // decodeChanged decodes the objects that have changed, and returns all usable objects of
 // the view. An object that cannot be decoded is left out, and logged once for each of
-// its revisions.
-func (r *typedReflector[T]) decodeChanged(view watcher.View[[]byte]) []decodedObject[T] {
+// its revisions. The caller holds mu.
+func (r *typedReflector[T]) decodeChanged(view watcher.View[[]byte]) []retainer.Entry[T] {
 	next := make(map[string]decodedObject[T], len(view.Objects))
-	usable := make([]decodedObject[T], 0, len(view.Objects))
+	usable := make([]retainer.Entry[T], 0, len(view.Objects))
 	for _, object := range view.Objects {
 		decoded, found := r.decoded[object.Name]
 		if !found || !decoded.holds(object, view.Era) {
@@ -207,7 +253,7 @@
 		decoded = decoded.withRevision(object.Revision, view.Era)
 		next[object.Name] = decoded
 		if decoded.err == nil {
-			usable = append(usable, decoded)
+			usable = append(usable, decoded.entry())
 		}
 	}
 	r.decoded = next
--- a/internal/steerer/reflector_test.go
+++ b/internal/steerer/reflector_test.go
@@ -88,7 +88,7 @@
 				Revision: 5,
 			}, 5, "ready"))
 			got := r.decodeChanged(viewOf(c.position, c.revision, c.value))
-			if len(got) != 1 || got[0].value != c.want || got[0].revision != c.revision {
+			if len(got) != 1 || got[0].Value != c.want || got[0].Revision != c.revision {
 				t.Errorf("got %+v, want %s at revision %d", got, c.want, c.revision)
 			}
 		})
--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -12,7 +12,7 @@
 	s.detectRestart(listed)
 	roster := s.withLinkedIncarnations(listed)
 	s.storeRoster(roster)
-	s.ensureEntry(roster)
+	s.ensureEntry()
 	s.updatePeerLinks()
 	s.updateSeats()
 	s.updateLocator()
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -80,6 +80,8 @@
 	// count: when the incarnation was first listed or, if deadMembers has seen it linked
 	// since, linkTimeout before that. locatorMu guards it.
 	graceFrom map[string]time.Time
+	// selfListed is set while the platform lists this incarnation's entry.
+	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
 	moves map[string]*trackedMove
 	// countersByService holds the counters of the running moves by the name of their
