Name no instance to callers only because an older copy lists it

Callers saw: look-ups could name an instance that had stopped or been replaced, for 3 s after the store had returned from a copy in which it is still listed: an incarnation that the list lacked before counted as newly listed, which is alive without a link. Change: an incarnation that has left the roster within a minute counts as alive only once it is linked. Its entry is removed no sooner than before.

--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -60,23 +61,50 @@
 	}
 }
 
+// rememberDeparted is how long an incarnation that has left the roster is remembered. It is
+// longer than the age of a copy that the platform's store may return from.
+const rememberDeparted = time.Minute
+
 // storeRoster publishes a roster, and sets graceFrom for the incarnations that are new in
-// it.
+// it. One that has left the roster before counts as alive only once it is linked, because the
+// store may have returned from a copy in which it is still listed.
 func (s *Steerer) storeRoster(roster registrar.Roster) {
 	s.locatorMu.Lock()
 	defer s.locatorMu.Unlock()
 	s.roster.Store(&roster)
+	now := time.Now()
 	seen := map[string]time.Time{}
 	for _, member := range roster.Members() {
 		at, found := s.graceFrom[member.Incarnation]
 		if !found {
-			at = time.Now()
+			at = s.newGraceFrom(member.Incarnation, now)
 		}
 		seen[member.Incarnation] = at
 	}
+	s.recordDeparted(seen, now)
 	s.graceFrom = seen
 }
 
+// newGraceFrom returns graceFrom of an incarnation that is new in the roster. The caller holds
+// locatorMu.
+func (s *Steerer) newGraceFrom(incarnation string, now time.Time) time.Time {
+	if _, found := s.departedUntil[incarnation]; found {
+		return now.Add(-linkTimeout)
+	}
+	return now
+}
+
+// recordDeparted remembers the incarnations that are listed no longer; listed has those that
+// are. The caller holds locatorMu.
+func (s *Steerer) recordDeparted(listed map[string]time.Time, now time.Time) {
+	maps.DeleteFunc(s.departedUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	for incarnation := range s.graceFrom {
+		if _, found := listed[incarnation]; !found {
+			s.departedUntil[incarnation] = now.Add(rememberDeparted)
+		}
+	}
+}
+
 func memberByName(roster registrar.Roster, name string) (registrar.Member, bool) {
 	members := roster.Members()
 	index := slices.IndexFunc(members, func(member registrar.Member) bool { return member.Name == name })
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -80,6 +80,9 @@
 	// count: when the incarnation was first listed or, if deadMembers has seen it linked
 	// since, linkTimeout before that. locatorMu guards it.
 	graceFrom map[string]time.Time
+	// departedUntil is, by incarnation, the time until which it is remembered that the
+	// incarnation has left the roster. locatorMu guards it.
+	departedUntil map[string]time.Time
 	// selfListed is set while the platform lists this incarnation's entry.
 	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
@@ -137,11 +140,12 @@
 		inputs: planInputs{
 			places: placesOf(settings),
 		},
-		lifecycle:    stopper.New(),
-		startedAt:    time.Now(),
-		graceFrom:    map[string]time.Time{},
-		entryMissing: make(chan struct{}, 1),
-		moves:        map[string]*trackedMove{},
+		lifecycle:     stopper.New(),
+		startedAt:     time.Now(),
+		graceFrom:     map[string]time.Time{},
+		entryMissing:  make(chan struct{}, 1),
+		moves:         map[string]*trackedMove{},
+		departedUntil: map[string]time.Time{},
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.rationer = rationer.New(s.apportioner)
