Bound for how long a state known before a return counts over the copy's

An upstream that was leaving before a return stayed so until it was written again; one that had been written as ready before the first view after the return was left without requests for good. It counts for 10 s now, as what was removed does: an upstream that is alive writes again sooner. The end of these times no longer counts as a confirmation of the declaration, and a change of state at that time takes effect.

--- a/internal/steerer/collections.go
+++ b/internal/steerer/collections.go
@@ -23,7 +23,7 @@
 	evacuations := retainer.New(plainRetention[Evacuation]{}, keepMillis)
 	members := retainer.New(plainRetention[registrar.Member]{}, keepMillis)
 	return [linker.MaxCollections]reflector{
-		newReflector(s, s.platform.Declarations, declarations, s.applyDeclarations),
+		newReflector(s, s.platform.Declarations, declarations, s.applyDeclarations).withOnView(s.confirmDeclaration),
 		newReflector(s, s.platform.Registrations, registrations, s.applyRegistrations),
 		newReflector(s, s.platform.Moves, moves, s.applyMoves),
 		newReflector(s, s.platform.Evacuations, evacuations, s.applyEvacuations),
@@ -31,13 +31,17 @@
 	}
 }
 
-// applyDeclarations applies the operators' declaration, and records that it is confirmed
-// to be the newest. It runs for each new view, whether from the platform or from a peer,
-// but not when the platform answers that nothing has changed.
+// applyDeclarations applies the operators' declaration.
 func (s *Steerer) applyDeclarations(entries []retainer.Entry[declarer.Declaration], _ storer.Position) {
 	for _, entry := range entries {
 		s.applyDeclaration(entry.Value)
 	}
+}
+
+// confirmDeclaration records that the declaration is confirmed to be the newest. It runs for
+// each new view, whether from the platform or from a peer, but not when the platform answers
+// that nothing has changed.
+func (s *Steerer) confirmDeclaration() {
 	s.freshness.Confirm(time.Now())
 }
 
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -81,6 +81,8 @@
 	// onUpdate is called with the objects that count, after each new view and when others
 	// count.
 	onUpdate func(entries []retainer.Entry[T], position storer.Position)
+	// onView is called after onUpdate for each new view, or nil.
+	onView func()
 	// history holds the local copy: the latest view and what is needed to compute changes
 	// since earlier ones; nil before the first view.
 	history atomic.Pointer[watcher.History[[]byte]]
@@ -141,6 +143,13 @@
 	return r
 }
 
+// withOnView sets the function that is called for each new view, and returns the reflector. It
+// must be called before run.
+func (r *typedReflector[T]) withOnView(onView func()) *typedReflector[T] {
+	r.onView = onView
+	return r
+}
+
 // shouldWatch reports whether this instance is to watch the collection itself. It is if
 // the instance watches the platform, or if it has no copy yet and none was fetched from a
 // peer within initialPeerWait of its start. Without a copy of the collection of instances
@@ -200,6 +209,9 @@
 	defer r.mu.Unlock()
 	r.retained = r.retained.WithView(view.Position(), r.decodeChanged(view), time.Now())
 	r.onUpdate(r.retained.Counted(), view.Position())
+	if r.onView != nil {
+		r.onView()
+	}
 }
 
 func (r *typedReflector[T]) refresh(now time.Time) {
@@ -208,11 +220,7 @@
 	if !r.retained.IsDue(now) {
 		return
 	}
-	before := r.retained.Counted()
 	r.retained = r.retained.WithTime(now)
-	if retainer.SameNames(before, r.retained.Counted()) {
-		return
-	}
 	r.onUpdate(r.retained.Counted(), r.position())
 }
 
--- a/pkg/query/retainer/retainer.go
+++ b/pkg/query/retainer/retainer.go
@@ -15,7 +15,8 @@
 
 const (
 	// leaveOutTime is how long after a return an object that was known to have been removed
-	// is left out, unless it is written again.
+	// is left out, and what was known of a listed object is merged with it, unless the object
+	// is written again.
 	leaveOutTime = 10 * time.Second
 	// rememberTime is how long it is remembered that an object was removed. It is longer
 	// than the age of a copy.
@@ -194,7 +195,7 @@
 			continue
 		}
 		listed[entry.Name] = true
-		if last, found := r.known[entry.Name]; found && r.sameObject(last, entry) {
+		if last, found := r.known[entry.Name]; found && now.Before(r.leaveOutUntil) && r.sameObject(last, entry) {
 			entry.Value = r.policy.Merge(last.Value, entry.Value)
 		}
 		counted = append(counted, entry)
@@ -245,11 +246,6 @@
 	return r.policy.Identity(a.Value) == r.policy.Identity(b.Value)
 }
 
-// SameNames reports whether two lists have entries of the same names.
-func SameNames[T any](a, b []Entry[T]) bool {
-	return slices.EqualFunc(a, b, func(a, b Entry[T]) bool { return a.Name == b.Name })
-}
-
 // byName returns the entries by their names.
 func byName[T any](entries []Entry[T]) map[string]Entry[T] {
 	named := make(map[string]Entry[T], len(entries))
