Start no instance with a declaration that its peers have replaced

Callers saw: an instance that starts after the store has returned from an older copy, and before the operator has written again, served by the copy's declaration: a key that had been withdrawn everywhere was accepted. Cause: the declaration in force never goes back, but only within a process. Evidence: TestInstanceThatStartsAfterARestoreWaitsForTheDeclarationOfItsPeers failed before.

--- a/internal/steerer/collections.go
+++ b/internal/steerer/collections.go
@@ -34,7 +34,7 @@
 // applyDeclarations applies the operators' declaration.
 func (s *Steerer) applyDeclarations(entries []retainer.Entry[declarer.Declaration], _ storer.Position) {
 	for _, entry := range entries {
-		s.applyDeclaration(entry.Value)
+		s.offerDeclaration(entry.Value)
 	}
 }
 
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -192,6 +192,7 @@
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
 		s.endRegistrationGrace()
+		s.endDeclarationWait()
 		s.refreshReflectors(time.Now())
 		s.refreshRoster()
 		s.updateWatching()
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -57,6 +57,8 @@
 	// computed from. It is never locked on the path of a request.
 	planMu sync.Mutex
 	inputs planInputs
+	// awaiting is the declaration whose coming into force is put off, or the zero value.
+	awaiting declarer.Declaration
 	// listedRegistrations are the registrations that the platform listed last.
 	listedRegistrations []registrar.Registration
 	// registrationGraceUntil is the time until which upstreams are kept although the
