--- a/internal/steerer/position.go
+++ b/internal/steerer/position.go
@@ -22,12 +22,10 @@
 	for position.Era > before && !s.storeEra.CompareAndSwap(before, position.Era) {
 		before = s.storeEra.Load()
 	}
-	if position.Era <= before {
+	if position.Era <= before || before == 0 {
 		return
 	}
-	if before != 0 {
-		s.log.Warn().EmbedObject(loggedPosition(position)).Uint64("Before", before).Msg("StoreRestored")
-	}
+	s.log.Warn().EmbedObject(loggedPosition(position)).Uint64("Before", before).Msg("StoreRestored")
 	for _, reflector := range s.reflectors {
 		reflector.observeEra(position.Era)
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -80,7 +80,8 @@
 	roster atomic.Pointer[registrar.Roster]
 	// graceFrom is, by incarnation, the time from which linkTimeout and removeAfter
 	// count: when the incarnation was first listed or, if deadMembers has seen it linked
-	// since, linkTimeout before that. locatorMu guards it.
+	// since, or if it has left the roster before, linkTimeout before that. locatorMu guards
+	// it.
 	graceFrom map[string]time.Time
 	// departedUntil is, by incarnation, the time until which it is remembered that the
 	// incarnation has left the roster. locatorMu guards it.
