Apply an offered view that comes just before a call

Seen once, as a failure of TestNewerOfferReplacesView beside load (go test -race ./internal/... ./pkg/query/...): no view within 5 s. Cause: an offer between the look for offers and the moment from which a call can be canceled found neither; the call then waited with the offer pending. Change: once the call can be canceled, a pending offer interrupts it before it is made. Evidence: TestOfferBetweenTwoCallsIsAppliedAtOnce, which offers in that moment, failed before. The package's tests 20 times under the race detector: passed.

--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -247,6 +247,9 @@
 	defer cancel()
 	w.setCancelCall(cancel)
 	defer w.setCancelCall(nil)
+	if w.hasOffer() {
+		return false, errInterrupted
+	}
 	if w.isOutdated() {
 		w.complete = false
 		w.verifying = false
@@ -262,6 +265,14 @@
 	return changed, err
 }
 
+// hasOffer reports whether a view has been offered that has not been applied yet. An offer that
+// comes before the call can be canceled would otherwise wait until the call ends.
+func (w *Watcher[T]) hasOffer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.offered != nil
+}
+
 // isOutdated reports whether the view is of an earlier era than the latest.
 func (w *Watcher[T]) isOutdated() bool {
 	w.mu.Lock()
--- a/pkg/query/watcher/watcher_test.go
+++ b/pkg/query/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -240,3 +241,30 @@
 		t.Fatalf("after the error: got %+v, want 1 object", second)
 	}
 }
+
+// TestOfferBetweenTwoCallsIsAppliedAtOnce checks an offer that comes after the watcher has looked
+// for one and before its next call can be canceled.
+func TestOfferBetweenTwoCallsIsAppliedAtOnce(t *testing.T) {
+	runInBubble(t, func(t *testing.T, group *errgroup.Group, ctx context.Context) {
+		offered := watcher.View[[]byte]{
+			Revision: 7,
+		}
+		var w *watcher.Watcher[[]byte]
+		calls := 0
+		w = watcher.New[[]byte](silentStore{memstorer.New()}, "a/", func() bool {
+			calls++
+			if calls == 2 {
+				w.Offer(offered)
+			}
+			return true
+		})
+		var latest watcher.View[[]byte]
+		group.Go(func() error {
+			return w.Run(ctx, func(view watcher.View[[]byte]) { latest = view }, func() {}, func(error) {})
+		})
+		synctest.Wait()
+		if latest.Revision != offered.Revision {
+			t.Errorf("got a view of revision %d, want the offered one of %d", latest.Revision, offered.Revision)
+		}
+	})
+}
