--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -36,7 +36,7 @@
 		StoreLost: s.storeLostNanos.Load() != 0,
 	}
 	for i, reflector := range s.reflectors {
-		heartbeat.Feeds[i] = reflector.revision()
+		heartbeat = heartbeat.WithPosition(i, reflector.position())
 	}
 	return heartbeat
 }
@@ -62,14 +62,21 @@
 	}
 }
 
-// fetchNewer fetches the collections for which the peer knows a later revision.
+// fetchNewer fetches the collections for which the peer knows a later position.
 func (s *Steerer) fetchNewer(peer registrar.Member, heartbeat linker.Heartbeat) {
 	for i, reflector := range s.reflectors {
-		reflector.fetchIfBehind(peer, heartbeat.Feeds[i])
+		reflector.fetchIfBehind(peer, heartbeat.Position(i))
 	}
 }
 
-// fetchFromPeers fetches from the peers that still know a later revision.
+// refreshReflectors applies what counts now of the collections after a return of the store.
+func (s *Steerer) refreshReflectors(now time.Time) {
+	for _, reflector := range s.reflectors {
+		reflector.refresh(now)
+	}
+}
+
+// fetchFromPeers fetches from the peers that still know a later position.
 func (s *Steerer) fetchFromPeers() {
 	for _, peer := range s.hub.Peers() {
 		s.fetchNewer(peer.Member, peer.Heartbeat)
@@ -89,10 +96,9 @@
 	return storer.NewTyped(s.platform.Store, s.platform.Members.Codec)
 }
 
-// ensureEntry requests that this instance's entry be written if the list lacks it.
-func (s *Steerer) ensureEntry(roster registrar.Roster) {
-	member, found := memberByName(roster, s.self.Name)
-	if found && member.Incarnation == s.self.Incarnation {
+// ensureEntry requests that this instance's entry be written if the platform's list lacks it.
+func (s *Steerer) ensureEntry() {
+	if s.selfListed.Load() {
 		return
 	}
 	select {
@@ -186,6 +192,8 @@
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
 		s.endRegistrationGrace()
+		s.endDeclarationWait()
+		s.refreshReflectors(time.Now())
 		s.refreshRoster()
 		s.updateWatching()
 		s.reportDemand()
@@ -197,8 +205,8 @@
 			s.updateLocator()
 			s.removeDead(ctx)
 			s.updatePrimaryWatcher()
-			if roster := s.roster.Load(); roster.Revision() != 0 {
-				s.ensureEntry(*roster)
+			if !s.roster.Load().Position().IsZero() {
+				s.ensureEntry()
 			}
 			s.fetchFromPeers()
 			s.refreshLenders()
--- a/internal/steerer/oddobject_test.go
+++ b/internal/steerer/oddobject_test.go
@@ -73,7 +73,7 @@
 					},
 				},
 			})
-			if len(usable) != 1 || usable[0].name != "i-1" || usable[0].value != 7 {
+			if len(usable) != 1 || usable[0].Name != "i-1" || usable[0].Value != 7 {
 				t.Errorf("got %+v, want just i-1", usable)
 			}
 		})
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -59,6 +59,8 @@
 	// computed from. It is never locked on the path of a request.
 	planMu sync.Mutex
 	inputs planInputs
+	// awaiting is the declaration whose coming into force is put off, or the zero value.
+	awaiting declarer.Declaration
 	// listedRegistrations are the registrations that the platform listed last.
 	listedRegistrations []registrar.Registration
 	// registrationGraceUntil is the time until which upstreams are kept although the
@@ -80,8 +82,14 @@
 	roster atomic.Pointer[registrar.Roster]
 	// graceFrom is, by incarnation, the time from which linkTimeout and removeAfter
 	// count: when the incarnation was first listed or, if deadMembers has seen it linked
-	// since, linkTimeout before that. locatorMu guards it.
+	// since, or if it has left the roster before, linkTimeout before that. locatorMu guards
+	// it.
 	graceFrom map[string]time.Time
+	// departedUntil is, by incarnation, the time until which it is remembered that the
+	// incarnation has left the roster. locatorMu guards it.
+	departedUntil map[string]time.Time
+	// selfListed is set while the platform lists this incarnation's entry.
+	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
 	moves map[string]*trackedMove
 	// countersByService holds the counters of the running moves by the name of their
@@ -103,6 +111,8 @@
 	// storeLostNanos is when the platform's store stopped answering, in nanoseconds
 	// since the Unix epoch, or 0 while it answers.
 	storeLostNanos atomic.Int64
+	// storeEra is the latest era of the store that a view was from; 0 before the first view.
+	storeEra atomic.Uint64
 
 	// lifecycle starts and ends all tasks of the instance.
 	lifecycle *stopper.Stopper
@@ -135,12 +145,13 @@
 		inputs: planInputs{
 			places: placesOf(settings),
 		},
-		lifecycle:    stopper.New(),
-		drainer:      drainer.New(time.Now()),
-		startedAt:    time.Now(),
-		graceFrom:    map[string]time.Time{},
-		entryMissing: make(chan struct{}, 1),
-		moves:        map[string]*trackedMove{},
+		lifecycle:     stopper.New(),
+		drainer:       drainer.New(time.Now()),
+		startedAt:     time.Now(),
+		graceFrom:     map[string]time.Time{},
+		entryMissing:  make(chan struct{}, 1),
+		moves:         map[string]*trackedMove{},
+		departedUntil: map[string]time.Time{},
 	}
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.rationer = rationer.New(s.apportioner)
