Take a list of a later era for a new view

Callers: a change is not in force on an instance. Cause: after a long watch the watcher lists only to verify its view, by names and revisions. A store that has returned meanwhile may have given the same revisions out for other writes, and the list then counted as no change. Evidence: TestListOfALaterEraIsANewView failed before (views of era 1 alone). Change: a list of another era than the view's is a new view.

--- a/pkg/query/watcher/restored_test.go
+++ b/pkg/query/watcher/restored_test.go
@@ -390,3 +390,49 @@
 		}
 	})
 }
+
+// returningStore is a store that returns with the same revisions before each list, and whose
+// watches find nothing.
+type returningStore struct {
+	*memstorer.Store
+	era uint64
+}
+
+func (s *returningStore) List(ctx context.Context, prefix string) (storer.Changes[[]byte], error) {
+	s.era++
+	listed, err := s.Store.List(ctx, prefix)
+	listed.Era = s.era
+	return listed, err
+}
+
+func (s *returningStore) Watch(ctx context.Context, _ string, after uint64) (storer.Changes[[]byte], error) {
+	<-ctx.Done()
+	if ctx.Err() != context.DeadlineExceeded {
+		return storer.Changes[[]byte]{}, ctx.Err()
+	}
+	return storer.Changes[[]byte]{
+		Era:      s.era,
+		Revision: after,
+	}, nil
+}
+
+// TestListOfALaterEraIsANewView guards against a list that only verifies the view, and finds the
+// same revisions again in a later era, where they may be of other writes.
+func TestListOfALaterEraIsANewView(t *testing.T) {
+	runInBubble(t, func(t *testing.T, group *errgroup.Group, ctx context.Context) {
+		store := &returningStore{
+			Store: memstorer.New(),
+		}
+		write(t, store.Store, "a/1", "x")
+		var eras []uint64
+		w := watcher.New[[]byte](store, "a/", always).WithWatchTimeout(func() time.Duration { return 30 * time.Second })
+		group.Go(func() error {
+			return w.Run(ctx, func(view watcher.View[[]byte]) { eras = append(eras, view.Era) }, func() {}, func(error) {})
+		})
+		time.Sleep(40 * time.Second)
+		synctest.Wait()
+		if want := []uint64{1, 2}; !slices.Equal(eras, want) {
+			t.Errorf("got views of eras %v, want %v", eras, want)
+		}
+	})
+}
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -362,7 +362,7 @@
 	if err != nil {
 		return false, err
 	}
-	changed := !w.verifying || !w.holds(changes.Objects)
+	changed := !w.verifying || era != w.era || !w.holds(changes.Objects)
 	w.replaceView(View[T]{
 		Era:      era,
 		Revision: changes.Revision,
