Keep the read deadline of a lingering close

Callers: a stop hangs until the platform kills the process, if a caller keeps a connection open on which a request has only begun. Cause: a closed connection goes on reading in the background under a deadline of its own, and any later SetReadDeadline of its server replaced that deadline. The server removes the deadline once a header has been read or has failed. Change: after Close the connection refuses further read deadlines.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -56,6 +56,39 @@
 	net.Conn
 	listener  *Listener
 	closeOnce sync.Once
+	// deadlineMu guards lingering, which reports that the connection is closed but still
+	// read. Its read deadline is then that of the lingering close.
+	deadlineMu sync.Mutex
+	lingering  bool
+}
+
+// SetReadDeadline sets the read deadline. It returns net.ErrClosed once the connection is
+// closed.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.lingering {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline sets the read and the write deadline. It returns net.ErrClosed once the
+// connection is closed.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// limitReads sets the read deadline of the lingering close, which replaces any other.
+func (c *conn) limitReads() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.lingering = true
+	// An error means that the connection has failed.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(LingerTimeout))
 }
 
 // halfCloser is a connection that can be closed for writing and still be read.
@@ -85,7 +118,7 @@
 // LingerTimeout has passed, and closes the connection.
 func (c *conn) discardUntilClosed() {
 	defer c.Conn.Close()
+	c.limitReads()
 	// An error means that the connection has already failed or closed.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(LingerTimeout))
 	_, _ = io.Copy(io.Discard, c.Conn)
 }
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -62,3 +62,57 @@
 		t.Fatalf("response body: got %d bytes and error %v, want %d bytes and no error", count, err, responseBytes)
 	}
 }
+
+// TestDeadlinesDoNotProlongALingeringClose guards against a lingering close that waits for as
+// long as the peer keeps the connection open, because a deadline is set after Close.
+func TestDeadlinesDoNotProlongALingeringClose(t *testing.T) {
+	cases := []struct {
+		name        string
+		setDeadline func(net.Conn)
+	}{
+		{
+			name:        "read deadline",
+			setDeadline: func(conn net.Conn) { _ = conn.SetReadDeadline(time.Time{}) },
+		},
+		{
+			name:        "both deadlines",
+			setDeadline: func(conn net.Conn) { _ = conn.SetDeadline(time.Time{}) },
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tcpListener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer tcpListener.Close()
+			listener := closer.New(tcpListener)
+			peer, err := net.Dial("tcp", tcpListener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			accepted.Close()
+			time.Sleep(closer.LingerTimeout / 10)
+			c.setDeadline(accepted)
+			ended := make(chan struct{})
+			var group errgroup.Group
+			group.Go(func() error {
+				defer close(ended)
+				listener.Wait()
+				return nil
+			})
+			select {
+			case <-ended:
+			case <-time.After(4 * closer.LingerTimeout):
+				t.Errorf("the connection lingers after %v, want at most %v", 4*closer.LingerTimeout, closer.LingerTimeout)
+				peer.Close()
+			}
+			_ = group.Wait()
+		})
+	}
+}
