Stop reading a request that can get no response any more

Callers: after a response that closes the connection, or that breaks off, the connection stays open until the header timeout, if the header of a further request has begun to arrive; so a caller learns late that its response broke off. At the end of a drain such a connection holds up Shutdown. Excluded: interrupted the reading of a header, so it did not wait there. Change: the end of the connection's context ends the reading, whatever deadline is set before or after it, and Shutdown interrupts the reads of what it aborts.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -78,7 +78,7 @@
 
 // serve serves the connection and closes it at the end.
 func (c *conn) serve() {
-	c.source = newSource(c.netConn)
+	c.source = newSource(c.ctx, c.netConn)
 	c.reader = readBuffers.Get().(*bufio.Reader)
 	c.reader.Reset(c.source)
 	c.writer = writeBuffers.Get().(*bufio.Writer)
@@ -112,7 +112,7 @@
 }
 
 // interruptRead ends the wait for the next request by a read deadline in the past. It
-// doesn't interrupt the reading of a request that has begun to arrive.
+// doesn't interrupt the reading of a request that has begun to arrive, unless ctx has ended.
 func (c *conn) interruptRead() {
 	_ = c.netConn.SetReadDeadline(time.Now())
 }
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -159,6 +159,10 @@
 	case <-ctx.Done():
 	}
 	s.abort(context.Cause(ctx))
+	s.conns.Range(func(key, _ any) bool {
+		key.(*conn).interruptRead()
+		return true
+	})
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		select {
 		case <-ended:
--- a/internal/pipeliner/source.go
+++ b/internal/pipeliner/source.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -12,6 +13,9 @@
 // conn.interruptRead and the idle timeout apply to the wait for a request.
 type source struct {
 	conn net.Conn
+	// ctx ends when no further request can get a response. From then on any read deadline
+	// ends a read.
+	ctx context.Context
 	// remaining is the number of bytes that may still be read, while limited.
 	remaining int64
 	limited   bool
@@ -24,9 +28,10 @@
 
 var errHeaderTooLarge = errors.New("request header is too large")
 
-func newSource(conn net.Conn) *source {
+func newSource(ctx context.Context, conn net.Conn) *source {
 	return &source{
 		conn: conn,
+		ctx:  ctx,
 	}
 }
 
@@ -53,8 +58,17 @@
 // setDeadline changes the deadline for reading the current request.
 func (s *source) setDeadline(deadline time.Time) {
 	s.deadline.Store(&deadline)
-	// An error means that the connection is closed.
+	s.applyDeadline(deadline)
+}
+
+// applyDeadline sets the read deadline of the connection, in the past if ctx has ended:
+// whoever ends ctx interrupts the read after that, which this call may have undone.
+func (s *source) applyDeadline(deadline time.Time) {
+	// Errors mean that the connection is closed.
 	_ = s.conn.SetReadDeadline(deadline)
+	if s.ctx.Err() != nil {
+		_ = s.conn.SetReadDeadline(time.Now())
+	}
 }
 
 // Read reads from the connection, up to the limit.
@@ -88,10 +102,10 @@
 func (s *source) restoreDeadline() bool {
 	for {
 		deadline := s.deadline.Load()
-		if deadline == nil || !deadline.IsZero() && !time.Now().Before(*deadline) {
+		if s.ctx.Err() != nil || deadline == nil || !deadline.IsZero() && !time.Now().Before(*deadline) {
 			return false
 		}
-		_ = s.conn.SetReadDeadline(*deadline)
+		s.applyDeadline(*deadline)
 		// A deadline that was set meanwhile must not be overwritten.
 		if s.deadline.Load() == deadline {
 			return true
