Keep SIGTERM apart from reloads that wait

Callers: an instance whose SIGTERM is lost doesn't drain; the platform kills it at the end of the grace, with all that runs. Change: one channel for each kind. The order of kinds is not kept while a reload runs: an interrupt then may be taken before a SIGTERM that came earlier, and drains only.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -48,9 +48,8 @@
 		return printSettings(s, c.Output, settings.WithoutSecrets())
 	}
 	// A signal must not end the process while the instance opens its listeners.
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
+	signals := notifySignals()
+	defer signals.stop()
 	logWriter := newNonBlockingWriter(s.stdout)
 	defer logWriter.flush()
 	instance, err := newInstance(s, settings, logWriter)
@@ -101,7 +100,7 @@
 // runUntilSignalled runs the instance until a signal stops it. The first SIGTERM or
 // interrupt drains it. A further SIGTERM changes nothing, as whoever supervises the process
 // may repeat it, but an interrupt halts an instance that is draining. SIGHUP calls reload.
-func runUntilSignalled(s *invocation, instance entryInstance, signals <-chan os.Signal, reload func() error) error {
+func runUntilSignalled(s *invocation, instance entryInstance, signals signalChannels, reload func() error) error {
 	group, ctx := errgroup.WithContext(s.ctx)
 	servingCtx, drain := context.WithCancel(ctx)
 	defer drain()
@@ -113,15 +112,15 @@
 	group.Go(func() error {
 		for {
 			select {
-			case received := <-signals:
-				switch {
-				case received == syscall.SIGHUP:
-					reportReload(s, reload())
-				case received == os.Interrupt && servingCtx.Err() != nil:
+			case <-signals.reload:
+				reportReload(s, reload())
+			case <-signals.terminate:
+				drain()
+			case <-signals.interrupt:
+				if servingCtx.Err() != nil {
 					instance.Halt()
-				default:
-					drain()
 				}
+				drain()
 			case <-ended:
 				return nil
 			}
@@ -130,8 +129,35 @@
 	return group.Wait()
 }
 
-// signalBuffer is the number of signals that can wait to be handled. A further one is lost.
-const signalBuffer = 8
+// signalChannels receive the signals that control the instance, each kind on a channel of its
+// own, so that no number of one kind makes another be lost. Signals of a kind that wait for
+// the same channel count as one.
+type signalChannels struct {
+	reload    chan os.Signal
+	terminate chan os.Signal
+	// interrupt holds two signals: one that drains the instance and one that halts it.
+	interrupt chan os.Signal
+}
+
+// notifySignals starts to receive signals, which then no longer end the process.
+func notifySignals() signalChannels {
+	channels := signalChannels{
+		reload:    make(chan os.Signal, 1),
+		terminate: make(chan os.Signal, 1),
+		interrupt: make(chan os.Signal, 2),
+	}
+	signal.Notify(channels.reload, syscall.SIGHUP)
+	signal.Notify(channels.terminate, syscall.SIGTERM)
+	signal.Notify(channels.interrupt, os.Interrupt)
+	return channels
+}
+
+// stop stops receiving signals.
+func (c signalChannels) stop() {
+	signal.Stop(c.reload)
+	signal.Stop(c.terminate)
+	signal.Stop(c.interrupt)
+}
 
 // reportReload reports why the settings could not be read again, if they could not.
 func reportReload(s *invocation, err error) {
