Answer pipelined requests that wait for their turn when a drain ends

Callers: a request that was passed on, behind a slower one on its connection, ends with a closed connection when the drain aborts the slower. Cause: an answer that is streamed, or longer than 64 KB, waits for its turn; the end of the connection's context marked its response as broken for good, although nothing of it had left the buffer, so that even the refusal in its place could not be sent. Excluded: a finished answer up to 64 KB is kept and sent behind the refusal of the slower one (case "short" passed before). Evidence: TestRequestsBehindAnAbortedOneAreAnswered failed in the cases "streamed" and "longer than the buffer" (unexpected EOF), on and on. Change: Reset makes such a response usable again, for a refusal (502, may have run).

--- a/internal/pipeliner/abort_test.go
+++ b/internal/pipeliner/abort_test.go
@@ -1,10 +1,12 @@
 package pipeliner_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +92,88 @@
 		})
 	}
 }
+
+// TestRequestsBehindAnAbortedOneAreAnswered guards against a finished response, or the refusal in
+// place of one that waits for its turn, that is thrown away because the end of Shutdown aborts
+// a request before it on its connection.
+func TestRequestsBehindAnAbortedOneAreAnswered(t *testing.T) {
+	cases := []struct {
+		name string
+		// body is the response to the second request.
+		body string
+		// flushed says that the handler flushes the response, as a streamed one.
+		flushed bool
+		want    result
+	}{
+		{
+			name: "short",
+			body: "view",
+			want: result{
+				status: http.StatusOK,
+				body:   "view",
+				closes: true,
+			},
+		},
+		{
+			name:    "streamed",
+			body:    "view",
+			flushed: true,
+			want: result{
+				status: http.StatusBadGateway,
+				closes: true,
+			},
+		},
+		{
+			name: "longer than the buffer",
+			body: strings.Repeat("v", 100<<10),
+			want: result{
+				status: http.StatusBadGateway,
+				closes: true,
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			started := make(chan struct{}, 2)
+			server, caller := startServer(t, func(w http.ResponseWriter, request *http.Request) {
+				started <- struct{}{}
+				if request.URL.Path == "/1" {
+					<-request.Context().Done()
+					w.WriteHeader(http.StatusBadGateway)
+					return
+				}
+				_, err := io.WriteString(w, c.body)
+				if err == nil && c.flushed {
+					err = http.NewResponseController(w).Flush()
+				}
+				if err == nil {
+					return
+				}
+				if !w.(interface{ Reset() bool }).Reset() {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(http.StatusBadGateway)
+			})
+			send(t, caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+			<-started
+			<-started
+			time.Sleep(stopPause)
+			ctx, cancel := context.WithTimeout(t.Context(), stopPause)
+			defer cancel()
+			var group errgroup.Group
+			group.Go(func() error {
+				// The error is that of ctx.
+				_ = server.Shutdown(ctx)
+				return nil
+			})
+			defer func() { _ = group.Wait() }()
+			reader := bufio.NewReader(caller)
+			if got := receive(t, reader, http.MethodGet); got.status != http.StatusBadGateway {
+				t.Errorf("first response: got %+v, want status 502", got)
+			}
+			if got := receive(t, reader, http.MethodGet); got != c.want {
+				t.Errorf("second response: got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -164,9 +164,11 @@
 // Reset drops what has been written of the response, so that another one can take its place.
 // It returns false if a part of the response has left the buffer.
 func (e *exchange) Reset() bool {
-	if e.streaming || e.broken {
+	if e.streaming {
 		return false
 	}
+	// The connection's context may have ended before the response's turn.
+	e.broken = false
 	clear(e.header)
 	e.status = 0
 	e.statusSet = false
