Close all connections before the platform kills

Operators: the process is killed at the end of its grace before its last lines are written. Cause: the reserve before the kill was a tenth of the time, while what follows the end of a drain does not shrink with it: answers to aborted requests 0.2 s, lingering closes 0.5 s, the last lines 0.2 s. With 6 s these need up to 0.9 s of 0.6 s. Change: the reserve is 0.6 s, a third each for the answers, for closing and for the end of the process, and no connection lingers into the last third. For 6 s the drain ends at 5.4 s as before.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,6 +24,8 @@
 	net.Listener
 	// lingering runs one goroutine for each connection that is closed but still read.
 	lingering errgroup.Group
+	// lingerUntil bounds the lingering closes that begin from now on; nil if nothing does.
+	lingerUntil atomic.Pointer[time.Time]
 }
 
 // New returns a listener that wraps another one.
@@ -44,6 +47,20 @@
 	}, nil
 }
 
+// LimitLinger sets the time after which no connection that is closed from now on lingers.
+func (l *Listener) LimitLinger(until time.Time) {
+	l.lingerUntil.Store(&until)
+}
+
+// lingerEnd returns the time until which a connection that is closed now lingers.
+func (l *Listener) lingerEnd(now time.Time) time.Time {
+	end := now.Add(LingerTimeout)
+	if until := l.lingerUntil.Load(); until != nil && until.Before(end) {
+		return *until
+	}
+	return end
+}
+
 // Wait waits until no connection lingers. It must be called after the last Close of a
 // connection.
 func (l *Listener) Wait() {
@@ -88,7 +105,7 @@
 	defer c.deadlineMu.Unlock()
 	c.lingering = true
 	// An error means that the connection has failed.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(LingerTimeout))
+	_ = c.Conn.SetReadDeadline(c.listener.lingerEnd(time.Now()))
 }
 
 // halfCloser is a connection that can be closed for writing and still be read.
@@ -97,7 +114,7 @@
 }
 
 // Close closes the connection for writing and returns. The connection itself is closed
-// when its peer has closed it or LingerTimeout has passed. One that can't be
+// when its peer has closed it, LingerTimeout has passed or LimitLinger ends it. One that can't be
 // half-closed is closed immediately.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -175,10 +175,17 @@
 	}
 }
 
+// resetter is a response that can be replaced by another one.
+type resetter interface {
+	// Reset drops what has been written, unless a part of it may have been sent to the
+	// caller, and reports whether it did.
+	Reset() bool
+}
+
 // reset drops a response of which nothing has been sent to the caller, so that a refusal can
 // take its place, and reports whether it did.
 func reset(w http.ResponseWriter) bool {
-	response, ok := w.(interface{ Reset() bool })
+	response, ok := w.(resetter)
 	return ok && response.Reset()
 }
 
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -24,6 +24,9 @@
 	schedule := drainer.NewSchedule(time.Now(), s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis).
 		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
+	if !schedule.CloseBy.IsZero() {
+		s.listeners.lingering.LimitLinger(schedule.CloseBy)
+	}
 	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the platform is not
 		// called any more.
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -31,7 +31,7 @@
 
 // listeners are the open listeners of an instance.
 type listeners struct {
-	callers   net.Listener
+	callers   *closer.Listener
 	peers     net.Listener
 	operators net.Listener
 	lookups   net.Listener
@@ -41,11 +41,12 @@
 // openListeners opens the listeners at the addresses in the settings.
 func openListeners(settings configurer.Settings) (listeners, error) {
 	var opened listeners
+	var callers net.Listener
 	err := binder.Open(
 		binder.Binding{
 			Setting:  "Callers.Listen",
 			Address:  settings.Callers.Listen,
-			Listener: &opened.callers,
+			Listener: &callers,
 		},
 		binder.Binding{
 			Setting:  "Peers.Listen",
@@ -68,6 +69,7 @@
 			Listener: &opened.readiness,
 		},
 	)
+	opened.callers = closer.New(callers)
 	return opened, err
 }
 
@@ -82,8 +84,7 @@
 		WriteMillis:  writeTimeoutMillis,
 		MaxPipelined: maxPipelined,
 	}, func(reason any) { s.log.Error().Interface("Reason", reason).Msg("HandlerPanicked") })
-	callerListener := closer.New(s.listeners.callers)
-	group.Go(func() error { return s.callerServer.Serve(callerListener) })
+	group.Go(func() error { return s.callerServer.Serve(s.listeners.callers) })
 	linkMux := http.NewServeMux()
 	linkMux.Handle("GET "+linker.Path, s.hub)
 	metricsMux := http.NewServeMux()
@@ -118,7 +119,7 @@
 		if err := s.callerServer.Shutdown(ctx); err != nil {
 			s.log.Warn().Err(err).Int("InFlight", s.inFlight.Count()).Msg("RequestsBrokenOff")
 		}
-		callerListener.Wait()
+		s.listeners.callers.Wait()
 	}
 }
 
--- a/pkg/command/drainer/drainer.go
+++ b/pkg/command/drainer/drainer.go
@@ -19,6 +19,9 @@
 	ServeUntil time.Time
 	// End is when the requests that still run are aborted.
 	End time.Time
+	// CloseBy is when all connections are closed, whether or not the callers have closed
+	// theirs. It is zero if the process is not killed.
+	CloseBy time.Time
 }
 
 // NewSchedule returns the schedule of a drain that begins now: requests are accepted for
@@ -31,26 +34,29 @@
 	}
 }
 
-// endReserve is the part of the time until the kill that is left for the answers to aborted
-// requests and for the end of the process: one in endReserve.
-const endReserve = 10
+// endReserve is how long before the kill a drain ends: a third of it each for the answers to
+// aborted requests, for closing their connections and for the end of the process. If the kill
+// is soon, it is half of the time until then.
+const endReserve = 600 * time.Millisecond
 
 // WithKill returns a copy whose steps come early enough for a drain that has begun at a time
-// and whose process is killed killSeconds after that: End is one tenth of the time before
-// the kill at the latest, and ServeUntil is halfway to End at the latest. If killSeconds is
-// 0, the process is not killed.
+// and whose process is killed killSeconds after that: End is endReserve before the kill at the
+// latest, and ServeUntil is halfway to End at the latest. If killSeconds is 0, the process is
+// not killed.
 func (s Schedule) WithKill(begun time.Time, killSeconds float64) Schedule {
 	if killSeconds == 0 {
 		return s
 	}
 	untilKill := time.Duration(killSeconds * float64(time.Second))
-	untilEnd := untilKill - untilKill/endReserve
+	reserve := min(endReserve, untilKill/2)
+	untilEnd := untilKill - reserve
 	if end := begun.Add(untilEnd); end.Before(s.End) {
 		s.End = end
 	}
 	if halfway := begun.Add(untilEnd / 2); halfway.Before(s.ServeUntil) {
 		s.ServeUntil = halfway
 	}
+	s.CloseBy = begun.Add(untilKill - reserve/3)
 	return s
 }
 
