--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -280,9 +280,9 @@
 	return w.era < w.latestEra
 }
 
-// confirmEra records and returns the era of an answer, or returns storer.ErrEarlierEra. An answer
+// acceptEra records and returns the era of an answer, or returns storer.ErrEarlierEra. An answer
 // that does not report the era, which is 0 then, counts as one of the latest era.
-func (w *Watcher[T]) confirmEra(answered uint64) (uint64, error) {
+func (w *Watcher[T]) acceptEra(answered uint64) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if answered == 0 {
@@ -308,7 +308,7 @@
 	if err != nil {
 		return false, err
 	}
-	era, err := w.confirmEra(changes.Era)
+	era, err := w.acceptEra(changes.Era)
 	if err != nil || era != w.era {
 		return false, err
 	}
@@ -358,7 +358,7 @@
 	if err != nil {
 		return false, err
 	}
-	era, err := w.confirmEra(changes.Era)
+	era, err := w.acceptEra(changes.Era)
 	if err != nil {
 		return false, err
 	}
