List again after a first view of an earlier era

Seen by callers: a change is not in force on an instance that started around the store's return. Cause: an instance learns the later era from one collection and gets its first view of another from a peer that has not heard of the return. The era is announced to the collections once, before that view, and never for the first era of an instance. The watch from the view's revision then waits up to 30 s if the store has given that revision out again, and misses what came before it. Evidence: TestViewOfAnEarlierEraIsListedAgain failed before (0 lists, want 1). Change: each new view is followed by the era that the instance knows. It cancels nothing if the view is of that era. Result: pkg/query/... and internal/steerer pass under the race detector.

--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -199,6 +199,8 @@
 	}
 	r.history.Store(&next)
 	r.steerer.observeEra(view.Position())
+	// A peer's view may be of an earlier era than the one that another collection has told.
+	r.watcher.ObserveEra(r.steerer.storeEra.Load())
 	r.updateRetained(view)
 	if r.steerer.watching.Load() {
 		r.steerer.hub.HeartbeatPlaceNow()
--- a/internal/steerer/reflector_test.go
+++ b/internal/steerer/reflector_test.go
@@ -1,9 +1,14 @@
 package steerer
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/query/watcher"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
@@ -109,3 +114,73 @@
 		},
 	}
 }
+
+// TestViewOfAnEarlierEraIsListedAgain guards against a first view from a peer that has not heard of
+// the store's return, on an instance that knows the later era from another collection: a watch from
+// its revision may miss the changes before.
+func TestViewOfAnEarlierEraIsListedAgain(t *testing.T) {
+	cases := []struct {
+		name string
+		// era is that of the offered view; the instance knows the store's era 2.
+		era  uint64
+		want int64
+	}{
+		{
+			name: "a view of the era that is known",
+			era:  2,
+			want: 0,
+		},
+		{
+			name: "a view of an earlier era",
+			era:  1,
+			want: 1,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &listCounter{}
+				s := &Steerer{}
+				s.storeEra.Store(2)
+				r := typedReflector[string]{
+					steerer:  s,
+					watcher:  watcher.New[[]byte](store, "a", func() bool { return true }),
+					retained: retainer.New(plainRetention[string]{}, keepMillis),
+					decoded:  map[string]decodedObject[string]{},
+					onUpdate: func([]retainer.Entry[string], storer.Position) {},
+				}
+				r.watcher.Offer(watcher.View[[]byte]{
+					Era:      c.era,
+					Revision: 5,
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				if err := r.watcher.Run(ctx, r.applyView, func() {}, func(error) {}); err != nil {
+					t.Fatal(err)
+				}
+				if got := store.lists.Load(); got != c.want {
+					t.Errorf("got %d lists, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// listCounter is an empty store of era 2 that counts its lists, and whose watches find nothing.
+type listCounter struct {
+	storer.Reader[[]byte]
+	lists atomic.Int64
+}
+
+func (l *listCounter) List(context.Context, string) (storer.Changes[[]byte], error) {
+	l.lists.Add(1)
+	return storer.Changes[[]byte]{
+		Era:      2,
+		Revision: 9,
+	}, nil
+}
+
+func (*listCounter) Watch(ctx context.Context, _ string, _ uint64) (storer.Changes[[]byte], error) {
+	<-ctx.Done()
+	return storer.Changes[[]byte]{}, ctx.Err()
+}
