--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -188,7 +188,8 @@
 const arrivalTimeout = 100 * time.Millisecond
 
 // awaitArrived makes the last attempt to read the first byte of a request. A read whose
-// deadline has passed fails even if bytes have arrived.
+// deadline has passed fails even if bytes have arrived. The read is repeated until
+// arrivalTimeout is over, because interruptRead may end it earlier.
 func (c *conn) awaitArrived() error {
 	until := time.Now().Add(arrivalTimeout)
 	for {
@@ -225,7 +226,7 @@
 // large a header, then gets an error response.
 func (c *conn) readRequest() (next *exchange, last bool) {
 	timeout := time.Duration(c.server.limits.HeaderMillis) * time.Millisecond
-	c.source.beginRequest(time.Now().Add(timeout))
+	c.source.setDeadline(time.Now().Add(timeout))
 	c.source.limit(int64(c.server.limits.HeaderBytes - c.reader.Buffered()))
 	request, err := http.ReadRequest(c.reader)
 	exceeded := c.source.exceeded
--- a/internal/pipeliner/source.go
+++ b/internal/pipeliner/source.go
@@ -45,17 +45,13 @@
 	s.limited = false
 }
 
-// beginRequest sets the deadline for reading a request that has begun to arrive.
-func (s *source) beginRequest(deadline time.Time) {
-	s.setDeadline(deadline)
-}
-
 // endRequest says that the request has been read, or isn't read any further.
 func (s *source) endRequest() {
 	s.deadline.Store(nil)
 }
 
-// setDeadline changes the deadline for reading the current request.
+// setDeadline sets the deadline for reading a request that has begun to arrive, or changes it.
+// The zero time means none.
 func (s *source) setDeadline(deadline time.Time) {
 	s.deadline.Store(&deadline)
 	s.applyDeadline(deadline)
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -343,7 +343,23 @@
 		delta = delta.WithEra(base.Era)
 	}
 	view, applies := delta.Apply(base)
-	s.log.Info().
+	r.logRelayed(peer, base, delta, applies)
+	if !applies {
+		return
+	}
+	s.viewFetched(peer)
+	r.watcher.Offer(view)
+}
+
+// logRelayed logs the changes that a peer has sent, and whether they apply to the view that they
+// were requested for.
+func (r *typedReflector[T]) logRelayed(
+	peer registrar.Member,
+	base watcher.View[[]byte],
+	delta watcher.Delta[[]byte],
+	applies bool,
+) {
+	r.steerer.log.Info().
 		Str("Peer", peer.Name).
 		Str("Topic", r.topic).
 		Uint64("Era", delta.Era).
@@ -354,9 +370,4 @@
 		Int("Removed", len(delta.Removed)).
 		Bool("Applies", applies).
 		Msg("Relayed")
-	if !applies {
-		return
-	}
-	s.viewFetched(peer)
-	r.watcher.Offer(view)
 }
