Refuse at once what the team's rate can't admit in time

Cause: a request beyond its team's rate waited for a third of its objective (167 to 267 ms) even while the queue before it already held more than the rate admits until then. Change: a limiter that has refused for AnswerTimeout knows the rate at which it serves waiters, and refuses immediately a request behind more waiters than will be served by its deadline. The queue has a file of its own.

--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -262,7 +262,7 @@
 	if a.Deadline.Before(deadline) {
 		deadline = a.Deadline
 	}
-	return a.limiter.Enqueue(deadline, admitted)
+	return a.limiter.Enqueue(now, deadline, admitted)
 }
 
 // Team returns the name of the caller's team, or "" on an open route.
--- a/pkg/command/sharer/backoff_test.go
+++ b/pkg/command/sharer/backoff_test.go
@@ -56,7 +56,7 @@
 	for wait := time.Duration(0); wait < timeout; wait += sharer.PollInterval {
 		at := now.Add(wait)
 		limiter.Take(at)
-		limiter.Enqueue(at.Add(time.Second), func(bool) {})
+		limiter.Enqueue(at, at.Add(time.Second), func(bool) {})
 		asks := limiter.Poll(at).Asks
 		for _, directed := range asks {
 			limiter.Receive(directed.Holder, sharer.Grant{
--- a/pkg/command/sharer/example_test.go
+++ b/pkg/command/sharer/example_test.go
@@ -22,7 +22,7 @@
 	_, ok := borrower.Take(now)
 	fmt.Println("at once:", ok)
 
-	borrower.Enqueue(now.Add(sharer.MaxWait), func(admitted bool) {
+	borrower.Enqueue(now, now.Add(sharer.MaxWait), func(admitted bool) {
 		fmt.Println("after a loan:", admitted)
 	})
 	for _, directed := range borrower.Poll(now).Asks {
--- a/pkg/command/sharer/limiter.go
+++ b/pkg/command/sharer/limiter.go
@@ -83,6 +83,14 @@
 	// maxWaiters is the largest number of waiters.
 	maxWaiters int
 	waiters    []waiter
+	// overloadedSince is when the queue began to refuse waiters; the zero time while none is
+	// refused. lastRefusedAt is the time of the latest refusal.
+	overloadedSince time.Time
+	lastRefusedAt   time.Time
+	// served counts the waiters that were served, and serviceRate is the moving average of
+	// their rate.
+	served      uint64
+	serviceRate demand
 }
 
 // openAsk is an ask that has not been answered yet.
@@ -91,17 +99,6 @@
 	askedAt  time.Time
 }
 
-// waiter is a request of this instance, or an ask of a borrower, that waits for the
-// team's rate.
-type waiter struct {
-	// deadline is the instant at which the waiter is refused.
-	deadline time.Time
-	// serve tries to serve the waiter, and returns false if no unit is available.
-	serve func(now time.Time) bool
-	// refuse ends the wait without success.
-	refuse func()
-}
-
 // NewLimiter returns a limiter that owns nothing. The parameter borrower is the
 // incarnation of the instance, which identifies it to lenders.
 func NewLimiter(resource, borrower string, now time.Time) *Limiter {
@@ -154,23 +151,6 @@
 	}
 }
 
-// Enqueue makes a request wait for the team's rate until the deadline. It returns false
-// if there are too many waiters. Otherwise done is called exactly once: with true once
-// the request is admitted, or with false at the deadline.
-func (l *Limiter) Enqueue(deadline time.Time, done func(bool)) bool {
-	return l.addWaiter(waiter{
-		deadline: deadline,
-		serve: func(now time.Time) bool {
-			if _, ok := l.Bucket.Take(now); !ok && !l.borrowed.take(now) {
-				return false
-			}
-			done(true)
-			return true
-		},
-		refuse: func() { done(false) },
-	})
-}
-
 // Lend answers an ask of another instance: at once if units are in stock and there are
 // no waiters, otherwise when its turn comes or its wait limit ends.
 func (l *Limiter) Lend(ask Ask, now time.Time, answer func(Grant)) {
@@ -225,6 +205,7 @@
 	l.Account.ExpireLoans(now)
 	if now.Sub(l.demand.observedAt) >= observeInterval {
 		l.demand.observe(l.requests.Load(), now)
+		l.serviceRate.observe(l.served, now)
 	}
 	l.serveWaiters(now)
 	l.borrowed.sweep(now, func(b *batch, unused int) {
@@ -317,42 +298,6 @@
 	}
 }
 
-// Waiting returns the number of waiting requests and asks.
-func (l *Limiter) Waiting() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.waiters)
-}
-
-// addWaiter adds a waiter to the queue and returns false if the queue is full.
-func (l *Limiter) addWaiter(w waiter) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.waiters) >= l.maxWaiters {
-		return false
-	}
-	l.waiters = append(l.waiters, w)
-	l.pollAt.Store(pollImmediately)
-	return true
-}
-
-// serveWaiters refuses the waiters whose deadline has passed. It then serves the
-// others in order of arrival as far as units are available.
-func (l *Limiter) serveWaiters(now time.Time) {
-	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool {
-		expired := !now.Before(w.deadline)
-		if expired {
-			w.refuse()
-		}
-		return expired
-	})
-	served := 0
-	for served < len(l.waiters) && l.waiters[served].serve(now) {
-		served++
-	}
-	l.waiters = slices.Delete(l.waiters, 0, served)
-}
-
 // newSettlement returns the settlement of a batch.
 func (l *Limiter) newSettlement(b *batch, unused int) Settlement {
 	return Settlement{
--- /dev/null
+++ b/pkg/command/sharer/queue.go
@@ -0,0 +1,109 @@
+package sharer
+
+import (
+	"slices"
+	"time"
+)
+
+// waiter is a request of this instance, or an ask of a borrower, that waits for the
+// team's rate.
+type waiter struct {
+	// deadline is the instant at which the waiter is refused.
+	deadline time.Time
+	// serve tries to serve the waiter, and returns false if no unit is available.
+	serve func(now time.Time) bool
+	// refuse ends the wait without success.
+	refuse func()
+}
+
+// Enqueue makes a request wait for the team's rate until the deadline. It returns false
+// if there are too many waiters, or if those ahead of the request will use up all that the
+// rate admits until the deadline. Otherwise done is called exactly once: with true once
+// the request is admitted, or with false at the deadline.
+func (l *Limiter) Enqueue(now, deadline time.Time, done func(bool)) bool {
+	if l.isUsedUp(now, deadline) {
+		return false
+	}
+	return l.addWaiter(waiter{
+		deadline: deadline,
+		serve: func(now time.Time) bool {
+			if _, ok := l.Bucket.Take(now); !ok && !l.borrowed.take(now) {
+				return false
+			}
+			done(true)
+			return true
+		},
+		refuse: func() { done(false) },
+	})
+}
+
+// Waiting returns the number of waiting requests and asks.
+func (l *Limiter) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiters)
+}
+
+// addWaiter adds a waiter to the queue and returns false if the queue is full.
+func (l *Limiter) addWaiter(w waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiters) >= l.maxWaiters {
+		return false
+	}
+	l.waiters = append(l.waiters, w)
+	l.pollAt.Store(pollImmediately)
+	return true
+}
+
+// serveWaiters refuses the waiters whose deadline has passed. It then serves the
+// others in order of arrival as far as units are available.
+func (l *Limiter) serveWaiters(now time.Time) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w waiter) bool {
+		expired := !now.Before(w.deadline)
+		if expired {
+			w.refuse()
+			l.recordRefusal(now)
+		}
+		return expired
+	})
+	served := 0
+	for served < len(l.waiters) && l.waiters[served].serve(now) {
+		served++
+	}
+	l.waiters = slices.Delete(l.waiters, 0, served)
+	l.served += uint64(served)
+	if len(l.waiters) == 0 && now.Sub(l.lastRefusedAt) > serviceWindow {
+		l.overloadedSince = time.Time{}
+	}
+}
+
+// serviceWindow is how long requests must have been refused before the rate at which waiters
+// are served counts as known, and how long none must have been refused before it counts as
+// unknown again. Each ask that was sent at the first refusal has been answered by then.
+const serviceWindow = AnswerTimeout
+
+// recordRefusal records that a waiter was refused, or that a request was not let wait.
+func (l *Limiter) recordRefusal(now time.Time) {
+	l.lastRefusedAt = now
+	if l.overloadedSince.IsZero() {
+		l.overloadedSince = now
+	}
+}
+
+// isUsedUp reports whether the waiters ahead of a request will use up all that the rate admits
+// until the deadline, at the rate at which this instance has served waiters lately. It returns
+// false while that rate is not known.
+func (l *Limiter) isUsedUp(now, deadline time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.overloadedSince.IsZero() || now.Sub(l.overloadedSince) < serviceWindow {
+		return false
+	}
+	expected := l.serviceRate.perSecond * deadline.Sub(now).Seconds()
+	if float64(len(l.waiters)) <= expected {
+		return false
+	}
+	l.recordRefusal(now)
+	return true
+}
--- a/pkg/command/sharer/simulation_test.go
+++ b/pkg/command/sharer/simulation_test.go
@@ -228,7 +228,7 @@
 	}
 	arrivedAt := s.now
 	s.waiting++
-	enqueued := inst.limiter.Enqueue(s.localTime(inst).Add(s.policy.maxWait), func(admitted bool) {
+	enqueued := inst.limiter.Enqueue(s.localTime(inst), s.localTime(inst).Add(s.policy.maxWait), func(admitted bool) {
 		s.waiting--
 		if admitted {
 			s.recordAdmission(s.now - arrivedAt)
