Watch the platform at once after a restart

The processes were back at 32.65 s and had a declaration in force at 33.05 to 33.16 s: the list of instances came within 0.1 s, but who watches was decided at the next periodic check (250 ms), and noticed by the watchers 200 ms after that. Change: the first list after a restart decides at once, and the watchers are told. That made an instance which starts beside a store restored from a copy take its older declaration before it had links (found by TestInstanceThatStartsAfterARestoreWaitsForTheDeclarationOfItsPeers; the delay had hidden it). It now waits for links to the listed peers of its region, 400 ms at most, and is told by their first heartbeat.

--- a/internal/steerer/awaited.go
+++ b/internal/steerer/awaited.go
@@ -6,13 +6,19 @@
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
-// maxDeclarationWait is the longest time after its start for which an instance waits for a
-// declaration that its peers have in force.
-const maxDeclarationWait = 6 * time.Second
+const (
+	// maxDeclarationWait is the longest time after its start for which an instance waits for a
+	// declaration that its peers have in force.
+	maxDeclarationWait = 6 * time.Second
+	// maxNearPeersWait is the longest time after its start for which an instance waits for links
+	// to the peers of its region, which tell what they have in force.
+	maxNearPeersWait = 400 * time.Millisecond
+)
 
 // offerDeclaration puts a declaration into force, unless this instance has none yet and a peer
-// has a newer one: the store may have returned from an older copy, and the newer declaration be
-// written again soon. Until then the instance refuses requests, which other instances serve.
+// has a newer one or may have: the store may have returned from an older copy, and the newer
+// declaration be written again soon. Until then the instance refuses requests, which other
+// instances serve.
 func (s *Steerer) offerDeclaration(declaration declarer.Declaration) {
 	newest := s.newestAtPeers()
 	if !s.awaitsDeclaration(declaration, newest, time.Now()) {
@@ -21,19 +27,47 @@
 	}
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
-	if declaration.Revision > s.awaiting.Revision {
-		s.awaiting = declaration
+	if declaration.Revision <= s.awaiting.Revision {
+		return
+	}
+	s.awaiting = declaration
+	if declaration.Revision < newest {
 		s.log.Warn().Uint64("Revision", declaration.Revision).Uint64("AtPeers", newest).Msg("ConfigOutdated")
 	}
 }
 
 // awaitsDeclaration reports whether a declaration is not to come into force at a time, because a
-// peer has the newest one.
+// peer has a newer one, the newest, or the peers nearby have not told yet what they have.
 func (s *Steerer) awaitsDeclaration(declaration declarer.Declaration, newest uint64, now time.Time) bool {
 	if s.plans.Load().Table().RevisionNumber() != 0 {
 		return false
 	}
-	return declaration.Revision < newest && now.Sub(s.startedAt) < maxDeclarationWait
+	started := now.Sub(s.startedAt)
+	if started < maxNearPeersWait && !s.nearPeersLinked() {
+		return true
+	}
+	return declaration.Revision < newest && started < maxDeclarationWait
+}
+
+// nearPeersLinked reports whether all listed instances of this instance's region are linked, or
+// all listed instances if the region has no other. The list may hold their earlier starts.
+func (s *Steerer) nearPeersLinked() bool {
+	awaited := map[string]bool{}
+	others := s.otherMembers()
+	for _, member := range others {
+		if s.regionOf(member.Place) == s.regionOf(s.self.Place) {
+			awaited[member.Name] = true
+		}
+	}
+	if len(awaited) == 0 {
+		for _, member := range others {
+			awaited[member.Name] = true
+		}
+	}
+	for _, peer := range s.hub.Peers() {
+		delete(awaited, peer.Member.Name)
+	}
+	return len(awaited) == 0
 }
 
 // newestAtPeers returns the highest revision of a declaration in force at a linked peer.
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -50,6 +50,8 @@
 func (s *Steerer) peerChanged(peer registrar.Member, previous, heartbeat linker.Heartbeat) {
 	if previous == (linker.Heartbeat{}) {
 		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLinked")
+		// A declaration may have waited for this link.
+		s.hub.Go(s.endDeclarationWait)
 	}
 	if heartbeat.Leaving && !previous.Leaving {
 		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
--- a/internal/steerer/parts.go
+++ b/internal/steerer/parts.go
@@ -1,8 +1,10 @@
 package steerer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -48,16 +50,19 @@
 // apportionerMember converts an instance to a member among which limits are split.
 // Members are grouped by region, because network paths within a region are short.
 func (s *Steerer) apportionerMember(member registrar.Member) apportioner.Member {
-	region := ""
-	for _, place := range s.settings.Places {
-		if place.Name == member.Place {
-			region = place.Region
-		}
-	}
 	return apportioner.Member{
 		Name:  member.Name,
-		Group: region,
+		Group: s.regionOf(member.Place),
+	}
+}
+
+// regionOf returns the region of a failure domain, or "" if the settings do not hold it.
+func (s *Steerer) regionOf(place string) string {
+	index := slices.IndexFunc(s.settings.Places, func(known configurer.Place) bool { return known.Name == place })
+	if index < 0 {
+		return ""
 	}
+	return s.settings.Places[index].Region
 }
 
 func (s *Steerer) apportionerMembers(listed []registrar.Member) []apportioner.Member {
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -62,6 +62,8 @@
 	run(ctx context.Context) error
 	// restartWatch ends the current watch and starts a new one with the current timeout.
 	restartWatch()
+	// recheckWatch makes the reflector notice immediately that this instance is to watch.
+	recheckWatch()
 	// observeEra makes the copy be listed again if it is of an earlier era of the store.
 	observeEra(era uint64)
 	// refresh applies the objects that count now, if others count since the last view.
@@ -175,6 +177,10 @@
 	r.watcher.Restart()
 }
 
+func (r *typedReflector[T]) recheckWatch() {
+	r.watcher.Recheck()
+}
+
 // view returns the latest view, which is empty before the first one.
 func (r *typedReflector[T]) view() watcher.View[[]byte] {
 	if history := r.history.Load(); history != nil {
--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -8,28 +8,35 @@
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
-// setRoster applies a list of the instances' entries.
+// setRoster applies a list of the instances' entries. The first list that an instance gets after
+// a restart already tells whether it is to watch the platform, so that it need not wait for the
+// next periodic check. At its first start the list may lack the instances that precede it.
 func (s *Steerer) setRoster(listed registrar.Roster) {
-	s.detectRestart(listed)
+	isFirst := s.roster.Load().Position().IsZero()
+	restarted := s.detectRestart(listed)
 	roster := s.withLinkedIncarnations(listed)
 	s.storeRoster(roster)
 	s.ensureEntry()
+	if isFirst && restarted {
+		s.updateWatching()
+	}
 	s.updatePeerLinks()
 	s.updateSeats()
 	s.updateLocator()
 	s.log.Info().Int("Members", len(roster.Members())).EmbedObject(loggedPosition(roster.Position())).Msg("MembersListed")
 }
 
-// detectRestart informs the apportioner if the list holds an earlier incarnation of
-// this instance.
-func (s *Steerer) detectRestart(listed registrar.Roster) {
+// detectRestart reports whether the list holds an earlier incarnation of this instance, and
+// informs the apportioner if so.
+func (s *Steerer) detectRestart(listed registrar.Roster) bool {
 	before, found := memberByName(listed, s.self.Name)
 	if !found || before.Incarnation == s.self.Incarnation {
-		return
+		return false
 	}
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	s.apportioner.MarkRestarted()
+	return true
 }
 
 // withLinkedIncarnations returns the roster with the incarnations that are linked. An
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -21,8 +21,12 @@
 		// The peers of this instance are not known yet.
 		watching = false
 	}
-	if s.watching.Swap(watching) != watching {
-		s.log.Info().Bool("Watching", watching).Msg("WatchingChanged")
+	if s.watching.Swap(watching) == watching {
+		return
+	}
+	s.log.Info().Bool("Watching", watching).Msg("WatchingChanged")
+	for _, reflector := range s.reflectors {
+		reflector.recheckWatch()
 	}
 }
 
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -47,7 +47,7 @@
 }
 
 // Watcher keeps the view of one prefix up to date. One goroutine calls Run; any goroutine
-// may call Offer and Restart.
+// may call Offer, Recheck and Restart.
 type Watcher[T any] struct {
 	reader storer.Reader[T]
 	prefix string
@@ -87,8 +87,8 @@
 	offered *View[T]
 	// cancelCall cancels the call in progress; nil while there is none.
 	cancelCall context.CancelFunc
-	// offerSignal wakes awaitOffer when a view has been offered.
-	offerSignal chan struct{}
+	// wakeups wakes awaitOffer when a view has been offered, or shouldWatch is to be called.
+	wakeups chan struct{}
 }
 
 // New returns a watcher of a prefix. It watches the store while shouldWatch returns true.
@@ -98,7 +98,7 @@
 		prefix:      prefix,
 		shouldWatch: shouldWatch,
 		objects:     map[string]storer.Object[T]{},
-		offerSignal: make(chan struct{}, 1),
+		wakeups:     make(chan struct{}, 1),
 	}
 }
 
@@ -154,10 +154,16 @@
 	if w.cancelCall != nil {
 		w.cancelCall()
 	}
+	w.Recheck()
+}
+
+// Recheck makes a watcher that does not watch call shouldWatch immediately, rather than after
+// watchCheckInterval.
+func (w *Watcher[T]) Recheck() {
 	select {
-	case w.offerSignal <- struct{}{}:
+	case w.wakeups <- struct{}{}:
 	default:
-		// A signal is pending already.
+		// A wakeup is pending already.
 	}
 }
 
@@ -201,15 +207,15 @@
 	return nil
 }
 
-// awaitOffer waits until a view is offered, watchCheckInterval has passed, or ctx is
-// done.
+// awaitOffer waits until a view is offered, Recheck is called, watchCheckInterval has
+// passed, or ctx is done.
 func (w *Watcher[T]) awaitOffer(ctx context.Context) {
 	timer := time.NewTimer(watchCheckInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-w.offerSignal:
+	case <-w.wakeups:
 	}
 }
 
