Find links by address without going through all of them

Change: a count of links for each address and in all, and a number of changes by which others can tell that nothing has changed.

--- a/internal/linker/dial.go
+++ b/internal/linker/dial.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	h.links[added.peer.Incarnation] = added
+	h.linkedAddresses[added.peer.PeerAddress]++
+	h.linkCount.Add(1)
+	h.changes.Add(1)
 	return true
 }
 
@@ -80,16 +83,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.links, ended.peer.Incarnation)
+	h.linkedAddresses[ended.peer.PeerAddress]--
+	if h.linkedAddresses[ended.peer.PeerAddress] == 0 {
+		delete(h.linkedAddresses, ended.peer.PeerAddress)
+	}
+	h.linkCount.Add(-1)
+	h.changes.Add(1)
 }
 
 // hasLinkToAddress reports whether there is a link to the peer with this address.
 func (h *Hub) hasLinkToAddress(address string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, linked := range h.links {
-		if linked.peer.PeerAddress == address {
-			return true
-		}
-	}
-	return false
+	return h.linkedAddresses[address] > 0
 }
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -76,10 +76,17 @@
 	// topics holds the handler of each topic. It doesn't change after Run is called.
 	topics map[string]topicHandler
 
-	// mu guards links, dialers, tasks and ctx.
+	// mu guards links, linkedAddresses, dialers, tasks and ctx.
 	mu sync.Mutex
-	// links holds the link to each peer by incarnation.
-	links map[string]*link
+	// links holds the link to each peer by incarnation, and linkedAddresses the number of
+	// links to each address that peers are dialed at.
+	links           map[string]*link
+	linkedAddresses map[string]int
+	// linkCount is the number of links.
+	linkCount atomic.Int64
+	// changes counts the links that were opened, have received their first heartbeat, or have
+	// closed.
+	changes atomic.Uint64
 	// dialers holds the function that stops each dialing loop, by the address dialed.
 	dialers map[string]context.CancelFunc
 	// tasks runs the dialing loops and the tasks of Go. It is nil outside Run.
@@ -114,6 +121,7 @@
 		onLinkLost:       options.OnLinkLost,
 		topics:           map[string]topicHandler{},
 		links:            map[string]*link{},
+		linkedAddresses:  map[string]int{},
 		dialers:          map[string]context.CancelFunc{},
 	}
 }
@@ -145,8 +153,12 @@
 	if h.tasks == nil {
 		return
 	}
+	wanted := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		wanted[address] = true
+	}
 	for address, stop := range h.dialers {
-		if !slices.Contains(addresses, address) {
+		if !wanted[address] {
 			stop()
 			delete(h.dialers, address)
 		}
@@ -205,12 +217,15 @@
 
 // heartbeatInterval returns the time between two heartbeats to a peer.
 func (h *Hub) heartbeatInterval(peer registrar.Member) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if peer.Place == h.self.Place {
 		return baseHeartbeatInterval
 	}
-	return baseHeartbeatInterval * time.Duration(max(len(h.links), fullRateLinks)) / fullRateLinks
+	return baseHeartbeatInterval * time.Duration(max(h.linkCount.Load(), fullRateLinks)) / fullRateLinks
+}
+
+// Changes returns a number that differs from an earlier one if Peers may return other members.
+func (h *Hub) Changes() uint64 {
+	return h.changes.Load()
 }
 
 // Peers returns the linked peers that have sent a heartbeat, sorted by incarnation.
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -202,6 +202,7 @@
 	before := l.lastHeartbeat.Swap(&heartbeat)
 	if before == nil {
 		before = &Heartbeat{}
+		l.hub.changes.Add(1)
 	}
 	l.hub.onHeartbeat(heartbeat)
 	if heartbeat.Differs(*before) {
