Compute fractions of limits from the demands of their holders alone

Cause: each fraction of each limit added up the reports of all instances and looked through all members for those that have left, four times a second for each team; each change of a member sorted all members for each limit. Change: demands are kept by resource; the next removal is known; the holders are chosen among the first few of each group, and stay while names and groups do.

--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -79,11 +79,16 @@
 	// splits holds how resources are split, if not like all others.
 	splits map[string]Split
 	// cachedHolders caches the results of Holders by resource, until the members or the
-	// number of holders change.
-	cachedHolders map[string][]string
+	// number of holders change. holdersVersion increases when cached results are dropped.
+	cachedHolders  map[string][]string
+	holdersVersion uint64
+	// nextRemovalAt is the earliest removeAt of a member; zero if no member has left.
+	nextRemovalAt time.Time
 	// reports holds the newest report of each other instance. An instance that sends no
-	// more reports keeps its last one, and so its fraction.
+	// more reports keeps its last one, and so its fraction. demands holds the same demands
+	// by resource and instance.
 	reports map[string]indexedReport
+	demands map[string]map[string]float64
 	// meters measure this instance's demand by resource. The caller of Measure counts
 	// remote demand too (sharer.Limiter.TotalDemand).
 	meters map[string]*meter
@@ -127,6 +132,7 @@
 		splits:        map[string]Split{},
 		cachedHolders: map[string][]string{},
 		reports:       map[string]indexedReport{},
+		demands:       map[string]map[string]float64{},
 		meters:        map[string]*meter{},
 	}
 }
@@ -152,11 +158,14 @@
 		}
 		if previous.removeAt.IsZero() {
 			previous.removeAt = now.Add(DrainWait)
+			a.scheduleRemoval(previous.removeAt)
 		}
 		listed[name] = previous
 	}
+	if !sameGroups(a.members, listed) {
+		a.dropHolders()
+	}
 	a.members = listed
-	clear(a.cachedHolders)
 	if self, found := listed[a.self]; found && self.removeAt.IsZero() && a.waitUntil.IsZero() {
 		a.waitUntil = now.Add(ReportWait)
 	}
@@ -176,9 +185,35 @@
 			group:    member.Group,
 			removeAt: now.Add(DrainWait),
 		}
-		clear(a.cachedHolders)
+		a.scheduleRemoval(now.Add(DrainWait))
+		a.dropHolders()
+	}
+	a.setReport(member.Name, indexReport(report))
+}
+
+// setReport replaces the report of another instance.
+func (a *Apportioner) setReport(member string, next indexedReport) {
+	a.forgetReport(member)
+	a.reports[member] = next
+	for resource, perSecond := range next.perSecond {
+		byMember, found := a.demands[resource]
+		if !found {
+			byMember = map[string]float64{}
+			a.demands[resource] = byMember
+		}
+		byMember[member] = perSecond
+	}
+}
+
+// forgetReport drops the report of another instance, if there is one.
+func (a *Apportioner) forgetReport(member string) {
+	for resource := range a.reports[member].perSecond {
+		delete(a.demands[resource], member)
+		if len(a.demands[resource]) == 0 {
+			delete(a.demands, resource)
+		}
 	}
-	a.reports[member.Name] = indexReport(report)
+	delete(a.reports, member)
 }
 
 // indexReport returns a report with its demands by resource.
@@ -226,6 +261,7 @@
 	delete(a.meters, resource)
 	delete(a.splits, resource)
 	delete(a.cachedHolders, resource)
+	a.holdersVersion++
 }
 
 // NextReport makes the next report, to be sent to all other members, and records it as not
@@ -329,15 +365,30 @@
 
 // removeDeparted removes the members that left at least DrainWait ago.
 func (a *Apportioner) removeDeparted(now time.Time) {
+	if a.nextRemovalAt.IsZero() || now.Before(a.nextRemovalAt) {
+		return
+	}
+	a.nextRemovalAt = time.Time{}
 	for name, member := range a.members {
-		if !member.removeAt.IsZero() && !now.Before(member.removeAt) {
+		switch {
+		case member.removeAt.IsZero():
+		case now.Before(member.removeAt):
+			a.scheduleRemoval(member.removeAt)
+		default:
 			delete(a.members, name)
-			delete(a.reports, name)
-			clear(a.cachedHolders)
+			a.forgetReport(name)
+			a.dropHolders()
 		}
 	}
 }
 
+// scheduleRemoval makes removeDeparted look for members at that time.
+func (a *Apportioner) scheduleRemoval(at time.Time) {
+	if a.nextRemovalAt.IsZero() || at.Before(a.nextRemovalAt) {
+		a.nextRemovalAt = at
+	}
+}
+
 // claimOfOthers returns the most that all others together may claim of a resource, in
 // requests per second. It returns false while it still waits for reports of holders:
 // until ReportWait has passed, and after that as long as no other holder has reported.
@@ -346,8 +397,8 @@
 // they learn of it.
 func (a *Apportioner) claimOfOthers(resource string, now time.Time) (float64, bool) {
 	sum := 0.0
-	for _, report := range a.reports {
-		sum += report.perSecond[resource]
+	for _, perSecond := range a.demands[resource] {
+		sum += perSecond
 	}
 	reported := 0
 	missing := 0
--- a/pkg/command/apportioner/holders.go
+++ b/pkg/command/apportioner/holders.go
@@ -42,9 +42,27 @@
 	a.splits[resource] = split
 	if !found || previous.Holders != split.Holders {
 		delete(a.cachedHolders, resource)
+		a.holdersVersion++
 	}
 }
 
+// HoldersVersion returns a number that differs from an earlier one if Holders may return other
+// members.
+func (a *Apportioner) HoldersVersion() uint64 {
+	return a.holdersVersion
+}
+
+// dropHolders drops the cached results of Holders.
+func (a *Apportioner) dropHolders() {
+	clear(a.cachedHolders)
+	a.holdersVersion++
+}
+
+// sameGroups reports whether two sets of members have the same names in the same groups.
+func sameGroups(a, b map[string]memberState) bool {
+	return maps.EqualFunc(a, b, func(x, y memberState) bool { return x.group == y.group })
+}
+
 // minChange returns the change of the demand for a resource that is reported.
 func (a *Apportioner) minChange(resource string) float64 {
 	if split, found := a.splits[resource]; found {
@@ -59,9 +77,11 @@
 	if cached, found := a.cachedHolders[resource]; found {
 		return cached
 	}
-	chosen := slices.Sorted(maps.Keys(a.members))
-	if split, limited := a.splits[resource]; limited && split.Holders < len(chosen) {
+	var chosen []string
+	if split, limited := a.splits[resource]; limited && split.Holders < len(a.members) {
 		chosen = a.chooseHolders(resource, split.Holders)
+	} else {
+		chosen = slices.Sorted(maps.Keys(a.members))
 	}
 	a.cachedHolders[resource] = chosen
 	return chosen
@@ -89,14 +109,13 @@
 func (a *Apportioner) chooseHolders(resource string, count int) []string {
 	byGroup := map[string][]candidate{}
 	for name, member := range a.members {
-		byGroup[member.group] = append(byGroup[member.group], candidate{
+		byGroup[member.group] = addCandidate(byGroup[member.group], count, candidate{
 			name:  name,
 			score: hasher.Mix(hasher.Sum(resource, "/", name)),
 		})
 	}
 	var candidates []candidate
 	for _, group := range byGroup {
-		slices.SortFunc(group, func(x, y candidate) int { return cmp.Compare(x.score, y.score) })
 		for rank := range group {
 			group[rank].rank = rank
 		}
@@ -112,3 +131,14 @@
 	slices.Sort(chosen)
 	return chosen
 }
+
+// addCandidate adds a candidate to those of its group, which are sorted by score, and keeps at
+// most count of them.
+func addCandidate(group []candidate, count int, added candidate) []candidate {
+	at, _ := slices.BinarySearchFunc(group, added, func(x, y candidate) int { return cmp.Compare(x.score, y.score) })
+	if at >= count {
+		return group
+	}
+	group = slices.Insert(group, at, added)
+	return group[:min(len(group), count)]
+}
