Derive look-ups and lenders once for a burst of changes

Lenders of all limits were set each second, the roster was compared four times a second, and another seat compiled the whole routing table again. Lenders and roster are computed when what they follow from has changed.

--- a/internal/steerer/advertisements.go
+++ b/internal/steerer/advertisements.go
@@ -93,7 +93,7 @@
 		return
 	}
 	message := newAdvertisements(digest)
-	for _, other := range s.otherMembers() {
+	for other := range s.otherMembers() {
 		if err := linker.Send(s.hub, other.Incarnation, topicAdvertisements, message, advertisementsCodec); err != nil {
 			s.log.Debug().Str("Peer", other.Name).Err(err).Msg("AdvertisementsUntold")
 		}
--- a/internal/steerer/awaited.go
+++ b/internal/steerer/awaited.go
@@ -53,14 +53,13 @@
 // all listed instances if the region has no other. The list may hold their earlier starts.
 func (s *Steerer) nearPeersLinked() bool {
 	awaited := map[string]bool{}
-	others := s.otherMembers()
-	for _, member := range others {
+	for member := range s.otherMembers() {
 		if s.regionOf(member.Place) == s.regionOf(s.self.Place) {
 			awaited[member.Name] = true
 		}
 	}
 	if len(awaited) == 0 {
-		for _, member := range others {
+		for member := range s.otherMembers() {
 			awaited[member.Name] = true
 		}
 	}
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"math"
 	"time"
 
@@ -131,9 +132,9 @@
 
 // nextReceivers returns the instances that the report has to be sent to now, and marks
 // them as pending.
-func (b *demandBroadcast) nextReceivers(others []registrar.Member) []registrar.Member {
+func (b *demandBroadcast) nextReceivers(others iter.Seq[registrar.Member]) []registrar.Member {
 	var receivers []registrar.Member
-	for _, other := range others {
+	for other := range others {
 		if b.confirmed[other.Incarnation] || b.pending[other.Incarnation] {
 			continue
 		}
@@ -144,8 +145,8 @@
 }
 
 // confirmedByAll reports whether all other instances have confirmed the report.
-func (b *demandBroadcast) confirmedByAll(others []registrar.Member) bool {
-	for _, other := range others {
+func (b *demandBroadcast) confirmedByAll(others iter.Seq[registrar.Member]) bool {
+	for other := range others {
 		if !b.confirmed[other.Incarnation] {
 			return false
 		}
@@ -190,6 +191,6 @@
 	s.apportioner.MarkDelivered(broadcast.number)
 	s.applyParts(s.plans.Load(), time.Now())
 	if broadcast.number == 1 {
-		s.log.Info().Int("Members", len(s.otherMembers())+1).Msg("LimitsConfirmed")
+		s.log.Info().Int("Members", s.countOthers()+1).Msg("LimitsConfirmed")
 	}
 }
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -57,7 +57,7 @@
 		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
 	}
 	if previous == (linker.Heartbeat{}) || heartbeat.Leaving != previous.Leaving {
-		s.updateLocator()
+		s.locatorUpdates.Request()
 	}
 	if s.watching.Load() || s.receivesFrom(peer) {
 		s.fetchNewer(peer, heartbeat)
@@ -90,7 +90,7 @@
 	if s.lifecycle.Work().Err() == nil {
 		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLost")
 	}
-	s.updateLocator()
+	s.locatorUpdates.Request()
 }
 
 // memberStore returns a typed view of the instances' entries in the store.
@@ -140,7 +140,7 @@
 // updatePeerLinks makes the hub keep links to all listed instances and to the seeds.
 func (s *Steerer) updatePeerLinks() {
 	addresses := slices.Clone(s.settings.Peers.Seeds)
-	for _, member := range s.roster.Load().Members() {
+	for member := range s.roster.Load().All() {
 		addresses = append(addresses, member.PeerAddress)
 	}
 	slices.Sort(addresses)
@@ -148,21 +148,6 @@
 	s.hub.SetPeers(slices.Compact(addresses), !listed)
 }
 
-// availableMembers returns the instances that lookups may name to callers. The caller
-// holds locatorMu.
-func (s *Steerer) availableMembers() []registrar.Member {
-	var available []registrar.Member
-	if !s.leaving.Load() {
-		available = append(available, s.self)
-	}
-	for _, member := range s.otherMembers() {
-		if _, alive := s.isAlive(member); alive {
-			available = append(available, member)
-		}
-	}
-	return available
-}
-
 // isAlive reports whether a listed instance is linked and not leaving, or is not linked
 // and its graceFrom is less than linkTimeout ago. It also returns the instance's last
 // heartbeat. The caller holds locatorMu.
@@ -177,7 +162,7 @@
 // names, counting only those whose last heartbeat include accepts.
 func (s *Steerer) countLinkedBefore(include func(heartbeat linker.Heartbeat) bool) int {
 	before := 0
-	for _, other := range s.otherMembers() {
+	for other := range s.otherMembers() {
 		peer, linked := s.hub.Peer(other.Incarnation)
 		if linked && other.Name < s.self.Name && include(peer.Heartbeat) {
 			before++
@@ -244,7 +229,7 @@
 	defer s.locatorMu.Unlock()
 	now := time.Now()
 	var dead []registrar.Member
-	for _, member := range s.otherMembers() {
+	for member := range s.otherMembers() {
 		if _, linked := s.hub.Peer(member.Incarnation); linked {
 			// The time is set back so that the instance does not count as newly listed
 			// once its link is lost.
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -242,7 +242,7 @@
 			outgoing = append(outgoing, message)
 		}
 		if m.reportDue(now) {
-			m.nextReportAt = now.Add(reportTurnInterval * time.Duration(len(s.otherMembers())+1))
+			m.nextReportAt = now.Add(reportTurnInterval * time.Duration(s.countOthers()+1))
 			reports = append(reports, *m)
 		}
 	}
@@ -320,7 +320,7 @@
 }
 
 func (s *Steerer) sendProgress(message progress) {
-	for _, other := range s.otherMembers() {
+	for other := range s.otherMembers() {
 		if err := linker.Send(s.hub, other.Incarnation, topicMove, message, progressCodec); err != nil {
 			s.log.Debug().Str("Peer", other.Name).Err(err).Msg("MoveUntold")
 		}
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -1,12 +1,13 @@
 package steerer
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/query/locator"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
 	"github.com/hemlockport/hemlockport/pkg/query/splitter"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -31,16 +32,12 @@
 		Msg("ConfigInForce")
 }
 
-// updatePlan computes the plan for changed inputs and puts it into force. The caller
-// holds planMu.
+// updatePlan computes the plan for inputs that have changed, but for the seats, and puts it
+// into force. The caller holds planMu.
 func (s *Steerer) updatePlan(next planInputs) {
 	now := time.Now()
-	sameSeats := slices.Equal(next.seats, s.inputs.seats)
 	s.inputs = next
 	plan := s.plans.Load()
-	if !sameSeats {
-		plan = plan.WithSeats(next.seats, now)
-	}
 	if next.declaration.Revision != 0 {
 		plan = plan.WithTable(router.New(next.declaration.Revision, next.configurationSet()), now)
 	}
@@ -102,25 +99,46 @@
 	}
 	s.apportioner.SetMembers(s.apportionerMembers(members), time.Now())
 	if !slices.Equal(seats, s.inputs.seats) {
-		s.updatePlan(s.inputs.withSeats(seats))
+		now := time.Now()
+		s.inputs = s.inputs.withSeats(seats)
+		plan := s.plans.Load().WithSeats(seats, now)
+		s.applyParts(plan, now)
+		s.advancePlan(plan)
 	}
 	s.setLenders(s.plans.Load())
 }
 
+// lendersInputs identifies what setLenders has computed the lenders from.
+type lendersInputs struct {
+	table   *router.Table
+	roster  *registrar.Roster
+	holders uint64
+}
+
 // setLenders sets the instances that each team's limiter can borrow from: the others that
-// own parts of the team's limit, the nearest first.
+// own parts of the team's limit, the nearest first. It does nothing if they have not changed.
+// The caller holds planMu.
 func (s *Steerer) setLenders(plan *admitter.Plan) {
+	inputs := lendersInputs{
+		table:   plan.Table(),
+		roster:  s.roster.Load(),
+		holders: s.apportioner.HoldersVersion(),
+	}
+	if inputs == s.lendersInputs {
+		return
+	}
 	set := plan.Table().Set()
 	home, _ := set.Places.Get(s.self.Place)
-	others := s.otherMembers()
-	slices.SortStableFunc(others, func(a, b registrar.Member) int {
-		return home.Distance(set.Places, a.Place) - home.Distance(set.Places, b.Place)
-	})
+	others := map[string]registrar.Member{}
+	for other := range s.otherMembers() {
+		others[other.Name] = other
+	}
 	for team := range set.Teams.All() {
 		if limiter, found := plan.Limiter(team.Name); found {
-			limiter.SetHolders(s.lenders(team.Name, others), team.RatePerSecond)
+			limiter.SetHolders(s.lenders(team.Name, others, home, set.Places), team.RatePerSecond)
 		}
 	}
+	s.lendersInputs = inputs
 }
 
 // refreshLenders sets the lenders again. The owners of parts also change without an event,
@@ -131,61 +149,31 @@
 	s.setLenders(s.plans.Load())
 }
 
-// lenders returns the incarnations of those of the others that own a part of a team's
-// limit.
-func (s *Steerer) lenders(team string, others []registrar.Member) []string {
-	holders := s.apportioner.Holders(team)
-	incarnations := make([]string, 0, len(holders))
-	for _, other := range others {
-		if _, holds := slices.BinarySearch(holders, other.Name); holds {
-			incarnations = append(incarnations, other.Incarnation)
+// lenders returns the incarnations of those of the others, by name, that own a part of a
+// team's limit, the nearest to home first.
+func (s *Steerer) lenders(
+	team string,
+	others map[string]registrar.Member,
+	home declarer.Place,
+	places declarer.Table[declarer.Place],
+) []string {
+	var owners []registrar.Member
+	for _, holder := range s.apportioner.Holders(team) {
+		if other, found := others[holder]; found {
+			owners = append(owners, other)
 		}
 	}
-	return incarnations
-}
-
-// updateLocator publishes a locator of the available instances for the plan in force.
-func (s *Steerer) updateLocator() {
-	s.locatorMu.Lock()
-	defer s.locatorMu.Unlock()
-	s.publishLocator(s.plans.Load().Table())
-}
-
-// publishLocator publishes a locator of the available instances for a routing table. The
-// caller holds locatorMu.
-func (s *Steerer) publishLocator(table *router.Table) {
-	s.locatorGeneration++
-	set := table.Set()
-	s.locators.Advance(*locator.New(locator.Source{
-		Generation:  s.locatorGeneration,
-		Revision:    table.RevisionNumber(),
-		Set:         set,
-		Blocks:      locator.DeclaredBlocks(set),
-		Members:     s.availableMembers(),
-		Home:        s.self.Place,
-		ValidMillis: s.settings.Lookups.ValidMillis,
-	}))
-}
-
-// lookup returns the instances that a caller in a failure domain should use. They are the
-// same for all hosts, since each instance serves all of them.
-func (s *Steerer) lookup(_, place string) (LookupResult, bool) {
-	current := s.locators.Load()
-	if current == nil {
-		return LookupResult{}, false
-	}
-	answer := current.Nearest(place, time.Now())
-	if len(answer.Entries) == 0 {
-		return LookupResult{}, false
-	}
-	addresses := make([]string, 0, len(answer.Entries))
-	for _, entry := range answer.Entries {
-		addresses = append(addresses, entry.Address)
+	slices.SortStableFunc(owners, func(a, b registrar.Member) int {
+		return cmp.Or(
+			cmp.Compare(home.Distance(places, a.Place), home.Distance(places, b.Place)),
+			strings.Compare(a.Place, b.Place),
+		)
+	})
+	incarnations := make([]string, 0, len(owners))
+	for _, owner := range owners {
+		incarnations = append(incarnations, owner.Incarnation)
 	}
-	return LookupResult{
-		Addresses:  addresses,
-		ValidUntil: answer.ValidUntil,
-	}, true
+	return incarnations
 }
 
 // ready reports whether the instance accepts requests.
--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -22,7 +23,7 @@
 	}
 	s.updatePeerLinks()
 	s.updateSeats()
-	s.updateLocator()
+	s.locatorUpdates.Request()
 	s.log.Info().Int("Members", len(roster.Members())).EmbedObject(loggedPosition(roster.Position())).Msg("MembersListed")
 }
 
@@ -59,9 +60,15 @@
 }
 
 // refreshRoster updates the roster with the incarnations that have linked since the
-// last list.
+// last list. Only refreshLoop calls it.
 func (s *Steerer) refreshRoster() {
+	links := s.hub.Changes()
 	before := s.roster.Load()
+	if links == s.refreshedLinks && before == s.refreshedRoster {
+		return
+	}
+	s.refreshedLinks = links
+	s.refreshedRoster = before
 	after := s.withLinkedIncarnations(*before)
 	if !slices.Equal(before.Members(), after.Members()) {
 		s.setRoster(after)
@@ -81,7 +88,7 @@
 	s.roster.Store(&roster)
 	now := time.Now()
 	seen := map[string]time.Time{}
-	for _, member := range roster.Members() {
+	for member := range roster.All() {
 		at, found := s.graceFrom[member.Incarnation]
 		if !found {
 			at = s.newGraceFrom(member.Incarnation, now)
@@ -113,21 +120,31 @@
 }
 
 func memberByName(roster registrar.Roster, name string) (registrar.Member, bool) {
-	members := roster.Members()
-	index := slices.IndexFunc(members, func(member registrar.Member) bool { return member.Name == name })
-	if index < 0 {
-		return registrar.Member{}, false
+	for member := range roster.All() {
+		if member.Name == name {
+			return member, true
+		}
 	}
-	return members[index], true
+	return registrar.Member{}, false
 }
 
-// otherMembers returns the listed instances other than this one.
-func (s *Steerer) otherMembers() []registrar.Member {
-	var others []registrar.Member
-	for _, member := range s.roster.Load().Members() {
-		if member.Name != s.self.Name {
-			others = append(others, member)
+// otherMembers yields the listed instances other than this one.
+func (s *Steerer) otherMembers() iter.Seq[registrar.Member] {
+	roster := s.roster.Load()
+	return func(yield func(registrar.Member) bool) {
+		for member := range roster.All() {
+			if member.Name != s.self.Name && !yield(member) {
+				return
+			}
 		}
 	}
-	return others
+}
+
+// countOthers returns the number of listed instances other than this one.
+func (s *Steerer) countOthers() int {
+	count := 0
+	for range s.otherMembers() {
+		count++
+	}
+	return count
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/coalescer"
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/configurer"
@@ -73,13 +74,23 @@
 	apportioner     *apportioner.Apportioner
 	demandBroadcast *demandBroadcast
 	rationer        *rationer.Rationer
+	// lendersInputs is what the lenders of all limiters were last computed from. planMu
+	// guards it.
+	lendersInputs lendersInputs
 
-	// locatorMu serializes the writers of locators and guards their generation.
+	// locatorMu serializes the writers of locators and guards their generation and inputs.
 	locatorMu         sync.Mutex
 	locatorGeneration uint64
+	locatorInputs     locatorInputs
+	// locatorUpdates runs updateLocator after changes of links and members.
+	locatorUpdates *coalescer.Coalescer
 
 	// roster is the latest list of the instances' entries; never nil.
 	roster atomic.Pointer[registrar.Roster]
+	// refreshedLinks and refreshedRoster are the links, by Hub.Changes, and the roster that
+	// refreshRoster has compared last. Only refreshLoop uses them.
+	refreshedLinks  uint64
+	refreshedRoster *registrar.Roster
 	// graceFrom is, by incarnation, the time from which linkTimeout and removeAfter
 	// count: when the incarnation was first listed or, if deadMembers has seen it linked
 	// since, or if it has left the roster before, linkTimeout before that. locatorMu guards
@@ -153,6 +164,7 @@
 		moves:         map[string]*trackedMove{},
 		departedUntil: map[string]time.Time{},
 	}
+	s.locatorUpdates = coalescer.New(locatorIntervalMillis, s.updateLocator)
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.rationer = rationer.New(s.apportioner)
 	s.demandBroadcast = newDemandBroadcast(apportioner.Report{})
@@ -250,6 +262,7 @@
 		s.hub.Run,
 		s.borrower.Run,
 		s.refreshLoop,
+		s.locatorUpdates.Run,
 		s.maintainEntry,
 	}
 	for _, reflector := range s.reflectors {
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -36,7 +36,7 @@
 	s.locatorMu.Lock()
 	defer s.locatorMu.Unlock()
 	before := 0
-	for _, member := range s.otherMembers() {
+	for member := range s.otherMembers() {
 		if member.Place != s.self.Place || member.Name > s.self.Name {
 			continue
 		}
--- a/pkg/query/locator/bench_test.go
+++ b/pkg/query/locator/bench_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
 	"testing"
 
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 const (
@@ -73,3 +76,61 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "look-ups/s")
 }
+
+// BenchmarkNew measures a new locator after one change of the available instances.
+func BenchmarkNew(b *testing.B) {
+	cases := []struct {
+		instances int
+		places    int
+	}{
+		{
+			instances: 12,
+			places:    6,
+		},
+		{
+			instances: 195,
+			places:    9,
+		},
+		{
+			instances: 2000,
+			places:    76,
+		},
+	}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("%d instances", c.instances), func(b *testing.B) {
+			source := spreadInstances(c.instances, c.places)
+			for b.Loop() {
+				locator.New(source)
+			}
+		})
+	}
+}
+
+// spreadInstances returns a source with instances in failure domains of three regions.
+func spreadInstances(instances, places int) locator.Source {
+	regions := []string{"east", "west", "south"}
+	declared := make([]declarer.Place, 0, places)
+	for i := range places {
+		declared = append(declared, declarer.Place{
+			Name:   fmt.Sprintf("place-%d", i),
+			Region: regions[i%len(regions)],
+		})
+	}
+	source := locator.Source{
+		Generation:  1,
+		Revision:    1,
+		Home:        declared[0].Name,
+		ValidMillis: 2000,
+	}
+	for i := range instances {
+		source.Members = append(source.Members, registrar.Member{
+			Incarnation:   fmt.Sprintf("entry-%d/1", i),
+			Name:          fmt.Sprintf("entry-%d", i),
+			Place:         declared[i%places].Name,
+			CallerAddress: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
+		})
+	}
+	source.Set = declarer.Set{}.WithPlaces(declarer.NewTable(declared...))
+	source.Blocks = locator.DeclaredBlocks(source.Set)
+	return source
+}
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -2,10 +2,7 @@
 package locator
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -73,15 +70,6 @@
 	homeSite int
 }
 
-// site holds the precomputed answers for the clients of one failure domain.
-type site struct {
-	// rankings holds rankings of instances by distance, which differ in the order of
-	// equally near instances. None is longer than MaxEntries.
-	rankings [][]Entry
-	// nearest holds all instances at the shortest distance.
-	nearest []Entry
-}
-
 // Source holds the data that a locator is built from.
 type Source struct {
 	// Generation grows with each locator of a process.
@@ -106,6 +94,7 @@
 // New returns the locator that is built from a source.
 func New(source Source) *Locator {
 	places := source.Set.Places.Rows()
+	entries := entriesByPlace(source.Members)
 	locator := &Locator{
 		generation:  source.Generation,
 		revision:    source.Revision,
@@ -122,7 +111,7 @@
 	}
 	for i, place := range places {
 		locator.siteNumbers[place.Name] = i
-		locator.sites = append(locator.sites, newSite(place, source.Set.Places, source.Members))
+		locator.sites = append(locator.sites, newSite(place, source.Set.Places, entries))
 		if place.Name == source.Home {
 			locator.homeSite = i
 		}
@@ -191,78 +180,3 @@
 	}
 	return NewBlocks(blocks)
 }
-
-// newSite returns the site of a failure domain. Its rankings begin with the instances of
-// the same failure domain, followed by those of the same region and then by the others in
-// the order of latency. Equally near instances rotate from one ranking to the next.
-func newSite(from declarer.Place, places declarer.Table[declarer.Place], members []registrar.Member) site {
-	distances := map[string]int{}
-	for place := range places.All() {
-		distances[place.Name] = from.Distance(places, place.Name)
-	}
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b registrar.Member) int {
-		return cmp.Or(
-			cmp.Compare(distances[a.Place], distances[b.Place]),
-			strings.Compare(a.Place, b.Place),
-			strings.Compare(a.Incarnation, b.Incarnation),
-		)
-	})
-	groups := groupByDistance(sorted, func(member registrar.Member) int { return distances[member.Place] })
-	rotations := 0
-	for _, group := range groups {
-		rotations = max(rotations, min(len(group), maxRotations))
-	}
-	result := site{}
-	if len(groups) > 0 {
-		result.nearest = entriesOf(groups[0])
-	}
-	for rotation := range rotations {
-		result.rankings = append(result.rankings, ranking(groups, rotation))
-	}
-	return result
-}
-
-// groupByDistance splits members, which are sorted by distance, into groups of equal
-// distance.
-func groupByDistance(sorted []registrar.Member, distance func(registrar.Member) int) [][]registrar.Member {
-	var groups [][]registrar.Member
-	start := 0
-	for i := range sorted {
-		if i+1 == len(sorted) || distance(sorted[i+1]) != distance(sorted[start]) {
-			groups = append(groups, sorted[start:i+1])
-			start = i + 1
-		}
-	}
-	return groups
-}
-
-// ranking returns the first MaxEntries entries, with the members of each group rotated.
-func ranking(groups [][]registrar.Member, rotation int) []Entry {
-	entries := make([]Entry, 0, MaxEntries)
-	for _, group := range groups {
-		for i := range group {
-			if len(entries) == MaxEntries {
-				return entries
-			}
-			entries = append(entries, entryOf(group[(i+rotation)%len(group)]))
-		}
-	}
-	return entries
-}
-
-func entriesOf(members []registrar.Member) []Entry {
-	entries := make([]Entry, 0, len(members))
-	for _, member := range members {
-		entries = append(entries, entryOf(member))
-	}
-	return entries
-}
-
-func entryOf(member registrar.Member) Entry {
-	return Entry{
-		Address:     member.CallerAddress,
-		Place:       member.Place,
-		Incarnation: member.Incarnation,
-	}
-}
--- a/pkg/registrar/member.go
+++ b/pkg/registrar/member.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 
@@ -142,6 +143,11 @@
 	return slices.Clone(r.members)
 }
 
+// All yields the members.
+func (r Roster) All() iter.Seq[Member] {
+	return slices.Values(r.members)
+}
+
 // Get returns the first member of an incarnation, and false if it holds no seat.
 func (r Roster) Get(incarnation string) (Member, bool) {
 	for _, member := range r.members {
