Use one timer a link in place of a context for each frame

Change: a link has one timer for silence and one for sending, and one call that closes its connection.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -57,6 +57,10 @@
 	pending sync.Map
 	// ended is closed when run returns.
 	ended chan struct{}
+	// receiveTimer ends the link when nothing has been received for too long, and sendTimer
+	// when the sending of a frame takes too long. Run sets both.
+	receiveTimer *time.Timer
+	sendTimer    *time.Timer
 }
 
 func newLink(hub *Hub, conn *websocket.Conn, peer registrar.Member) *link {
@@ -73,7 +77,18 @@
 // run serves the link until it fails or ctx ends.
 func (l *link) run(ctx context.Context) error {
 	defer close(l.ended)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
+	// One timer for all frames and one call that closes the connection cost much less than a
+	// context with a deadline for each frame.
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.CloseNow() })
+	defer stop()
+	l.receiveTimer = time.AfterFunc(silenceTimeout, cancel)
+	defer l.receiveTimer.Stop()
+	l.sendTimer = time.AfterFunc(silenceTimeout, cancel)
+	l.sendTimer.Stop()
+	defer l.sendTimer.Stop()
 	group.Go(func() error { return l.writeLoop(ctx) })
 	group.Go(func() error { return l.readLoop(ctx, group) })
 	err := group.Wait()
@@ -87,7 +102,7 @@
 	defer timer.Stop()
 	for {
 		interval := l.hub.heartbeatInterval(l.peer)
-		if err := l.sendHeartbeat(ctx, interval); err != nil {
+		if err := l.sendHeartbeat(interval); err != nil {
 			return err
 		}
 		timer.Reset(interval)
@@ -108,30 +123,28 @@
 		case <-l.heartbeatRequests:
 			return nil
 		case frame := <-l.queue:
-			if err := l.sendFrame(ctx, frame); err != nil {
+			if err := l.sendFrame(frame); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (l *link) sendHeartbeat(ctx context.Context, interval time.Duration) error {
+func (l *link) sendHeartbeat(interval time.Duration) error {
 	heartbeat := l.hub.currentHeartbeat()
 	heartbeat.EveryMillis = interval.Milliseconds()
 	body, err := heartbeatCodec.Encode(heartbeat)
 	if err != nil {
 		return err
 	}
-	return l.sendFrame(ctx, Frame{
+	return l.sendFrame(Frame{
 		Kind: KindHeartbeat,
 		Body: body,
 	})
 }
 
-// sendFrame stamps a frame and writes it to the connection.
-func (l *link) sendFrame(ctx context.Context, frame Frame) error {
-	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
-	defer cancel()
+// sendFrame stamps a frame and writes it to the connection. Only writeLoop calls it.
+func (l *link) sendFrame(frame Frame) error {
 	frame.Stamp = l.hub.clock.Next()
 	data, err := frameCodec.Encode(frame)
 	if err != nil {
@@ -139,14 +152,17 @@
 	}
 	l.hub.sentFrames.Add(1)
 	l.hub.sentBytes.Add(uint64(len(data)))
-	return l.conn.Write(ctx, websocket.MessageBinary, data)
+	l.sendTimer.Reset(silenceTimeout)
+	defer l.sendTimer.Stop()
+	return l.conn.Write(context.Background(), websocket.MessageBinary, data)
 }
 
 // readLoop handles the received frames. Handlers of calls and one-way commands run
 // in goroutines of the group.
 func (l *link) readLoop(ctx context.Context, group *errgroup.Group) error {
 	for {
-		frame, err := l.readFrame(ctx)
+		l.receiveTimer.Reset(l.receiveTimeout())
+		frame, err := receive(context.Background(), l.conn, frameCodec)
 		if err != nil {
 			return err
 		}
@@ -167,12 +183,6 @@
 	return max(silenceTimeout, time.Duration(float64(heartbeat.EveryMillis)*silentHeartbeats)*time.Millisecond)
 }
 
-func (l *link) readFrame(ctx context.Context) (Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.receiveTimeout())
-	defer cancel()
-	return receive(ctx, l.conn, frameCodec)
-}
-
 func (l *link) handleFrame(ctx context.Context, group *errgroup.Group, frame Frame) error {
 	switch frame.Kind {
 	case KindHeartbeat:
