Let only one watcher of a failure domain read at full cost

Change: the second watcher is a standby. Its watches may be answered with stale data (allow_stale, a tenth of the cost and outside the rate), as the first one tells it of changes without delay; lists are never stale, since an old one would take the view back. It reads at full cost as soon as the first one is gone or has lost the store.

--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -134,7 +134,8 @@
 		retained:   retained,
 	}
 	r.watcher = watcher.New[[]byte](s.platform.Store, collection.Prefix, r.shouldWatch)
-	r.watcher.WithWatchTimeout(s.watchWait).WithPause(collection.PauseMillis)
+	r.watcher.WithWatchTimeout(s.watchWait).WithPause(collection.PauseMillis).
+		WithStaleReader(s.platform.StaleReader, s.isStandby)
 	query := handler.QueryFunc[DeltaRequest, watcher.Delta[[]byte]](
 		func(_ context.Context, request DeltaRequest) (watcher.Delta[[]byte], error) {
 			if history := r.history.Load(); history != nil {
@@ -323,13 +324,13 @@
 
 // fetchView fetches the changes up to at least peerPosition from a peer, and offers the
 // result to the watcher. It first waits for peerFetchDelay in case the platform reports
-// the change; an instance that receives its changes from this peer does not wait.
+// the change; an instance that expects its changes from this peer does not wait.
 func (r *typedReflector[T]) fetchView(peer registrar.Member, peerPosition storer.Position) {
 	s := r.steerer
 	ctx, cancel := context.WithTimeout(s.lifecycle.Work(), fetchTimeout)
 	defer cancel()
 	wait := peerFetchDelay
-	if s.receivesFrom(peer) {
+	if s.expectsFrom(peer) {
 		wait = 0
 	}
 	if !sleep(ctx, wait) || !r.isBehind(peerPosition) {
