Create an instance's entry with one call

Cause: the first write of an entry replaced it, got 404, and created it with a second call: 195 calls more at a first start of 195 instances. Change: an instance that its list does not hold creates the entry, and replaces it only if there is one.

--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -122,7 +122,7 @@
 		if s.leaving.Load() {
 			return nil
 		}
-		if _, err := s.memberStore().Put(ctx, s.entryName(s.self.Name), s.self, storer.Always()); err != nil {
+		if err := s.writeEntry(ctx); err != nil {
 			s.storeFailed(err)
 		}
 		// The platform's list needs time to show the written entry; until then the entry
@@ -133,6 +133,18 @@
 	}
 }
 
+// writeEntry creates this instance's entry, or replaces the one of an earlier start.
+func (s *Steerer) writeEntry(ctx context.Context) error {
+	if _, listed := memberByName(*s.roster.Load(), s.self.Name); !listed {
+		_, err := s.memberStore().Put(ctx, s.entryName(s.self.Name), s.self, storer.Absent())
+		if !errors.Is(err, storer.ErrConflict) {
+			return err
+		}
+	}
+	_, err := s.memberStore().Put(ctx, s.entryName(s.self.Name), s.self, storer.Always())
+	return err
+}
+
 func (s *Steerer) entryName(member string) string {
 	return s.platform.Members.Prefix + member
 }
