Apply large lists of upstreams less often

Followers got them from two watchers, out of step with each other. Change: the pause after an answer with changes grows by 0.4 ms an object (0.4 s for 1,000 upstreams); a standby watcher leaves it to its regular heartbeats to tell of changes; a list that changes nothing is not applied.

--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -79,6 +79,9 @@
 	if !s.registrationGraceUntil.IsZero() {
 		listed = mergeRegistrations(s.inputs.registrations, listed)
 	}
+	if slices.Equal(listed, s.inputs.registrations) {
+		return
+	}
 	s.updatePlan(s.inputs.withRegistrations(listed))
 }
 
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -209,7 +209,7 @@
 	// A peer's view may be of an earlier era than the one that another collection has told.
 	r.watcher.ObserveEra(r.steerer.storeEra.Load())
 	r.updateRetained(view)
-	if r.steerer.watching.Load() {
+	if r.steerer.watching.Load() && !r.steerer.isStandby() {
 		r.steerer.hub.HeartbeatPlaceNow()
 	}
 }
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -26,6 +26,10 @@
 	// watchCheckInterval is the time between two calls of Watcher.shouldWatch while this
 	// process does not watch.
 	watchCheckInterval = 200 * time.Millisecond
+	// pausePerObject is added to the pause after an answer with changes for each object of the
+	// view, up to maxAddedPause: a large view costs more to apply, at all processes that get it.
+	pausePerObject = 400 * time.Microsecond
+	maxAddedPause  = 600 * time.Millisecond
 )
 
 // View holds all objects below a prefix at one revision of the store.
@@ -57,8 +61,9 @@
 	// shouldWatch reports whether this process is to watch the store now. Otherwise the
 	// view changes only by offers.
 	shouldWatch func() bool
-	// pauseMillis is the time between an answer with changes and the next watch, in
-	// milliseconds. The pause lets one answer carry several changes in quick succession.
+	// pauseMillis is the time between an answer with changes and the next watch for a small view,
+	// in milliseconds; 0 for none. The pause lets one answer carry several changes in quick
+	// succession.
 	pauseMillis int
 	// watchTimeout returns the longest time that one watch may wait; nil leaves the
 	// timeout to the store.
@@ -106,7 +111,8 @@
 }
 
 // WithPause sets the time between an answer with changes and the next watch, in
-// milliseconds, and returns the watcher. It must be called before Run.
+// milliseconds, and returns the watcher. The pause grows with the number of objects, by 0.6 s at
+// most. WithPause must be called before Run.
 func (w *Watcher[T]) WithPause(millis int) *Watcher[T] {
 	w.pauseMillis = millis
 	return w
@@ -245,7 +251,8 @@
 	if w.pauseMillis == 0 {
 		return nil
 	}
-	return retrier.Sleep(ctx, time.Duration(w.pauseMillis)*time.Millisecond)
+	added := min(time.Duration(len(w.objects))*pausePerObject, maxAddedPause)
+	return retrier.Sleep(ctx, time.Duration(w.pauseMillis)*time.Millisecond+added)
 }
 
 // applyOffer replaces the view by the offered one if that is newer than the last change
