Send fewer reports of demand and decode fewer heartbeats in a large fleet

Cause: at 195 instances half of the frames of links are reports of demand and their answers, each instance's to all others each 3.9 s; while instances start, each tried its report at all others four times a second before there were links. Most heartbeats repeat the last one, and each was decoded. Change: beyond 100 members the time between reports grows with the square (7.6 s at 195; unchanged up to 100): what it adds up to is safe by construction whatever the interval, and loans cover what demand does meanwhile. Reports go to linked instances only. A heartbeat with the same bytes as the last is not decoded.

--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -263,6 +263,12 @@
 	}, true
 }
 
+// IsLinked reports whether there is a link to a peer.
+func (h *Hub) IsLinked(incarnation string) bool {
+	_, found := h.linkTo(incarnation)
+	return found
+}
+
 // Successors returns the peers of Peers, rotated so that the first is the one that
 // follows this instance in the order of incarnations. Each instance thus starts
 // with a different peer.
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -49,8 +50,10 @@
 	queue chan Frame
 	// heartbeatRequests makes writeLoop send a heartbeat immediately.
 	heartbeatRequests chan struct{}
-	// lastHeartbeat is the last heartbeat received, or nil.
-	lastHeartbeat atomic.Pointer[Heartbeat]
+	// lastHeartbeat is the last heartbeat received, or nil. lastHeartbeatBody is its encoding;
+	// only readLoop uses it.
+	lastHeartbeat     atomic.Pointer[Heartbeat]
+	lastHeartbeatBody []byte
 	// lastCallID is the ID of the last call made.
 	lastCallID atomic.Uint64
 	// pending holds a chan Frame for the answer to each pending call, by call ID.
@@ -204,11 +207,18 @@
 	return nil
 }
 
+// handleHeartbeat records a heartbeat. One with the same encoding as the last, as most are in
+// calm, is not decoded.
 func (l *link) handleHeartbeat(frame Frame) error {
+	if last := l.lastHeartbeat.Load(); last != nil && bytes.Equal(frame.Body, l.lastHeartbeatBody) {
+		l.hub.onHeartbeat(*last)
+		return nil
+	}
 	heartbeat, err := heartbeatCodec.Decode(frame.Body)
 	if err != nil {
 		return err
 	}
+	l.lastHeartbeatBody = frame.Body
 	before := l.lastHeartbeat.Swap(&heartbeat)
 	if before == nil {
 		before = &Heartbeat{}
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -99,7 +99,7 @@
 		s.demandBroadcast = newDemandBroadcast(next)
 	}
 	broadcast := s.demandBroadcast
-	receivers := broadcast.nextReceivers(s.otherMembers())
+	receivers := broadcast.nextReceivers(s.otherMembers(), s.hub.IsLinked)
 	s.applyParts(plan, now)
 	s.planMu.Unlock()
 	s.sendDemand(broadcast, receivers)
@@ -130,14 +130,20 @@
 	}
 }
 
-// nextReceivers returns the instances that the report has to be sent to now, and marks
+// nextReceivers returns the linked instances that the report has to be sent to now, and marks
 // them as pending.
-func (b *demandBroadcast) nextReceivers(others iter.Seq[registrar.Member]) []registrar.Member {
+func (b *demandBroadcast) nextReceivers(
+	others iter.Seq[registrar.Member],
+	isLinked func(incarnation string) bool,
+) []registrar.Member {
 	var receivers []registrar.Member
 	for other := range others {
 		if b.confirmed[other.Incarnation] || b.pending[other.Incarnation] {
 			continue
 		}
+		if !isLinked(other.Incarnation) {
+			continue
+		}
 		b.pending[other.Incarnation] = true
 		receivers = append(receivers, other)
 	}
--- /dev/null
+++ b/internal/steerer/demand_test.go
@@ -0,0 +1,71 @@
+package steerer
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+// TestReportsGoToLinkedInstances checks to whom a report of demand is sent: once to each instance
+// that is linked, again to those that have not answered, and to those that link later.
+func TestReportsGoToLinkedInstances(t *testing.T) {
+	others := []registrar.Member{
+		{
+			Incarnation: "entry-1/1",
+		},
+		{
+			Incarnation: "entry-2/1",
+		},
+	}
+	steps := []struct {
+		name   string
+		linked []string
+		// answered are the incarnations that answer after the step, and failed those whose
+		// answer is an error.
+		answered []string
+		failed   []string
+		want     []string
+	}{
+		{
+			name: "nobody is linked",
+		},
+		{
+			name:   "one is linked",
+			linked: []string{"entry-1/1"},
+			failed: []string{"entry-1/1"},
+			want:   []string{"entry-1/1"},
+		},
+		{
+			name:     "both are linked, and the first has not confirmed",
+			linked:   []string{"entry-1/1", "entry-2/1"},
+			answered: []string{"entry-1/1"},
+			want:     []string{"entry-1/1", "entry-2/1"},
+		},
+		{
+			name:   "the first has confirmed, and the second has not answered",
+			linked: []string{"entry-1/1", "entry-2/1"},
+		},
+	}
+	broadcast := newDemandBroadcast(apportioner.Report{})
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			isLinked := func(incarnation string) bool { return slices.Contains(step.linked, incarnation) }
+			var got []string
+			for _, receiver := range broadcast.nextReceivers(slices.Values(others), isLinked) {
+				got = append(got, receiver.Incarnation)
+			}
+			if !slices.Equal(got, step.want) {
+				t.Errorf("got %v, want %v", got, step.want)
+			}
+			for _, incarnation := range step.answered {
+				delete(broadcast.pending, incarnation)
+				broadcast.confirmed[incarnation] = true
+			}
+			for _, incarnation := range step.failed {
+				delete(broadcast.pending, incarnation)
+			}
+		})
+	}
+}
--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -36,8 +36,10 @@
 	DefaultMinChange  = 0.7
 	// reportIntervalPerMember, times the number of members, is the minimum time between
 	// two reports of an instance. The rate of the reports that an instance receives
-	// thus does not grow with the number of members.
+	// thus does not grow with the number of members. Beyond fullRateMembers the time grows
+	// with the square, as each report costs a message to each member and an answer.
 	reportIntervalPerMember = 20 * time.Millisecond
+	fullRateMembers         = 100
 )
 
 // Demand is the rate of requests that an instance receives for a resource.
@@ -303,10 +305,16 @@
 		return Report{}, false
 	}
 	a.pending = append(a.pending, indexReport(report))
-	a.nextReportAt = now.Add(reportIntervalPerMember * time.Duration(len(a.members)))
+	a.nextReportAt = now.Add(reportInterval(len(a.members)))
 	return report, true
 }
 
+// reportInterval returns the minimum time between two reports of an instance.
+func reportInterval(members int) time.Duration {
+	interval := reportIntervalPerMember * time.Duration(members)
+	return interval * time.Duration(max(members, fullRateMembers)) / fullRateMembers
+}
+
 // MarkDelivered records that all other members have confirmed the report with this
 // number.
 func (a *Apportioner) MarkDelivered(number uint64) {
