--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -153,46 +152,6 @@
 	}
 }
 
-// ObserveEra tells the watcher that the store has reached an era. If that is later than any
-// known here, the call in progress is canceled, and the next one lists all objects.
-func (w *Watcher[T]) ObserveEra(era uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if era <= w.latestEra {
-		return
-	}
-	w.latestEra = era
-	if w.cancelCall != nil {
-		w.cancelCall()
-	}
-}
-
-// Offer passes a view that another process got from the store. If the view's position is after
-// the last change known here, it replaces the watcher's view, and the watch continues
-// from its revision. This holds even if the store has answered for a later revision that
-// nothing has changed.
-func (w *Watcher[T]) Offer(view View[T]) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.offered == nil || view.Position().IsAfter(w.offered.Position()) {
-		w.offered = &view
-	}
-	if w.cancelCall != nil {
-		w.cancelCall()
-	}
-	w.Recheck()
-}
-
-// Recheck makes a watcher that does not watch call shouldWatch immediately, rather than after
-// watchCheckInterval.
-func (w *Watcher[T]) Recheck() {
-	select {
-	case w.wakeups <- struct{}{}:
-	default:
-		// A wakeup is pending already.
-	}
-}
-
 // Run keeps the view up to date until ctx is done, and always returns nil. It calls
 // onUpdate with each new view, whether listed, watched or offered; onAnswer after each
 // answer of the store, but not after an offer; and onError with each error of the store.
@@ -233,18 +192,6 @@
 	return nil
 }
 
-// awaitOffer waits until a view is offered, Recheck is called, watchCheckInterval has
-// passed, or ctx is done.
-func (w *Watcher[T]) awaitOffer(ctx context.Context) {
-	timer := time.NewTimer(watchCheckInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-w.wakeups:
-	}
-}
-
 // pause waits for the time between an answer with changes and the next watch. It returns
 // the error of ctx if ctx is done before.
 func (w *Watcher[T]) pause(ctx context.Context) error {
@@ -255,21 +202,6 @@
 	return retrier.Sleep(ctx, time.Duration(w.pauseMillis)*time.Millisecond+added)
 }
 
-// applyOffer replaces the view by the offered one if that is newer than the last change
-// known here, and reports whether it did.
-func (w *Watcher[T]) applyOffer() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	offered := w.offered
-	w.offered = nil
-	if offered == nil || !offered.Position().IsAfter(w.changedAt) {
-		return false
-	}
-	w.latestEra = max(w.latestEra, offered.Era)
-	w.replaceView(*offered)
-	return true
-}
-
 // errInterrupted is the error of a call that Restart or Offer has canceled.
 var errInterrupted = errors.New("call interrupted")
 
@@ -298,36 +230,6 @@
 	return changed, err
 }
 
-// hasOffer reports whether a view has been offered that has not been applied yet. An offer that
-// comes before the call can be canceled would otherwise wait until the call ends.
-func (w *Watcher[T]) hasOffer() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.offered != nil
-}
-
-// isOutdated reports whether the view is of an earlier era than the latest.
-func (w *Watcher[T]) isOutdated() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.era < w.latestEra
-}
-
-// acceptEra records and returns the era of an answer, or returns storer.ErrEarlierEra. An answer
-// that does not report the era, which is 0 then, counts as one of the latest era.
-func (w *Watcher[T]) acceptEra(answered uint64) (uint64, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if answered == 0 {
-		return w.latestEra, nil
-	}
-	if answered < w.latestEra {
-		return 0, fmt.Errorf("era %d after %d: %w", answered, w.latestEra, storer.ErrEarlierEra)
-	}
-	w.latestEra = answered
-	return answered, nil
-}
-
 // watch waits for changes and applies them to the view. It reports whether there were any.
 // Changes of a later era are left to the next call, which lists: they need not follow the view.
 func (w *Watcher[T]) watch(ctx context.Context) (bool, error) {
