Let the second watcher of a failure domain watch on its own again

Cause: since the second watcher was a standby: its watches read stale answers, and it left it to the first to tell of changes. Change: both read at full cost and tell of changes, as before.

--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -34,9 +34,6 @@
 type Platform struct {
 	// Store holds the objects of all collections below.
 	Store storer.Store
-	// StaleReader reads the same objects at a lower cost for the platform; its answers may be
-	// seconds old.
-	StaleReader storer.Reader[[]byte]
 	// Declarations holds the operators' declaration as a single object.
 	Declarations Collection[declarer.Declaration]
 	// Registrations holds one object for each upstream, under the upstream's name.
--- a/internal/steerer/reflector.go
+++ b/internal/steerer/reflector.go
@@ -134,8 +134,7 @@
 		retained:   retained,
 	}
 	r.watcher = watcher.New[[]byte](s.platform.Store, collection.Prefix, r.shouldWatch)
-	r.watcher.WithWatchTimeout(s.watchWait).WithPause(collection.PauseMillis).
-		WithStaleReader(s.platform.StaleReader, s.isStandby)
+	r.watcher.WithWatchTimeout(s.watchWait).WithPause(collection.PauseMillis)
 	query := handler.QueryFunc[DeltaRequest, watcher.Delta[[]byte]](
 		func(_ context.Context, request DeltaRequest) (watcher.Delta[[]byte], error) {
 			if history := r.history.Load(); history != nil {
@@ -209,7 +208,7 @@
 	// A peer's view may be of an earlier era than the one that another collection has told.
 	r.watcher.ObserveEra(r.steerer.storeEra.Load())
 	r.updateRetained(view)
-	if r.steerer.watching.Load() && !r.steerer.isStandby() {
+	if r.steerer.watching.Load() {
 		r.steerer.hub.HeartbeatPlaceNow()
 	}
 }
@@ -324,13 +323,13 @@
 
 // fetchView fetches the changes up to at least peerPosition from a peer, and offers the
 // result to the watcher. It first waits for peerFetchDelay in case the platform reports
-// the change; an instance that expects its changes from this peer does not wait.
+// the change; an instance that receives its changes from this peer does not wait.
 func (r *typedReflector[T]) fetchView(peer registrar.Member, peerPosition storer.Position) {
 	s := r.steerer
 	ctx, cancel := context.WithTimeout(s.lifecycle.Work(), fetchTimeout)
 	defer cancel()
 	wait := peerFetchDelay
-	if s.expectsFrom(peer) {
+	if s.receivesFrom(peer) {
 		wait = 0
 	}
 	if !sleep(ctx, wait) || !r.isBehind(peerPosition) {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -112,9 +112,6 @@
 	startedAt time.Time
 	// watching is set while this instance watches the platform itself.
 	watching atomic.Bool
-	// standby is set while this instance watches the platform, and another instance of its
-	// failure domain does so before it.
-	standby atomic.Bool
 	// primaryWatcher is set while this instance is the primary watcher, whose watches
 	// have a short timeout.
 	primaryWatcher atomic.Bool
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -16,19 +16,11 @@
 // names, that are alive and that the platform answers. An instance that the platform
 // does not answer keeps trying.
 func (s *Steerer) updateWatching() {
-	before := s.countWatchersBefore()
-	storeLost := s.storeLostNanos.Load() != 0
-	watching := storeLost || before < watchersPerPlace
+	watching := s.storeLostNanos.Load() != 0 || s.countWatchersBefore() < watchersPerPlace
 	if s.roster.Load().Position().IsZero() {
 		// The peers of this instance are not known yet.
 		watching = false
 	}
-	if standby := watching && before > 0 && !storeLost; s.standby.Swap(standby) && !standby {
-		// A stale watch that is waiting may hold changes back.
-		for _, reflector := range s.reflectors {
-			reflector.restartWatch()
-		}
-	}
 	if s.watching.Swap(watching) == watching {
 		return
 	}
@@ -55,24 +47,12 @@
 	return before
 }
 
-// isStandby reports whether this instance watches the platform only to take over from the first
-// watcher of its failure domain, which tells it of changes. Its watches may be stale.
-func (s *Steerer) isStandby() bool {
-	return s.standby.Load()
-}
-
 // receivesFrom reports whether this instance receives changes from a peer instead of
 // the platform.
 func (s *Steerer) receivesFrom(peer registrar.Member) bool {
 	return !s.watching.Load() && peer.Place == s.self.Place
 }
 
-// expectsFrom reports whether this instance expects changes from a peer sooner than from the
-// platform.
-func (s *Steerer) expectsFrom(peer registrar.Member) bool {
-	return s.receivesFrom(peer) || s.isStandby() && peer.Place == s.self.Place
-}
-
 // viewFetched handles the arrival of a newer view from a peer. If this instance receives
 // its changes from the peer, and the peer's last heartbeat said that the platform did not
 // answer it, the view shows that the platform answers again, before the peer's next
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -54,9 +54,6 @@
 type Watcher[T any] struct {
 	reader storer.Reader[T]
 	prefix string
-	// staleReader and mayBeStale are set by WithStaleReader, or nil.
-	staleReader storer.Reader[T]
-	mayBeStale  func() bool
 	// shouldWatch reports whether this process is to watch the store now. Otherwise the
 	// view changes only by offers.
 	shouldWatch func() bool
@@ -125,23 +122,6 @@
 	return w
 }
 
-// WithStaleReader sets a reader for watches whose answers may be seconds old, and returns the
-// watcher. It is used while mayBeStale returns true. Lists are never stale: an old one would
-// take the view back. WithStaleReader must be called before Run.
-func (w *Watcher[T]) WithStaleReader(reader storer.Reader[T], mayBeStale func() bool) *Watcher[T] {
-	w.staleReader = reader
-	w.mayBeStale = mayBeStale
-	return w
-}
-
-// watchReader returns the reader for the next watch.
-func (w *Watcher[T]) watchReader() storer.Reader[T] {
-	if w.staleReader != nil && w.mayBeStale() {
-		return w.staleReader
-	}
-	return w.reader
-}
-
 // Restart cancels the call in progress and repeats it, so that the timeout of
 // WithWatchTimeout is read again.
 func (w *Watcher[T]) Restart() {
@@ -239,7 +219,7 @@
 		defer cancel()
 	}
 	begun := time.Now()
-	changes, err := w.watchReader().Watch(ctx, w.prefix, w.revision)
+	changes, err := w.reader.Watch(ctx, w.prefix, w.revision)
 	if err != nil {
 		return false, err
 	}
