Forget an overload once nothing has been refused for a while

Cause: the state in which requests are refused at once ended only at a poll with an empty queue, so that an instance which was not polled after an overload could refuse a burst within the rate hours later, by the rate of then. Result: TestOverloadIsForgotten failed before (the first request after an hour refused) and passes; the other tests of the queue as before.

--- a/pkg/command/sharer/limiter.go
+++ b/pkg/command/sharer/limiter.go
@@ -83,8 +83,8 @@
 	// maxWaiters is the largest number of waiters.
 	maxWaiters int
 	waiters    []waiter
-	// overloadedSince is when the queue began to refuse waiters; the zero time while none is
-	// refused. lastRefusedAt is the time of the latest refusal.
+	// lastRefusedAt is when a waiter was last refused; the zero time if none was.
+	// overloadedSince is since when there has been no pause of serviceWindow between refusals.
 	overloadedSince time.Time
 	lastRefusedAt   time.Time
 	// served counts the waiters that were served, and serviceRate is the moving average of
--- a/pkg/command/sharer/queue.go
+++ b/pkg/command/sharer/queue.go
@@ -73,9 +73,6 @@
 	}
 	l.waiters = slices.Delete(l.waiters, 0, served)
 	l.served += uint64(served)
-	if len(l.waiters) == 0 && now.Sub(l.lastRefusedAt) > serviceWindow {
-		l.overloadedSince = time.Time{}
-	}
 }
 
 // serviceWindow is how long requests must have been refused before the rate at which waiters
@@ -85,10 +82,10 @@
 
 // recordRefusal records that a waiter was refused, or that a request was not let wait.
 func (l *Limiter) recordRefusal(now time.Time) {
-	l.lastRefusedAt = now
-	if l.overloadedSince.IsZero() {
+	if now.Sub(l.lastRefusedAt) > serviceWindow {
 		l.overloadedSince = now
 	}
+	l.lastRefusedAt = now
 }
 
 // isUsedUp reports whether the waiters ahead of a request will use up all that the rate admits
@@ -97,7 +94,7 @@
 func (l *Limiter) isUsedUp(now, deadline time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.overloadedSince.IsZero() || now.Sub(l.overloadedSince) < serviceWindow {
+	if now.Sub(l.lastRefusedAt) > serviceWindow || now.Sub(l.overloadedSince) < serviceWindow {
 		return false
 	}
 	expected := l.serviceRate.perSecond * deadline.Sub(now).Seconds()
--- a/pkg/command/sharer/queue_test.go
+++ b/pkg/command/sharer/queue_test.go
@@ -151,3 +151,28 @@
 		t.Fatalf("got %d refusals at 0.95 of the rate, want none", refused)
 	}
 }
+
+// TestOverloadIsForgotten guards against requests that are refused because of an overload that has
+// ended: the rate at which waiters were served then says nothing about now.
+func TestOverloadIsForgotten(t *testing.T) {
+	const (
+		perSecond = 10
+		wait      = time.Second
+	)
+	now := time.Now()
+	l := sharer.NewLimiter("team", "borrower/1", now)
+	l.SetHolders([]string{"lender"}, perSecond)
+	for range 3 * time.Second / sharer.PollInterval {
+		now = now.Add(sharer.PollInterval)
+		l.Take(now)
+		l.Enqueue(now, now.Add(wait), func(bool) {})
+		l.Poll(now)
+	}
+	now = now.Add(time.Hour)
+	for i := range perSecond / 2 {
+		l.Take(now)
+		if !l.Enqueue(now, now.Add(wait), func(bool) {}) {
+			t.Fatalf("got request %d refused an hour after the overload, want it to wait", i)
+		}
+	}
+}
