Wait for a first link before an older declaration comes into force

Callers: an instance that started after the store had returned from an older copy served a key that had been withdrawn.

Cause: an instance waits 400 ms for the links to its region and then serves by the store's declaration. On a loaded machine no link stands by then, so nothing tells that the declaration is outdated.

Change: while the list names other instances and none is linked, it waits on, 2 s after its start at most.

--- a/internal/steerer/awaited.go
+++ b/internal/steerer/awaited.go
@@ -13,6 +13,10 @@
 	// maxNearPeersWait is the longest time after its start for which an instance waits for links
 	// to the peers of its region, which tell what they have in force.
 	maxNearPeersWait = 400 * time.Millisecond
+	// maxFirstPeerWait is the longest time after its start for which an instance waits for a
+	// link to any listed peer. On a loaded machine the first links take longer than
+	// maxNearPeersWait, and without one nothing tells whether the declaration is outdated.
+	maxFirstPeerWait = 2 * time.Second
 )
 
 // offerDeclaration puts a declaration into force, unless this instance has none yet and a peer
@@ -46,6 +50,9 @@
 	if started < maxNearPeersWait && !s.nearPeersLinked() {
 		return true
 	}
+	if started < maxFirstPeerWait && s.countOthers() > 0 && !s.anyPeerLinked() {
+		return true
+	}
 	return declaration.Revision < newest && started < maxDeclarationWait
 }
 
@@ -69,6 +76,11 @@
 	return len(awaited) == 0
 }
 
+// anyPeerLinked reports whether a peer is linked and has sent its first heartbeat.
+func (s *Steerer) anyPeerLinked() bool {
+	return len(s.hub.Peers()) > 0
+}
+
 // newestAtPeers returns the highest revision of a declaration in force at a linked peer.
 func (s *Steerer) newestAtPeers() uint64 {
 	newest := uint64(0)
