--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -48,7 +48,7 @@
 		message.Demands = append(message.Demands, demand{
 			Resource: d.Resource,
 			// The demand is rounded up, so that peers never count less than this instance
-			// claims.
+			// claims. It is at most apportioner.MaxDemand, which fits.
 			Tenths: uint32(math.Ceil(d.PerSecond * tenthsPerUnit)),
 		})
 	}
--- a/internal/steerer/demand_test.go
+++ b/internal/steerer/demand_test.go
@@ -69,3 +69,24 @@
 		})
 	}
 }
+
+// TestReportsSayNoLessThanIsClaimed checks that the demand in a report on a link is never below
+// the one that the instance claims. It guards against a demand that does not fit its encoding,
+// of which peers would count next to nothing.
+func TestReportsSayNoLessThanIsClaimed(t *testing.T) {
+	demands := []float64{0, 0.01, 19.99, 20, 1e6, apportioner.MaxDemand}
+	for _, claimed := range demands {
+		source := apportioner.Report{
+			Demands: []apportioner.Demand{
+				{
+					Resource:  "team",
+					PerSecond: claimed,
+				},
+			},
+		}
+		got := newReport(source).apportionerReport().Demands[0].PerSecond
+		if got < claimed || got > claimed+0.1 {
+			t.Errorf("got %v requests a second at the peer, want %v to %v", got, claimed, claimed+0.1)
+		}
+	}
+}
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -20,8 +20,8 @@
 	table *router.Table
 	// home is the name of the instance's failure domain.
 	home string
-	// incarnation identifies the instance as a borrower.
-	incarnation string
+	// borrower numbers the asks of all limiters of the instance.
+	borrower *sharer.Borrower
 	// seats are the seats that the instance holds.
 	seats []splitter.Seat
 	// limiters holds the rate limiter of each limited team, by the team's name. It keeps
@@ -36,6 +36,8 @@
 	loadBounds map[string]*loadBound
 	// upstreams holds each upstream, by its address and incarnation.
 	upstreams map[upstreamID]*Upstream
+	// departed holds the upstreams that are not declared any more, for departedRetention.
+	departed map[upstreamID]departedUpstream
 	// affinity configures the choice of upstreams by the object of a request. If it is
 	// nil, the nearest upstreams are preferred.
 	affinity *Affinity
@@ -62,12 +64,13 @@
 }
 
 // InitialPlan returns the initial plan, in which nothing is declared. Home is the name
-// of the instance's failure domain.
+// of the instance's failure domain. An instance has one initial plan for its incarnation,
+// because its successors number the instance's asks for units.
 func InitialPlan(home, incarnation string) *Plan {
 	return &Plan{
-		home:        home,
-		incarnation: incarnation,
-		table:       router.New(0, declarer.Set{}),
+		home:     home,
+		borrower: sharer.NewBorrower(incarnation),
+		table:    router.New(0, declarer.Set{}),
 	}
 }
 
@@ -196,16 +199,16 @@
 func (p *Plan) successor(table *router.Table, seats []splitter.Seat, now time.Time) *Plan {
 	set := table.Set()
 	next := &Plan{
-		generation:  p.generation + 1,
-		table:       table,
-		home:        p.home,
-		incarnation: p.incarnation,
-		seats:       seats,
-		limiters:    p.limitersFor(set, seats, now),
-		pools:       map[string]versionPools{},
-		loadBounds:  map[string]*loadBound{},
-		upstreams:   map[upstreamID]*Upstream{},
-		affinity:    p.affinity,
+		generation: p.generation + 1,
+		table:      table,
+		home:       p.home,
+		borrower:   p.borrower,
+		seats:      seats,
+		limiters:   p.limitersFor(set, seats, now),
+		pools:      map[string]versionPools{},
+		loadBounds: map[string]*loadBound{},
+		upstreams:  map[upstreamID]*Upstream{},
+		affinity:   p.affinity,
 	}
 	for version := range set.Versions.All() {
 		bound := p.loadBoundFor(version.Service, next.loadBounds)
@@ -214,6 +217,7 @@
 			next.upstreams[idOf(declared)] = p.upstreamFor(declared, version.Name, bound, seats, now)
 		}
 	}
+	next.departed = p.departedAfter(next.upstreams, now)
 	for service := range set.Services.All() {
 		next.pools[service.Name] = next.poolsFor(service)
 	}
@@ -232,7 +236,7 @@
 			continue
 		}
 		if !found {
-			teamLimiter = sharer.NewLimiter(team.Name, p.incarnation, now)
+			teamLimiter = sharer.NewLimiter(team.Name, p.borrower, now)
 		}
 		teamLimiter.Resume()
 		if p.affinity == nil {
@@ -258,7 +262,8 @@
 }
 
 // loadBoundFor returns the load bound of a service: the one in p, or the one that another
-// version of the service has got in the next plan, or a new one.
+// version of the service has got in the next plan, or that of its departed upstreams, or a new
+// one.
 func (p *Plan) loadBoundFor(service string, next map[string]*loadBound) *loadBound {
 	if bound, found := p.loadBounds[service]; found {
 		return bound
@@ -266,6 +271,9 @@
 	if bound, found := next[service]; found {
 		return bound
 	}
+	if bound, found := p.departedBound(service); found {
+		return bound
+	}
 	return newLoadBound()
 }
 
@@ -282,7 +290,7 @@
 const coldBurst = 4
 
 // upstreamFor returns the state of a declared upstream. It reuses the state of the
-// upstream with the same ID in p, if there is one.
+// upstream with the same ID in p, if there is one, also of one that has departed.
 func (p *Plan) upstreamFor(
 	declared declarer.Upstream,
 	version string,
@@ -291,7 +299,11 @@
 	now time.Time,
 ) *Upstream {
 	upstream, found := p.upstreams[idOf(declared)]
+	departed, returned := p.departed[idOf(declared)]
 	switch {
+	case !found && returned:
+		upstream = departed.upstream
+		upstream.applyReturn(declared, version)
 	case !found:
 		upstream = newUpstream(declared, version, bound, p.affinity != nil, now)
 	case upstream.Declared() != declared || upstream.Version() != version:
--- a/pkg/command/apportioner/apportioner.go
+++ b/pkg/command/apportioner/apportioner.go
@@ -32,6 +32,9 @@
 	// small demand varies by that much at random. The larger of the two applies.
 	minRelativeChange = 0.2
 	DefaultMinChange  = 0.7
+	// MaxDemand is the largest demand, in requests per second, that is reported and claimed.
+	// The encoding of a report must hold it (32 bits of tenths).
+	MaxDemand = 1e8
 	// reportIntervalPerMember, times the number of members, is the minimum time between
 	// two reports of an instance. The rate of the reports that an instance receives
 	// thus does not grow with the number of members. Beyond fullRateMembers the time grows
@@ -162,7 +165,9 @@
 }
 
 // Measure updates the demand for a resource from the total number of requests that this
-// instance has received so far.
+// instance has received so far. A total below the last one has been counted anew, because its
+// owner was dropped and created again. Such a total says nothing about the rate, so the demand
+// stays as it is and is measured from that total on.
 func (a *Apportioner) Measure(resource string, total uint64, now time.Time) {
 	m, found := a.meters[resource]
 	if !found {
@@ -178,6 +183,11 @@
 	if elapsed <= 0 {
 		return
 	}
+	if total < m.lastTotal {
+		m.lastTotal = total
+		m.measuredAt = now
+		return
+	}
 	// The demand before the first measurement is unknown, so the average covers at most
 	// the time since then.
 	timeConstant := min(demandTimeConstant.Seconds(), now.Sub(m.startedAt).Seconds())
--- a/pkg/command/apportioner/report.go
+++ b/pkg/command/apportioner/report.go
@@ -120,7 +120,7 @@
 			Resource: resource,
 		}
 		if a.isHolder(resource) {
-			demand.PerSecond = a.meters[resource].perSecond
+			demand.PerSecond = min(a.meters[resource].perSecond, MaxDemand)
 		}
 		report.Demands = append(report.Demands, demand)
 		due = due || math.Abs(demand.PerSecond-previous) > max(minRelativeChange*previous, a.minChange(resource))
--- a/pkg/command/sharer/account.go
+++ b/pkg/command/sharer/account.go
@@ -65,7 +65,7 @@
 type Serial struct {
 	// Borrower is the incarnation of the instance that asks.
 	Borrower string
-	// Number increases with each ask of the borrower for the resource.
+	// Number increases with each ask of the borrower.
 	Number uint64
 }
 
--- a/pkg/command/sharer/asks.go
+++ b/pkg/command/sharer/asks.go
@@ -92,20 +92,16 @@
 
 // newAsk makes an ask to the holder and records it as open.
 func (l *Limiter) newAsk(holder string, units int, now time.Time) DirectedAsk {
-	l.lastAskNumber++
 	directed := DirectedAsk{
 		Holder: holder,
 		Ask: Ask{
-			Serial: Serial{
-				Borrower: l.borrower,
-				Number:   l.lastAskNumber,
-			},
+			Serial:           l.borrower.nextSerial(),
 			Resource:         l.resource,
 			Units:            units,
 			LenderWaitMillis: int(lenderWaitLimit.Milliseconds()),
 		},
 	}
-	l.openAsks[l.lastAskNumber] = openAsk{
+	l.openAsks[directed.Ask.Serial.Number] = openAsk{
 		directed: directed,
 		askedAt:  now,
 	}
--- a/pkg/command/sharer/backoff_test.go
+++ b/pkg/command/sharer/backoff_test.go
@@ -33,7 +33,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			limiter := sharer.NewLimiter("team", "borrower/1", now)
+			limiter := sharer.NewLimiter("team", sharer.NewBorrower("borrower/1"), now)
 			var holders []string
 			for i := range c.holders {
 				holders = append(holders, "holder-"+strconv.Itoa(i))
--- a/pkg/command/sharer/example_test.go
+++ b/pkg/command/sharer/example_test.go
@@ -12,10 +12,10 @@
 // Function calls stand in for the messages between them.
 func ExampleLimiter() {
 	start := time.Now()
-	owner := sharer.NewLimiter("quilters", "instance-a", start)
+	owner := sharer.NewLimiter("quilters", sharer.NewBorrower("instance-a"), start)
 	owner.Account.SetOwned(limiter.Limit{}.WithRate(5).WithBurst(3), start)
 	owner.Account.Confirm(start)
-	borrower := sharer.NewLimiter("quilters", "instance-b", start)
+	borrower := sharer.NewLimiter("quilters", sharer.NewBorrower("instance-b"), start)
 	borrower.SetHolders([]string{"instance-a"}, 5)
 
 	now := start.Add(time.Minute)
--- a/pkg/command/sharer/limiter.go
+++ b/pkg/command/sharer/limiter.go
@@ -65,7 +65,7 @@
 	// waits at it.
 	retirement retirement
 	resource   string
-	borrower   string
+	borrower   *Borrower
 	demand     demand
 	// holders are the other instances that own parts, nearest first.
 	holders []string
@@ -77,7 +77,6 @@
 	// roundRobinIndex selects the holder to ask while each one outside backoff has an
 	// open ask.
 	roundRobinIndex int
-	lastAskNumber   uint64
 	// openAsks holds the unanswered asks by number.
 	openAsks map[uint64]openAsk
 	// timedOut holds the asks that were not answered in time, by number. The value is
@@ -102,9 +101,9 @@
 	askedAt  time.Time
 }
 
-// NewLimiter returns a limiter that owns nothing. The parameter borrower is the
-// incarnation of the instance, which identifies it to lenders.
-func NewLimiter(resource, borrower string, now time.Time) *Limiter {
+// NewLimiter returns a limiter that owns nothing. All limiters of an instance must have the
+// same borrower.
+func NewLimiter(resource string, borrower *Borrower, now time.Time) *Limiter {
 	bucket := limiter.NewBucket(limiter.Limit{}, now)
 	return &Limiter{
 		Bucket:       bucket,
--- a/pkg/command/sharer/queue_test.go
+++ b/pkg/command/sharer/queue_test.go
@@ -37,7 +37,7 @@
 // play sends the load to a new limiter, whose lender answers each ask after one poll.
 func (o overload) play() overloadResult {
 	start := time.Now()
-	l := sharer.NewLimiter("team", "borrower/1", start)
+	l := sharer.NewLimiter("team", sharer.NewBorrower("borrower/1"), start)
 	l.Bucket.SetLimit(limiter.Limit{
 		RatePerSecond: o.ratePerSecond,
 		Burst:         sharer.MinHolderBurst,
@@ -160,7 +160,7 @@
 		wait      = time.Second
 	)
 	now := time.Now()
-	l := sharer.NewLimiter("team", "borrower/1", now)
+	l := sharer.NewLimiter("team", sharer.NewBorrower("borrower/1"), now)
 	l.SetHolders([]string{"lender"}, perSecond)
 	for range 3 * time.Second / sharer.PollInterval {
 		now = now.Add(sharer.PollInterval)
--- a/pkg/command/sharer/retirement_test.go
+++ b/pkg/command/sharer/retirement_test.go
@@ -38,7 +38,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			l := sharer.NewLimiter("team", "entry-1/1", now)
+			l := sharer.NewLimiter("team", sharer.NewBorrower("entry-1/1"), now)
 			l.SetHolders(nil, 100)
 			var answers, laterAnswers []bool
 			var grants []sharer.Grant
--- a/pkg/command/sharer/simulation_test.go
+++ b/pkg/command/sharer/simulation_test.go
@@ -139,7 +139,7 @@
 func (s *simulation) startInstance(inst *instance) {
 	inst.generation++
 	inst.pollScheduled = false
-	inst.limiter = sharer.NewLimiter("team", s.incarnation(inst), s.localTime(inst))
+	inst.limiter = sharer.NewLimiter("team", sharer.NewBorrower(s.incarnation(inst)), s.localTime(inst))
 	inst.limiter.Account.SetOwned(inst.part, s.localTime(inst))
 	inst.limiter.Account.Confirm(s.localTime(inst))
 	s.updateHolders(inst)
@@ -426,7 +426,7 @@
 	inst.generation++
 	inst.pausedUntil = s.now + quarantine
 	generation := inst.generation
-	inst.limiter = sharer.NewLimiter("team", s.incarnation(inst), s.localTime(inst))
+	inst.limiter = sharer.NewLimiter("team", sharer.NewBorrower(s.incarnation(inst)), s.localTime(inst))
 	s.schedule(quarantine, func() {
 		if inst.generation == generation {
 			s.startInstance(inst)
