Let requests finish whose key has moved to another team

Cause: CancelInvalid ends what Admitter.Recheck refuses, and Recheck took a key that another team holds for a withdrawn one. In the same way a team that loses a service got 403 in flight, and a key that was withdrawn by one declaration and restored by the next still ended requests.

Before the first byte is sent, the whole decision is repeated: a moved key gets the new reason KeyMoved (503, NotRun, retry at once), because upstreams are told the team and an answer for one team must not reach another. It is also checked before each further attempt.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -66,6 +66,10 @@
 			got:  string(arbiter.KeyWithdrawn),
 			want: "KeyWithdrawn",
 		},
+		{
+			got:  string(arbiter.KeyMoved),
+			want: "KeyMoved",
+		},
 		{
 			got:  string(arbiter.KeyExposed),
 			want: "KeyExposed",
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -27,13 +27,18 @@
 	mayHaveRunErr error
 }
 
-// next makes the next attempt. If no upstream can be acquired, or the instance stops before
-// an answer is expected, it returns the answer of the attempt before.
+// next makes the next attempt. If no upstream can be acquired, the key no longer works for the
+// request's team, or the instance stops before an answer is expected, it returns the answer of
+// the attempt before.
 func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
 	now := time.Now()
 	if refusal := a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now); refusal != nil {
 		return a.lastAnswer, a.overallError(refusal)
 	}
+	// The key may have been withdrawn or moved while the request waited or was sent before.
+	if refusal := a.receiver.admitter.Recheck(a.admission, now); refusal != nil {
+		return a.lastAnswer, a.overallError(refusal)
+	}
 	if len(a.failed) > 0 {
 		a.receiver.metrics.CountRetry()
 	}
--- a/internal/receiver/forward_test.go
+++ b/internal/receiver/forward_test.go
@@ -38,6 +38,12 @@
 
 // newEntry starts an entry for a service whose upstreams listen at the addresses.
 func newEntry(t testing.TB, addresses ...string) *entry {
+	t.Helper()
+	return newEntryWith(t, func(*receiver.Options) {}, addresses...)
+}
+
+// newEntryWith is newEntry with changed options of the receiver.
+func newEntryWith(t testing.TB, change func(options *receiver.Options), addresses ...string) *entry {
 	t.Helper()
 	plans := holder.New[admitter.Plan]()
 	// The team's bucket starts empty. A start one hour ago makes it full now.
@@ -53,7 +59,7 @@
 	requestForwarder := forwarder.New()
 	t.Cleanup(requestForwarder.Close)
 	requestDrainer := drainer.New(time.Now())
-	requestReceiver := receiver.New(receiver.Options{
+	options := receiver.Options{
 		Admitter:          admitter.New(plans, admitter.NewFreshness(time.Now())),
 		Forwarder:         requestForwarder,
 		Drainer:           requestDrainer,
@@ -64,7 +70,9 @@
 		Metrics:           exporter.NewRequestCounters(metrics.NewRegistry()),
 		WaitingForRate:    func() {},
 		UpstreamSuspected: func(*admitter.Upstream, *arbiter.Refusal) {},
-	})
+	}
+	change(&options)
+	requestReceiver := receiver.New(options)
 	server := httptest.NewServer(requestReceiver)
 	t.Cleanup(server.Close)
 	return &entry{
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -22,13 +22,6 @@
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 )
 
-// InFlightRequest is one request in flight, as CancelInvalid needs it: its admission and
-// the function that cancels it.
-type InFlightRequest struct {
-	admission admitter.Admission
-	cancel    context.CancelCauseFunc
-}
-
 // Receiver serves the requests of callers. It is safe for concurrent use.
 type Receiver struct {
 	admitter  *admitter.Admitter
@@ -74,7 +67,7 @@
 	// none; at least 1.
 	Attempts int
 	// FinishMillis is how long a request in flight may continue after CancelInvalid has
-	// found that its key is no longer valid, in milliseconds.
+	// found that its key was withdrawn, in milliseconds.
 	FinishMillis int
 	// RetryFailures says that an answer with a 5xx status counts as a failed attempt: an
 	// idempotent request is sent again, and an upstream that is not probed becomes suspect.
@@ -135,24 +128,6 @@
 	}
 }
 
-// CancelInvalid cancels the requests in flight that the plan in force would no longer
-// admit because of their key (see admitter.Admitter.Recheck), finishMillis after the check.
-// It must be called after each change of the plan.
-func (r *Receiver) CancelInvalid() {
-	r.inFlight.Each(func(request *InFlightRequest) {
-		refusal := r.admitter.Recheck(request.admission, time.Now())
-		switch {
-		case refusal == nil:
-		case r.finishMillis == 0:
-			request.cancel(refusal)
-		default:
-			// Canceling a request that has ended meanwhile has no effect.
-			wait := time.Duration(r.finishMillis) * time.Millisecond
-			time.AfterFunc(wait, func() { request.cancel(refusal) })
-		}
-	})
-}
-
 // ServeHTTP serves one request of a caller.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	if r.lookupHandler != nil && request.URL.Path == PathLookup {
@@ -231,16 +206,17 @@
 	// If the key was withdrawn between Admit and Add, CancelInvalid could not find the
 	// request, so it is checked again here.
 	if refusal = r.admitter.Recheck(admission, time.Now()); refusal != nil {
+		admission.Refund(time.Now())
 		return refusal
 	}
 	return r.forwardAndRelay(ctx, w, request, admission, outcome)
 }
 
 // refuseOverRate returns the refusal of a request that has waited for its team's rate in vain:
-// the given one, unless its key has been withdrawn meanwhile.
+// the given one, unless its key has been withdrawn or has moved meanwhile.
 func (r *Receiver) refuseOverRate(admission admitter.Admission, refusal *arbiter.Refusal) *arbiter.Refusal {
-	if withdrawn := r.admitter.Recheck(admission, time.Now()); withdrawn != nil {
-		return withdrawn
+	if invalid := r.admitter.Recheck(admission, time.Now()); invalid != nil {
+		return invalid
 	}
 	return refusal
 }
--- a/internal/translator/status.go
+++ b/internal/translator/status.go
@@ -13,6 +13,7 @@
 	arbiter.KeyMissing:       http.StatusUnauthorized,
 	arbiter.KeyUnknown:       http.StatusUnauthorized,
 	arbiter.KeyWithdrawn:     http.StatusUnauthorized,
+	arbiter.KeyMoved:         http.StatusServiceUnavailable,
 	arbiter.KeyExposed:       http.StatusBadRequest,
 	arbiter.KeyUnconfirmed:   http.StatusServiceUnavailable,
 	arbiter.TeamNotAllowed:   http.StatusForbidden,
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -18,6 +18,8 @@
 	KeyUnknown Reason = "KeyUnknown"
 	// KeyWithdrawn means that the key was declared and has been withdrawn.
 	KeyWithdrawn Reason = "KeyWithdrawn"
+	// KeyMoved means that the key has moved to another team before the request was sent.
+	KeyMoved Reason = "KeyMoved"
 	// KeyExposed means that the key also appears in a part of the request that is passed
 	// on to an upstream.
 	KeyExposed Reason = "KeyExposed"
@@ -74,6 +76,7 @@
 		KeyMissing,
 		KeyUnknown,
 		KeyWithdrawn,
+		KeyMoved,
 		KeyExposed,
 		KeyUnconfirmed,
 		TeamNotAllowed,
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -139,24 +139,6 @@
 	return admission.charge(request.Now)
 }
 
-// Recheck checks the key of an admitted request against the plan in force, and
-// returns a refusal if the key is no longer valid. A request on an open route stays
-// valid.
-func (a *Admitter) Recheck(admission Admission, now time.Time) *arbiter.Refusal {
-	if admission.Key == nil {
-		return nil
-	}
-	key := admission.Key
-	if plan := a.plans.Load(); plan != admission.Plan {
-		found := false
-		key, found = plan.table.Key(admission.Key.Hash())
-		if !found || key.Declared.Team != admission.Key.Declared.Team {
-			return refuseWithdrawn()
-		}
-	}
-	return a.authorize(key, admission.Service, now)
-}
-
 // currentPlan returns the plan whose upstreams the request may be sent to. That is the
 // plan in force, so that a request that is sent late does not go to an upstream that is
 // leaving or no longer declared by then. If the service is no longer declared, it is the
@@ -303,17 +285,12 @@
 	case !key.MayUse(service):
 		return arbiter.Refuse(arbiter.TeamNotAllowed, "the key's team may not use this service")
 	case a.keysStopped(key.Team, now):
-		return arbiter.Refuse(arbiter.KeyUnconfirmed, "this instance is cut off and cannot tell whether the key still works")
+		return refuseUnconfirmed()
 	default:
 		return nil
 	}
 }
 
-// refuseWithdrawn returns the refusal of a request whose key has been withdrawn.
-func refuseWithdrawn() *arbiter.Refusal {
-	return arbiter.Refuse(arbiter.KeyWithdrawn, "the key has been withdrawn")
-}
-
 // keysStopped reports whether the team's keys have stopped working because the
 // configuration has not been confirmed for too long.
 func (a *Admitter) keysStopped(team declarer.Team, now time.Time) bool {
