Let instances state the capacity of their machines

Every instance gets the same share of the callers, although the machines of one deployment differ by seven times in processor time and by twenty times in the rate of their links.

The new table Capacity in the settings (cores, link, memory, descriptors; 0 is unknown) becomes part of the instance's entry. The heartbeat can report that an instance is saturated. Nothing reads these fields yet.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -38,6 +38,7 @@
 	Readiness Readiness
 	Placing   Placing
 	Teams     Teams
+	Capacity  Capacity
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -36,6 +36,11 @@
 Address = "http://10.200.1.7:8382"
 [Drain]
 KillSeconds = 6
+[Capacity]
+Cores = 0.112
+LinkMbits = 10
+MemoryMB = 136.0
+Descriptors = 2870
 `
 
 func TestInvalidSettingsNameTheFaultyFields(t *testing.T) {
@@ -110,6 +115,11 @@
 `,
 			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
 		},
+		{
+			name:   "a capacity that is no number",
+			text:   strings.Replace(thimblegateSettings, "Cores = 0.112", "Cores = nan", 1) + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
+			fields: []string{"Capacity.Cores"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/linker/frame.go
+++ b/internal/linker/frame.go
@@ -79,6 +79,9 @@
 	// Seatless reports that the sender has a configuration but no seat yet, and is not
 	// draining: it is trying to claim one.
 	Seatless bool `cbor:",omitempty"`
+	// Saturated reports that the sender's processor is used up, so that look-ups should name
+	// it to fewer callers.
+	Saturated bool `cbor:",omitempty"`
 }
 
 // Position returns the position in the store's history of the sender's copy of a collection.
@@ -134,9 +137,10 @@
 )
 
 // computeMAC returns the code that authenticates the prover's role and member. It
-// covers both nonces, the verifier's first.
+// covers both nonces, the verifier's first. It leaves out the member's capacity: a build
+// without that field drops it on decoding and would compute another code.
 func computeMAC(secret, role string, verifierNonce, proverNonce []byte, member registrar.Member) ([]byte, error) {
-	encoded, err := memberCodec.Encode(member)
+	encoded, err := memberCodec.Encode(member.WithCapacity(registrar.Capacity{}))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/linker/golden_test.go
+++ b/internal/linker/golden_test.go
@@ -33,7 +33,7 @@
 			},
 			Nonce: []byte("nonce"),
 			MAC:   []byte("m a c"),
-		}),
+		}).WithSparse(),
 	}
 	for _, c := range cases {
 		t.Run(c.File(), c.Compare(*update))
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -31,7 +31,7 @@
 					Leaving:       true,
 				},
 			},
-		}),
+		}).WithSparse(),
 	}
 	for _, c := range cases {
 		t.Run(c.File(), c.Compare(*update))
--- a/pkg/registrar/member.go
+++ b/pkg/registrar/member.go
@@ -50,6 +50,9 @@
 	Listed bool
 	// Leaving says that the instance is draining: it has begun to stop.
 	Leaving bool
+	// Capacity is that of the instance's machine. It is not encoded if it is unknown, so that
+	// such a member is encoded as by builds without it.
+	Capacity Capacity `cbor:",omitzero"`
 }
 
 // Seat is the right to one part of every limit.
