Name instances to callers in proportion to their capacities

A look-up named all instances of the caller's failure domain, so that a machine with 0.112 cores and 10 Mbit/s got as many callers as one with 0.8 cores and 200 Mbit/s.

Nearest now draws four of them by the caller's address, by weighted rendezvous hashing with the logarithmic method, if their capacities differ. The rates of the draws are set so that the probability to be named, not the rate, is proportional (exponential order sampling). The weight of an instance is its scarcest resource relative to the mean. Equal or unknown capacities give today's answer, of at most 64 instances.

An instance that states a capacity measures how late its own timers fire, reports in its heartbeat when it is saturated, with hysteresis, and is then named to a quarter of its callers; the effect fades out as most of a failure domain is saturated. Addresses with more than three look-ups a second at one instance stand for several callers and get all instances, because a draw would give the whole of them the same four. Look-ups are counted by outcome.

--- a/internal/steerer/lookups.go
+++ b/internal/steerer/lookups.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	// revision is that of the declaration; 0 before the first locator.
 	revision uint64
 	members  []registrar.Member
+	// saturated holds the incarnations of the members that report that they are saturated.
+	saturated []string
 	// blocks holds the declared client blocks of the revision.
 	blocks *locator.Blocks
 }
@@ -32,14 +35,16 @@
 }
 
 // withMembers returns a copy with other available instances.
-func (i locatorInputs) withMembers(members []registrar.Member) locatorInputs {
+func (i locatorInputs) withMembers(members []registrar.Member, saturated []string) locatorInputs {
 	i.members = members
+	i.saturated = saturated
 	return i
 }
 
 // equal reports whether both lead to the same answers.
 func (i locatorInputs) equal(other locatorInputs) bool {
-	return i.revision == other.revision && i.blocks == other.blocks && slices.Equal(i.members, other.members)
+	return i.revision == other.revision && i.blocks == other.blocks &&
+		slices.Equal(i.members, other.members) && slices.Equal(i.saturated, other.saturated)
 }
 
 // updateLocator publishes a locator of the available instances for the plan in force, if it
@@ -65,41 +70,59 @@
 		Set:         table.Set(),
 		Blocks:      inputs.blocks,
 		Members:     inputs.members,
+		Saturated:   inputs.saturated,
 		Home:        s.self.Place,
 		ValidMillis: s.settings.Lookups.ValidMillis,
 	}))
 }
 
-// availableMembers returns the instances that lookups may name to callers. The caller
-// holds locatorMu.
-func (s *Steerer) availableMembers() []registrar.Member {
-	var available []registrar.Member
+// availableMembers returns the instances that lookups may name to callers, and the
+// incarnations of those that report that they are saturated. The caller holds locatorMu.
+func (s *Steerer) availableMembers() (available []registrar.Member, saturated []string) {
 	if !s.leaving.Load() {
 		available = append(available, s.self)
+		if s.saturated.Load() {
+			saturated = append(saturated, s.self.Incarnation)
+		}
 	}
 	for member := range s.otherMembers() {
-		if _, alive := s.isAlive(member); alive {
-			available = append(available, member)
+		heartbeat, alive := s.isAlive(member)
+		if !alive {
+			continue
+		}
+		available = append(available, member)
+		if heartbeat.Saturated {
+			saturated = append(saturated, member.Incarnation)
 		}
 	}
-	return available
+	return available, saturated
 }
 
 // lookup returns the instances that a caller in a failure domain should use. They are the
-// same for all hosts, since each instance serves all of them.
-func (s *Steerer) lookup(_, place string) (LookupResult, bool) {
+// same for all hosts, since each instance serves all of them. Callers that share an address
+// get all of the nearest instances.
+func (s *Steerer) lookup(question Lookup) (LookupResult, bool) {
 	current := s.locators.Load()
 	if current == nil {
+		s.lookupCounters.notReady.Inc(1)
 		return LookupResult{}, false
 	}
-	answer := current.Nearest(place, time.Now())
+	now := time.Now()
+	caller := question.Caller
+	if s.self.Capacity.IsKnown() && caller.IsValid() && s.lookupCrowd.Record(caller, now) {
+		s.lookupCounters.shared.Inc(1)
+		caller = netip.Addr{}
+	}
+	answer := current.Nearest(question.Place, caller, now)
 	if len(answer.Entries) == 0 {
+		s.lookupCounters.empty.Inc(1)
 		return LookupResult{}, false
 	}
 	addresses := make([]string, 0, len(answer.Entries))
 	for _, entry := range answer.Entries {
 		addresses = append(addresses, entry.Address)
 	}
+	s.lookupCounters.answered.Inc(1)
 	return LookupResult{
 		Addresses:  addresses,
 		ValidUntil: answer.ValidUntil,
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -35,6 +35,7 @@
 		Leaving:   s.leaving.Load(),
 		StoreLost: s.storeLostNanos.Load() != 0,
 		AgeMillis: s.contact.reportedAge(time.Now()).Milliseconds(),
+		Saturated: s.saturated.Load(),
 	}
 	for i, reflector := range s.reflectors {
 		heartbeat = heartbeat.WithPosition(i, reflector.position())
@@ -55,7 +56,7 @@
 		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
 		s.hub.Go(func() { s.markLeft(peer) })
 	}
-	if previous == (linker.Heartbeat{}) || heartbeat.Leaving != previous.Leaving {
+	if previous == (linker.Heartbeat{}) || heartbeat.Leaving != previous.Leaving || heartbeat.Saturated != previous.Saturated {
 		s.locatorUpdates.Request()
 	}
 	if s.watching.Load() || s.receivesFrom(peer) {
@@ -188,7 +189,7 @@
 func (s *Steerer) refreshLoop(ctx context.Context) error {
 	s.updatePeerLinks()
 	rounds := 0
-	for sleep(ctx, refreshInterval) {
+	for s.sleepMeasured(ctx, refreshInterval) {
 		s.endRegistrationGrace()
 		s.endDeclarationWait()
 		s.refreshReflectors(time.Now())
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/translator"
@@ -78,9 +79,19 @@
 // there get no more requests.
 type Evacuation struct{}
 
-// LocateFunc returns the entry instances that a caller in a failure domain should use for
-// a host. It returns false while no instance is available.
-type LocateFunc func(host, place string) (LookupResult, bool)
+// Lookup is the question of a caller which entry instances it should use.
+type Lookup struct {
+	// Host is the host name that the caller's requests are for.
+	Host string
+	// Place is the failure domain that the caller names as its own.
+	Place string
+	// Caller is the address that the question came from; the zero value if it is not known.
+	Caller netip.Addr
+}
+
+// LocateFunc returns the entry instances that a caller should use. It returns false while no
+// instance is available.
+type LocateFunc func(question Lookup) (LookupResult, bool)
 
 // LookupResult lists entry instances that are equally suitable for a caller.
 type LookupResult struct {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -23,6 +23,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/detector"
 	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -83,6 +84,13 @@
 	locatorMu         sync.Mutex
 	locatorGeneration uint64
 	locatorInputs     locatorInputs
+	// lookupCrowd tells addresses that several callers share.
+	lookupCrowd    locator.Crowd
+	lookupCounters lookupCounters
+	// saturation is the latest state of this instance's processor. Only refreshLoop uses it;
+	// saturated is what it says.
+	saturation detector.Saturation
+	saturated  atomic.Bool
 	// locatorUpdates runs updateLocator after changes of links and members.
 	locatorUpdates *coalescer.Coalescer
 
@@ -150,6 +158,12 @@
 			Place:         settings.Place,
 			CallerAddress: settings.Callers.Listen,
 			PeerAddress:   settings.Peers.Listen,
+			Capacity: registrar.Capacity{
+				Cores:       settings.Capacity.Cores,
+				LinkMbits:   settings.Capacity.LinkMbits,
+				MemoryMB:    settings.Capacity.MemoryMB,
+				Descriptors: settings.Capacity.Descriptors,
+			},
 		},
 		listeners: opened,
 		plans:     holder.New[admitter.Plan](),
@@ -175,6 +189,7 @@
 	s.roster.Store(&registrar.Roster{})
 	s.countersByService.Store(&map[string]*moveCounters{})
 	s.requestLog = newRequestLog(s.log, s.registry)
+	s.lookupCounters = newLookupCounters(s.registry)
 	s.plans.Advance(*admitter.InitialPlan(s.self.Place, s.self.Incarnation).WithAffinity(admitter.Affinity{
 		OtherPlace:  settings.Placing.OtherPlace,
 		OtherRegion: settings.Placing.OtherRegion,
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -84,6 +84,9 @@
 	// Members holds the instances that answers may name: those that are present and not
 	// leaving.
 	Members []registrar.Member
+	// Saturated holds the incarnations of those members that report that they are saturated.
+	// They are named to fewer callers.
+	Saturated []string
 	// Home is the failure domain that counts as the location of clients that no declared
 	// block contains. If it is not declared, the first failure domain by name is used.
 	Home string
@@ -95,6 +98,7 @@
 func New(source Source) *Locator {
 	places := source.Set.Places.Rows()
 	entries := entriesByPlace(source.Members)
+	known := instancesOf(source)
 	locator := &Locator{
 		generation:  source.Generation,
 		revision:    source.Revision,
@@ -111,7 +115,7 @@
 	}
 	for i, place := range places {
 		locator.siteNumbers[place.Name] = i
-		locator.sites = append(locator.sites, newSite(place, source.Set.Places, entries))
+		locator.sites = append(locator.sites, newSite(place, source.Set.Places, entries, known))
 		if place.Name == source.Home {
 			locator.homeSite = i
 		}
@@ -145,9 +149,12 @@
 	return answer, true
 }
 
-// Nearest returns all instances at the shortest distance from a failure domain that the
-// caller names. For a failure domain that is not declared it uses Source.Home.
-func (l *Locator) Nearest(place string, now time.Time) Answer {
+// Nearest returns instances at the shortest distance from a failure domain that the caller
+// names. For a failure domain that is not declared it uses Source.Home. If the capacities of
+// these instances differ, a caller gets DrawnEntries of them, chosen by its address so that it
+// keeps them, in proportion to the capacities. Otherwise, or if the caller's address is not
+// valid, it gets all of them.
+func (l *Locator) Nearest(place string, caller netip.Addr, now time.Time) Answer {
 	answer := Answer{
 		ValidUntil: now.Add(time.Duration(l.validMillis) * time.Millisecond),
 		Revision:   l.revision,
@@ -156,8 +163,12 @@
 	if !found {
 		number = l.homeSite
 	}
-	if number < len(l.sites) {
-		answer.Entries = l.sites[number].nearest
+	if number >= len(l.sites) {
+		return answer
+	}
+	answer.Entries = l.sites[number].nearest
+	if draw := l.sites[number].draw; draw != nil && caller.IsValid() {
+		answer.Entries = draw.forCaller(caller)
 	}
 	return answer
 }
--- a/pkg/query/locator/site.go
+++ b/pkg/query/locator/site.go
@@ -16,6 +16,8 @@
 	rankings [][]Entry
 	// nearest holds all instances at the shortest distance.
 	nearest []Entry
+	// draw chooses among nearest by the caller's address; nil if each caller gets all.
+	draw *draw
 }
 
 // group holds the entries of failure domains at one distance, in the order of the names of the
@@ -44,7 +46,12 @@
 // newSite returns the site of a failure domain. Its rankings begin with the instances of
 // the same failure domain, followed by those of the same region and then by the others in
 // the order of latency. Equally near instances rotate from one ranking to the next.
-func newSite(from declarer.Place, places declarer.Table[declarer.Place], entries map[string][]Entry) site {
+func newSite(
+	from declarer.Place,
+	places declarer.Table[declarer.Place],
+	entries map[string][]Entry,
+	known map[string]instance,
+) site {
 	groups := groupByDistance(from, places, entries)
 	if len(groups) == 0 {
 		return site{}
@@ -52,6 +59,7 @@
 	result := site{
 		nearest: groups[0].entries(),
 	}
+	result.draw = newDraw(result.nearest, known)
 	rotations := 0
 	for _, group := range groups {
 		rotations = max(rotations, min(group.size(), maxRotations))
