Move spillovers by the balance of regions, if the settings ask for it

Placing.ShiftPerWindow, 0 by default, replaces Plan.AdjustSpillovers by the decisions of package balancer. Each instance counts its attempts and its slots in use by service, tells them to the first instance of its region once a second, and follows that one's parts. The leaders of the regions tell each other their sums. A link carries at most one such message a second. Parts change by at most ShiftPerWindow in any two seconds at each instance; before the first request of a service they follow the registered upstreams, as before.

With 0 the request path reads one more flag and counts nothing.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -123,6 +123,8 @@
 	choices := placing.Choices
 	v.require(choices >= 1 && choices <= picker.MaxChoices, "Placing.Choices", fmt.Sprint(choices),
 		fmt.Sprintf("1 to %d", picker.MaxChoices))
+	shift := placing.ShiftPerWindow
+	v.require(shift >= 0 && shift <= 1, "Placing.ShiftPerWindow", fmt.Sprint(shift), "0 to 1")
 	costs := []struct {
 		field string
 		value float64
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -84,6 +84,10 @@
 	// LoadWeight is the cost of each unit of load beyond FreeLoad, which is as many
 	// requests as the upstream has slots. 0 to 100; 0.5 by default.
 	LoadWeight float64
+	// ShiftPerWindow is the largest part of a region's requests whose region the demand and
+	// the slots of all regions may change within two seconds (package balancer). With 0, the
+	// default, the loads that this instance sees change it instead. 0 to 1.
+	ShiftPerWindow float64
 }
 
 // Callers configures the listener for callers.
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -112,8 +112,9 @@
 [Placing]
 Choices = 9
 OtherRegion = -0.5
+ShiftPerWindow = 1.5
 `,
-			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
+			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.ShiftPerWindow", "Placing.OtherRegion", "Teams.Slack"},
 		},
 		{
 			name:   "a capacity that is no number",
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -38,6 +38,30 @@
 				},
 			},
 		}),
+		comparer.NewCase("balance.cbor", encoder.CBOR[balanceReport]{}, balanceReport{
+			Demands: []serviceDemand{
+				{
+					Service:   "service",
+					PerSecond: 1.5,
+					Slope:     2.5,
+					InUse:     3.5,
+				},
+			},
+			Sums: []serviceDemand{
+				{
+					Service:   "service",
+					PerSecond: 4.5,
+					Slope:     5.5,
+					InUse:     6.5,
+				},
+			},
+			Fractions: []serviceFraction{
+				{
+					Service:  "service",
+					Fraction: 0.75,
+				},
+			},
+		}),
 		// Counts without durations are encoded as before these were counted.
 		comparer.NewCase("progress.cbor", encoder.CBOR[progress]{}, progress{
 			Service:       "service",
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -84,6 +84,9 @@
 	locatorMu         sync.Mutex
 	locatorGeneration uint64
 	locatorInputs     locatorInputs
+	// balance moves the parts of objects that roam between regions; nil if the settings leave
+	// that to Plan.AdjustSpillovers.
+	balance *balance
 	// lookupCrowd tells addresses that several callers share.
 	lookupCrowd    locator.Crowd
 	lookupCounters lookupCounters
@@ -190,12 +193,14 @@
 	s.countersByService.Store(&map[string]*moveCounters{})
 	s.requestLog = newRequestLog(s.log, s.registry)
 	s.lookupCounters = newLookupCounters(s.registry)
+	s.balance = newBalance(settings, s.registry)
 	s.plans.Advance(*admitter.InitialPlan(s.self.Place, s.self.Incarnation).WithAffinity(admitter.Affinity{
 		OtherPlace:  settings.Placing.OtherPlace,
 		OtherRegion: settings.Placing.OtherRegion,
 		Choices:     settings.Placing.Choices,
 		FreeLoad:    settings.Placing.FreeLoad,
 		LoadWeight:  settings.Placing.LoadWeight,
+		Balanced:    settings.Placing.ShiftPerWindow > 0,
 	}))
 	s.assemble()
 	return s, nil
@@ -227,6 +232,7 @@
 	s.registerDemandHandler()
 	s.registerMoveHandler()
 	s.registerAdvertisementsHandler()
+	s.registerBalanceHandler()
 	s.reflectors = s.newReflectors()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -184,7 +184,7 @@
 		avoid:        avoid,
 		routeRegions: a.Route.Declared.Homes,
 		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].includes(random),
+		anyRegion:    plan.spillovers[a.Service].choose(random),
 		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
 	}
 	if upstream, found := pools.acquire(random, wanted); found {
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -59,6 +59,8 @@
 	Choices    int
 	FreeLoad   float64
 	LoadWeight float64
+	// Balanced says that SetSpillover sets the spillovers instead of AdjustSpillovers.
+	Balanced bool
 }
 
 // InitialPlan returns the initial plan, in which nothing is declared. Home is the name
--- a/pkg/command/admitter/spillover.go
+++ b/pkg/command/admitter/spillover.go
@@ -38,12 +38,17 @@
 	fractionBits atomic.Uint64
 	// createdAt is the start of spilloverSettleTime.
 	createdAt time.Time
+	// balanced says that SetSpillover sets the fraction, and that requests are counted for it.
+	balanced bool
+	// requests is the number of requests so far; 0 if it is not balanced.
+	requests atomic.Uint64
 }
 
 // newSpillover returns a spillover of 0 that begins to settle now.
-func newSpillover(now time.Time) *spillover {
+func newSpillover(balanced bool, now time.Time) *spillover {
 	return &spillover{
 		createdAt: now,
+		balanced:  balanced,
 	}
 }
 
@@ -87,17 +92,25 @@
 	if own.slots == 0 || others.slots == 0 {
 		return 0
 	}
-	// targetFraction is the fraction of the local requests that must run in other regions
-	// for equal loads. baselineFraction is the fraction that does so without spillover, and
-	// spilledFraction is the fraction of the spilled requests that does so if they are
-	// spread over the slots of all regions.
 	targetFraction := 1 - float64(own.slots*regionCount)/float64(totalSlots)
+	return spillFor(targetFraction, own, others, distanceCost)
+}
+
+// spillFor returns the fraction of objects that must spill so that targetFraction of the local
+// requests runs in other regions.
+func spillFor(targetFraction float64, own, others capacity, distanceCost float64) float64 {
+	// baselineFraction is the fraction of the requests that runs there without spillover.
 	baselineFraction := crossRegionFraction(own.upstreams, others.upstreams, distanceCost)
-	spilledFraction := float64(others.slots) / float64(totalSlots)
 	if targetFraction <= baselineFraction {
 		return 0
 	}
-	return min((targetFraction-baselineFraction)/(spilledFraction-baselineFraction), 1)
+	return min((targetFraction-baselineFraction)/(spilledFraction(own, others)-baselineFraction), 1)
+}
+
+// spilledFraction returns the fraction of the spilled requests that runs in other regions if
+// they are spread over the slots of all regions.
+func spilledFraction(own, others capacity) float64 {
+	return float64(others.slots) / float64(own.slots+others.slots)
 }
 
 // crossRegionFraction returns the fraction of objects that prefer an upstream in another
@@ -131,8 +144,12 @@
 }
 
 // AdjustSpillovers changes the spillover of each service by at most one step, according
-// to the observed loads. It must be called every SpilloverInterval.
+// to the observed loads. It must be called every SpilloverInterval. In a balanced plan it does
+// nothing.
 func (p *Plan) AdjustSpillovers(now time.Time) {
+	if p.isBalanced() {
+		return
+	}
 	for service, spillover := range p.spillovers {
 		pool := p.pools[service].stable
 		if pool == nil || now.Sub(spillover.createdAt) < spilloverSettleTime {
@@ -150,9 +167,9 @@
 	for service, servicePools := range pools {
 		spillover, found := p.spillovers[service]
 		if !found {
-			spillover = newSpillover(now)
+			spillover = newSpillover(p.isBalanced(), now)
 		}
-		if now.Sub(spillover.createdAt) < spilloverSettleTime {
+		if spillover.isSettling(now) {
 			spillover.setFraction(servicePools.stable.initialSpilloverFraction())
 		}
 		spillovers[service] = spillover
@@ -160,6 +177,11 @@
 	return spillovers
 }
 
+// isBalanced reports whether SetSpillover sets the spillovers.
+func (p *Plan) isBalanced() bool {
+	return p.affinity != nil && p.affinity.Balanced
+}
+
 // loads returns the loads of the live upstreams in the local region and in the others,
 // relative to their slots.
 func (p *Pool) loads(now time.Time) (own, others float64) {
