Play waves of demand against balanced regions in the simulator

The simulator's instances carry out package balancer like the steerer, if the scenario has a ShiftPerWindow. A kind of request can vary its demand by failure domain and time, and results tell where a request ran.

--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -5,6 +5,7 @@
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/balancer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 )
@@ -21,6 +22,10 @@
 	admitter    *admitter.Admitter
 	apportioner *apportioner.Apportioner
 	rationer    *rationer.Rationer
+	// balancer is nil if the scenario has no ShiftPerWindow.
+	balancer *balancer.Balancer
+	// rounds counts the calls of refresh.
+	rounds int
 }
 
 // newInstance returns an instance that knows no configuration yet.
@@ -28,7 +33,7 @@
 	plans := holder.New[admitter.Plan]()
 	plans.Advance(*admitter.InitialPlan(declared.Place, declared.Name).WithAffinity(s.scenario.Affinity))
 	fractions := apportioner.New(declared.Name, declared.Name)
-	return &instance{
+	created := &instance{
 		simulation:  s,
 		name:        declared.Name,
 		place:       declared.Place,
@@ -37,6 +42,10 @@
 		apportioner: fractions,
 		rationer:    rationer.New(fractions),
 	}
+	if s.scenario.ShiftPerWindow > 0 {
+		created.balancer = balancer.New(s.balancerMember(declared), s.scenario.ShiftPerWindow)
+	}
+	return created
 }
 
 // setMembers makes all instances members between which limits are split.
@@ -58,7 +67,7 @@
 func (i *instance) refresh() {
 	now := i.simulation.now
 	plan := i.plans.Load()
-	plan.AdjustSpillovers(now)
+	i.adjustSpillovers(plan)
 	i.rationer.Apply(plan, now.Add(time.Hour), now)
 	if report, due := i.apportioner.NextReport(now); due {
 		i.sendReport(report)
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -27,6 +27,10 @@
 	Took time.Duration
 	// Answered says that the caller got an answer of an upstream.
 	Answered bool
+	// Place is the failure domain of the caller, and RanIn that of the upstream that has
+	// answered; empty if none has.
+	Place string
+	RanIn string
 }
 
 // request is a request of a caller, over all times that the caller sends it.
@@ -41,6 +45,9 @@
 // arrive makes a caller send a request of a kind.
 func (s *simulation) arrive(kind Kind) {
 	entry := s.instances[s.random.IntN(len(s.instances))]
+	if kind.Demand != nil && s.random.Float64() >= kind.Demand(entry.place, s.now.Sub(s.start)) {
+		return
+	}
 	s.send(&request{
 		kind:   kind,
 		object: fmt.Sprintf("%s/%s/%d", kind.Name, entry.place, s.random.IntN(kind.Objects)),
@@ -60,10 +67,12 @@
 	near[s.random.IntN(len(near))].serve(r)
 }
 
-// end records that a request was answered, or lets the caller try it once more if there
+// end records that an upstream in the failure domain ranIn has answered a request or, if ranIn is
+// empty, lets the caller try it once more if there
 // is time. retryAt is the time that a refusal named, or zero. Callers wait at most a third
 // of the time that they have left.
-func (s *simulation) end(r *request, wasAnswered bool, retryAt time.Time) {
+func (s *simulation) end(r *request, ranIn string, retryAt time.Time) {
+	wasAnswered := ranIn != ""
 	remaining := r.sentAt.Add(r.kind.Patience).Sub(s.now)
 	if !wasAnswered && r.retries < callerRetries && remaining > 0 {
 		r.retries++
@@ -75,6 +84,8 @@
 		Kind:     r.kind.Name,
 		Sent:     r.sentAt.Sub(s.start),
 		Answered: wasAnswered,
+		Place:    r.place,
+		RanIn:    ranIn,
 	}
 	if wasAnswered {
 		result.Took = s.now.Sub(r.sentAt)
@@ -95,7 +106,7 @@
 		Deadline: r.sentAt.Add(r.kind.Patience),
 	})
 	if refusal != nil {
-		s.end(r, false, refusal.RetryAt)
+		s.end(r, "", refusal.RetryAt)
 		return
 	}
 	i.attempt(r, admission, 1, nil)
@@ -106,7 +117,7 @@
 	s := i.simulation
 	chosen, refusal := admission.Acquire(s.now, s.random.Uint64(), avoid)
 	if refusal != nil {
-		s.end(r, false, refusal.RetryAt)
+		s.end(r, "", refusal.RetryAt)
 		return
 	}
 	a := &attempt{
@@ -160,7 +171,7 @@
 		a.chosen.RecordLoad(report, s.now)
 		a.chosen.RecordSuccess(s.now)
 		a.finish()
-		s.end(a.request, true, time.Time{})
+		s.end(a.request, a.chosen.Declared().Place, time.Time{})
 		return
 	}
 	a.fail(arbiter.Refuse(arbiter.UpstreamShed, "shed"), report)
@@ -168,7 +179,7 @@
 		a.instance.attempt(a.request, a.admission, a.number+1, a.chosen)
 		return
 	}
-	s.end(a.request, false, s.now.Add(admitter.NoRoomRetryMillis*time.Millisecond))
+	s.end(a.request, "", s.now.Add(admitter.NoRoomRetryMillis*time.Millisecond))
 }
 
 // recordTold records when the instance was first told the upstream's limit.
@@ -189,7 +200,7 @@
 		return
 	}
 	a.fail(arbiter.Fail(arbiter.DeadlineExceeded, "too late"), registrar.Report{})
-	a.instance.simulation.end(a.request, false, time.Time{})
+	a.instance.simulation.end(a.request, "", time.Time{})
 }
 
 // fail records what a failed attempt shows.
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -23,6 +23,9 @@
 	Instances []Instance
 	// Affinity configures the choice of upstreams.
 	Affinity admitter.Affinity
+	// ShiftPerWindow, unless zero, lets package balancer set the spillovers; Affinity must be
+	// Balanced then.
+	ShiftPerWindow float64
 	// Upstreams is how all upstreams behave.
 	Upstreams Behavior
 	// Requests are the kinds of requests that callers send.
@@ -49,6 +52,9 @@
 	Host string
 	// PerSecond is the rate over all callers.
 	PerSecond float64
+	// Demand, unless nil, is the part from 0 to 1 of these requests that the callers of a
+	// failure domain send at a time, which is counted from the start.
+	Demand func(place string, at time.Duration) float64
 	// Objects is the number of objects in each failure domain that its callers ask for.
 	Objects int
 	// Work is how long a slot is taken for an object that the upstream does not know.
