Convert rooms to the balancer's form in one place

The steerer and the simulator each converted admitter.Room to balancer.Service; the conversion is a method of Room now. The checks of the capacity share one function.

--- a/internal/configurer/capacity.go
+++ b/internal/configurer/capacity.go
@@ -20,29 +20,13 @@
 }
 
 func (v *validation) checkCapacity(capacity Capacity) {
-	fields := []struct {
-		name  string
-		value float64
-	}{
-		{
-			name:  "Capacity.Cores",
-			value: capacity.Cores,
-		},
-		{
-			name:  "Capacity.LinkMbits",
-			value: capacity.LinkMbits,
-		},
-		{
-			name:  "Capacity.MemoryMB",
-			value: capacity.MemoryMB,
-		},
-		{
-			name:  "Capacity.Descriptors",
-			value: capacity.Descriptors,
-		},
-	}
-	for _, field := range fields {
-		ok := field.value >= 0 && field.value <= maxCount
-		v.require(ok, field.name, fmt.Sprint(field.value), "0 to 1000000")
-	}
+	v.checkQuantity("Capacity.Cores", capacity.Cores)
+	v.checkQuantity("Capacity.LinkMbits", capacity.LinkMbits)
+	v.checkQuantity("Capacity.MemoryMB", capacity.MemoryMB)
+	v.checkQuantity("Capacity.Descriptors", capacity.Descriptors)
+}
+
+// checkQuantity checks that a value is a number from 0 to maxCount.
+func (v *validation) checkQuantity(field string, value float64) {
+	v.require(value >= 0 && value <= maxCount, field, fmt.Sprint(value), "0 to 1000000")
 }
--- a/internal/simulator/balance.go
+++ b/internal/simulator/balance.go
@@ -31,13 +31,7 @@
 	rooms := plan.Rooms()
 	services := make([]balancer.Service, 0, len(rooms))
 	for _, room := range rooms {
-		services = append(services, balancer.Service{
-			Name:        room.Service,
-			Slots:       room.Slots,
-			Requests:    room.Requests,
-			Fraction:    room.Fraction,
-			FractionFor: room.FractionFor,
-		})
+		services = append(services, room.ForBalancer())
 	}
 	for _, decision := range i.balancer.Adjust(services, now) {
 		plan.SetSpillover(decision.Service, decision.Fraction)
--- a/internal/steerer/balance.go
+++ b/internal/steerer/balance.go
@@ -88,13 +88,7 @@
 func (b *balance) adjust(rooms []admitter.Room, now time.Time) []balancer.Decision {
 	services := make([]balancer.Service, 0, len(rooms))
 	for _, room := range rooms {
-		services = append(services, balancer.Service{
-			Name:        room.Service,
-			Slots:       room.Slots,
-			Requests:    room.Requests,
-			Fraction:    room.Fraction,
-			FractionFor: room.FractionFor,
-		})
+		services = append(services, room.ForBalancer())
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/command/admitter/rooms.go
+++ b/pkg/command/admitter/rooms.go
@@ -1,6 +1,10 @@
 package admitter
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/balancer"
+)
 
 // Room is what a service has in each region and what this instance's requests take of it. It is
 // immutable.
@@ -21,6 +25,17 @@
 	distanceCost float64
 }
 
+// ForBalancer returns the room in the form that package balancer decides on.
+func (r Room) ForBalancer() balancer.Service {
+	return balancer.Service{
+		Name:        r.Service,
+		Slots:       r.Slots,
+		Requests:    r.Requests,
+		Fraction:    r.Fraction,
+		FractionFor: r.FractionFor,
+	}
+}
+
 // FractionFor returns the part of the objects that must go to all regions equally so that as
 // many requests run in other regions as if a part of all requests were spread over all slots.
 // It takes into account the objects that prefer another region without that. While one side has
