--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1369,10 +1369,18 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1453,10 +1461,18 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
