--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -60,6 +60,8 @@
 	"MembersListed":      "members",
 	"EvacuationsListed":  "evacuations",
 	"MovesListed":        "moves",
+	"VersionJudged":      "versions",
+	"VersionsWithheld":   "versions",
 	"WatchingChanged":    "watching",
 	"LimitsConfirmed":    "limits",
 	"PlatformLost":       "platform",
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -83,6 +83,17 @@
 				},
 			},
 		}),
+		comparer.NewCase("verdicts.cbor", encoder.CBOR[verdicts]{}, verdicts{
+			Verdicts: []verdict{
+				{
+					Service:  "service",
+					Version:  "version",
+					State:    mover.TakenBack,
+					Era:      2,
+					Revision: 20,
+				},
+			},
+		}),
 	}
 	for _, c := range cases {
 		t.Run(c.File(), c.Compare(*update))
--- a/internal/steerer/inputs.go
+++ b/internal/steerer/inputs.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/splitter"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -20,6 +21,8 @@
 	// registrations are sorted by the names of their upstreams.
 	registrations []registrar.Registration
 	moves         []declarer.Move
+	// verdicts are the verdicts on registered versions.
+	verdicts mover.Verdicts
 	// evacuatedPlaces are the names of the evacuated failure domains.
 	evacuatedPlaces []string
 	// evacuationEndedAt is when the evacuation of each failure domain ended, by its
@@ -41,6 +44,31 @@
 	return i
 }
 
+// withVerdicts returns a copy with other verdicts on versions, without those on versions that
+// have had no upstreams for long.
+func (i planInputs) withVerdicts(verdicts mover.Verdicts, now time.Time) planInputs {
+	registered := map[mover.VersionID]bool{}
+	for _, registration := range i.registrations {
+		registered[mover.VersionID{
+			Service: registration.Service,
+			Version: registration.Version,
+		}] = true
+	}
+	i.verdicts = verdicts.WithRegistered(registered, now)
+	return i
+}
+
+// withheldVersions returns the names of the versions that must get no requests.
+func (i planInputs) withheldVersions() []string {
+	var names []string
+	for _, verdict := range i.verdicts.All() {
+		if verdict.Withheld() {
+			names = append(names, versionName(verdict.Service, verdict.Version))
+		}
+	}
+	return names
+}
+
 // withMoves returns a copy with other moves.
 func (i planInputs) withMoves(moves []declarer.Move) planInputs {
 	i.moves = moves
@@ -86,7 +114,8 @@
 	return set.
 		WithPlaces(declarer.NewTable(places...)).
 		WithMoves(declarer.NewTable(moves...)).
-		WithVersions(i.registeredVersions())
+		WithVersions(i.registeredVersions()).
+		WithWithheld(i.withheldVersions()...)
 }
 
 // registeredVersions returns the versions of all declared services for which upstreams
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -36,6 +36,8 @@
 	// revision is the store's revision of the order, or 0 while the store does not list it,
 	// after a return from a copy that lacks it.
 	revision uint64
+	// listedAt is the latest position of the store at which the order was listed.
+	listedAt storer.Position
 	// beganAt is when the first instance began the move, as far as this instance knows, and
 	// joinedAt when this instance did.
 	beganAt  time.Time
@@ -117,9 +119,12 @@
 		service := entry.Value.Move.Service
 		m, found := s.moves[service]
 		if !found || m.order.Move.To != entry.Value.Move.To {
+			if found {
+				s.recordVerdict(m)
+			}
 			m = s.startMove(entry.Value)
 		}
-		m.updateOrder(entry)
+		m.updateOrder(entry, position)
 		if state := entry.Value.State; state != "" && state != mover.Running && state != m.state {
 			s.endMove(m, state, "platform")
 		}
@@ -128,7 +133,11 @@
 	for service, m := range s.moves {
 		// The new version of a move that was rolled back must get no requests as long as
 		// its upstreams are registered, so the move is kept until then.
-		if _, listed := next[service]; !listed && m.state == mover.TakenBack && s.hasUpstreams(m) {
+		if _, listed := next[service]; listed {
+			continue
+		}
+		s.recordVerdict(m)
+		if m.state == mover.TakenBack && s.hasUpstreams(m) {
 			next[service] = m
 		}
 	}
@@ -140,7 +149,8 @@
 
 // updateOrder takes over the state that the platform lists of the move, and the revision at
 // which the state can be reported.
-func (m *trackedMove) updateOrder(entry retainer.Entry[MoveOrder]) {
+func (m *trackedMove) updateOrder(entry retainer.Entry[MoveOrder], position storer.Position) {
+	m.listedAt = position
 	if entry.Kept {
 		m.revision = 0
 		return
@@ -226,6 +236,7 @@
 	if state == mover.Done {
 		m.setShare(1)
 	}
+	s.recordVerdict(m)
 	s.publishCounters()
 	s.log.Info().
 		Str("Service", m.order.Move.Service).
@@ -270,6 +281,7 @@
 	for _, message := range outgoing {
 		s.sendProgress(message)
 	}
+	s.informNewPeers(now)
 	for _, m := range reports {
 		s.reportMove(ctx, m)
 	}
@@ -289,13 +301,18 @@
 	}
 	m.sentAttempts = attempts
 	m.sentState = m.state
+	return m.currentProgress(now), true
+}
+
+// currentProgress returns the progress of the move.
+func (m *trackedMove) currentProgress(now time.Time) progress {
 	return progress{
 		Service:       m.order.Move.Service,
 		To:            m.order.Move.To,
 		ElapsedMillis: now.Sub(m.beganAt).Milliseconds(),
 		State:         m.state,
-		Evidence:      evidence,
-	}, true
+		Evidence:      m.counters.evidence(),
+	}
 }
 
 func (s *Steerer) sendProgress(message progress) {
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -36,7 +36,7 @@
 // into force. The caller holds planMu.
 func (s *Steerer) updatePlan(next planInputs) {
 	now := time.Now()
-	s.inputs = next
+	s.inputs = next.withVerdicts(next.verdicts, now)
 	plan := s.plans.Load()
 	if next.declaration.Revision != 0 {
 		plan = plan.WithTable(router.New(next.declaration.Revision, next.configurationSet()), now)
--- a/internal/steerer/retention_test.go
+++ b/internal/steerer/retention_test.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/retainer"
+	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
 // TestColdTimeDoesNotBeginAnewWithAnOlderCopy checks what counts of a known and a listed
@@ -118,7 +119,7 @@
 			revision: 9,
 			state:    mover.Done,
 		}
-		m.updateOrder(c.entry)
+		m.updateOrder(c.entry, storer.Position{})
 		if due := m.reportDue(time.Now()); due != c.due || m.revision != c.revision {
 			t.Errorf("%s: got due %t at revision %d, want %t at %d", c.name, due, m.revision, c.due, c.revision)
 		}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -104,6 +104,9 @@
 	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
 	moves map[string]*trackedMove
+	// informedPeers holds the incarnations of the linked peers that have been informed of all
+	// moves and verdicts. planMu guards it.
+	informedPeers map[string]bool
 	// countersByService holds the counters of the running moves by the name of their
 	// service; never nil.
 	countersByService atomic.Pointer[map[string]*moveCounters]
@@ -211,6 +214,7 @@
 	})
 	s.registerDemandHandler()
 	s.registerMoveHandler()
+	s.registerVerdictsHandler()
 	s.registerAdvertisementsHandler()
 	s.reflectors = s.newReflectors()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
--- a/pkg/command/admitter/rollout.go
+++ b/pkg/command/admitter/rollout.go
@@ -79,19 +79,29 @@
 
 // poolsFor returns the pools of a service, by the progress of its move if it has one.
 // While the move's share is 0, before the first step or after the move was rolled back,
-// the upstreams of the new version get no requests.
+// the upstreams of the new version get no requests. Upstreams of withheld versions get none
+// either, unless the service has no others.
 func (p *Plan) poolsFor(service declarer.Service) versionPools {
 	set := p.table.Set()
 	move, moving := findMove(set, service)
-	var stable, next []*Upstream
+	var stable, withheld, next []*Upstream
 	for version := range set.Versions.All() {
 		switch {
 		case moving && version.Name == move.To:
 			next = append(next, p.upstreamsOf(version)...)
+		case serves(service, version) && set.IsWithheld(version.Name):
+			withheld = append(withheld, p.upstreamsOf(version)...)
 		case serves(service, version):
 			stable = append(stable, p.upstreamsOf(version)...)
 		}
 	}
+	onlyNext := len(stable) == 0 && len(withheld) > 0 && moving && move.Share > 0 && len(next) > 0
+	switch {
+	case onlyNext:
+		move = move.WithShare(1)
+	case len(stable) == 0:
+		stable = withheld
+	}
 	if !moving || move.Share == 0 {
 		return versionPools{
 			stable: p.newPool(stable),
--- a/pkg/declarer/set.go
+++ b/pkg/declarer/set.go
@@ -53,6 +53,20 @@
 	Versions Table[Version]
 	Moves    Table[Move]
 	Routes   Table[Route]
+	// withheld holds the names of the versions that get no requests, except as the targets of
+	// moves, because earlier moves to them were rolled back. They are never declared by hand.
+	withheld []string
+}
+
+// WithWithheld returns a set in which exactly the named versions are withheld.
+func (s Set) WithWithheld(versions ...string) Set {
+	s.withheld = versions
+	return s
+}
+
+// IsWithheld reports whether the named version is withheld.
+func (s Set) IsWithheld(version string) bool {
+	return slices.Contains(s.withheld, version)
 }
 
 // WithPlace returns a set with the failure domain added or replaced.
