Send each attempt once, and count the ones that send nothing apart

These repeats took nothing from the retry budget and went to the upstream that had just failed.

Cause: net/http's transport resends a request without a body, or with an Idempotency-Key, if a reused connection ends before the first byte of an answer.

Each request now has a body that cannot be rewound, so that the transport never resends. The bytes that frame an empty body are unchanged for idempotent requests; for others a POST without a body has "content-length: 0" in place of an empty chunked body. The time that is left is written once there is a connection. A kept connection that ends before a byte is sent is reported as ConnectionEnded (NotRun). Package retrier then makes up to two further attempts that take neither an attempt nor a retry, and the upstream is not suspected; any other failure on a kept connection is UpstreamBroken (MayHaveRun), which takes an attempt and a retry.

--- /dev/null
+++ b/internal/command/forwarder/attempt.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/hemlockport/hemlockport/internal/translator"
+	"github.com/hemlockport/hemlockport/pkg/arbiter"
+)
+
+// attempt is the state of one attempt to send a request.
+type attempt struct {
+	exchange   arbiter.Exchange
+	observer   connObserver
+	translator translator.Translator
+	// header is the header of the request, to which begin adds the metadata.
+	header   http.Header
+	metadata translator.UpstreamMetadata
+	// trace calls begin. It is a field so that it needs no allocation of its own.
+	trace httptrace.ClientTrace
+}
+
+// newAttempt returns an attempt to send a request to an upstream.
+func (f *Forwarder) newAttempt(target Target, outbound Outbound) *attempt {
+	next := &attempt{
+		translator: f.translator,
+		header:     outbound.header.Clone(),
+		metadata: translator.UpstreamMetadata{
+			Team:     outbound.team,
+			Upstream: target.Name,
+			Deadline: outbound.deadline,
+		},
+	}
+	next.trace.GotConn = next.begin
+	return next
+}
+
+// begin records that there is a connection, and adds to the header what the upstream is told
+// of the request. The request may have waited for the connection, so the time that is left
+// counts from now. The transport reads the header only after this call.
+func (a *attempt) begin(info httptrace.GotConnInfo) {
+	a.exchange.Connected()
+	a.observer.observe(info)
+	a.translator.WriteMetadata(a.header, a.metadata, time.Now())
+}
+
+// refusal converts a transport's error to a refusal.
+func (a *attempt) refusal(ctx context.Context, err error) *arbiter.Refusal {
+	verdict := a.exchange.Verdict()
+	unsent := a.observer.unsent()
+	if unsent {
+		verdict = arbiter.NotRun
+	}
+	reason := arbiter.UpstreamBroken
+	detail := "the upstream broke the connection"
+	switch {
+	case context.Cause(ctx) != nil:
+		return InterruptedRefusal(ctx).WithVerdict(verdict)
+	case unsent:
+		reason = arbiter.ConnectionEnded
+		detail = "the connection had ended before the request was sent"
+	case verdict == arbiter.NotRun:
+		reason = arbiter.UpstreamUnreached
+		detail = "no connection to the upstream"
+	}
+	return arbiter.Fail(reason, detail).WithVerdict(verdict).WithCause(err)
+}
--- a/internal/command/forwarder/body.go
+++ b/internal/command/forwarder/body.go
@@ -53,22 +53,44 @@
 	return !b.readStarted.Load()
 }
 
-// reader returns the body for one attempt. It is never nil or http.NoBody for a request
-// that is not idempotent: the transport resends a request without a body on its own
-// initiative if it carries an Idempotency-Key.
-func (b *Body) reader(idempotent bool) io.ReadCloser {
+// reader returns the body for one attempt. It is never nil or http.NoBody, and the request has
+// no GetBody: so the transport cannot send the request again on its own initiative (see
+// net/http.Transport).
+func (b *Body) reader() io.ReadCloser {
 	switch {
 	case b.stream != nil:
 		return &streamReader{
 			body: b,
 		}
-	case len(b.buffered) == 0 && idempotent:
-		return nil
+	case len(b.buffered) == 0:
+		return emptyReader{}
 	default:
 		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
 }
 
+// isEmpty reports whether the body is known to have no bytes.
+func (b *Body) isEmpty() bool {
+	return b.stream == nil && len(b.buffered) == 0
+}
+
+// emptyReader reads a body without bytes. All attempts can share it, which http.NoBody would
+// allow too, but the transport takes that for a body that can be sent again.
+type emptyReader struct{}
+
+func (emptyReader) Read([]byte) (int, error) {
+	return 0, io.EOF
+}
+
+// WriteTo saves the transport a buffer of 32 KiB for each request.
+func (emptyReader) WriteTo(io.Writer) (int64, error) {
+	return 0, nil
+}
+
+func (emptyReader) Close() error {
+	return nil
+}
+
 // streamReader reads a streamed body for one attempt.
 type streamReader struct {
 	body   *Body
--- a/internal/command/forwarder/conn.go
+++ b/internal/command/forwarder/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 )
@@ -30,7 +31,7 @@
 	// begins another request, and must wait until the reader has taken all of them. The
 	// first write on a new connection doesn't wait if nothing has arrived.
 	received atomic.Bool
-	// writes counts the writes.
+	// writes counts the writes that have sent at least one byte, and the one in progress.
 	writes atomic.Uint64
 }
 
@@ -73,8 +74,13 @@
 		return 0, errUnsolicited
 	}
 	g.received.Store(false)
+	// The count increases before an answer can arrive.
 	g.writes.Add(1)
-	return g.Conn.Write(p)
+	count, err := g.Conn.Write(p)
+	if count == 0 {
+		g.writes.Add(^uint64(0))
+	}
+	return count, err
 }
 
 // awaitReader reports whether the reader waits for bytes, or begins to within
@@ -100,16 +106,19 @@
 type connObserver struct {
 	conn         *guardedConn
 	writesBefore uint64
+	// reused reports that the connection has carried another request before.
+	reused bool
 }
 
 // observe records the connection, if it is a guarded one.
-func (o *connObserver) observe(conn net.Conn) {
-	guarded, ok := conn.(*guardedConn)
+func (o *connObserver) observe(info httptrace.GotConnInfo) {
+	guarded, ok := info.Conn.(*guardedConn)
 	if !ok {
 		return
 	}
 	o.conn = guarded
 	o.writesBefore = guarded.writes.Load()
+	o.reused = info.Reused
 }
 
 // closeConn closes the connection, so that no other request is sent on it.
@@ -119,8 +128,15 @@
 	}
 }
 
-// unsolicited reports whether the answer arrived although nothing has been sent on the
-// connection since the request was given it.
-func (o *connObserver) unsolicited() bool {
+// nothingWritten reports whether nothing has been sent on the connection since the request
+// was given it. An answer that has arrived then was not asked for.
+func (o *connObserver) nothingWritten() bool {
 	return o.conn != nil && o.conn.writes.Load() == o.writesBefore
 }
+
+// unsent reports whether a reused connection had ended before a byte of the request was sent.
+// It must be called after the transport has reported an error: then the transport writes
+// nothing more.
+func (o *connObserver) unsent() bool {
+	return o.reused && o.nothingWritten()
+}
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -34,8 +34,8 @@
 // Forwarder sends requests to upstreams. It is safe for concurrent use.
 type Forwarder struct {
 	translator translator.Translator
-	// pooled reuses connections. If a reused connection fails, net/http may resend a
-	// request that it regards as idempotent on another one, on its own initiative.
+	// pooled reuses connections. It sends each request once: a request with a body and
+	// without GetBody is not one that net/http resends on its own initiative.
 	pooled *http.Transport
 	// singleUse opens a connection for each request, so that none is sent on a
 	// connection that no longer responds or holds the answer to another request.
@@ -204,33 +204,26 @@
 // close the response's body. Each error is an *arbiter.Refusal. With an error the answer
 // holds no response, but it holds a report if the upstream has refused the request.
 func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (Answer, error) {
-	exchange := &arbiter.Exchange{}
-	observer := &connObserver{}
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			exchange.Connected()
-			observer.observe(info.Conn)
-		},
-	})
-	response, err := f.transportFor(outbound).RoundTrip(f.newRequest(traced, target, outbound))
+	attempt := f.newAttempt(target, outbound)
+	traced := httptrace.WithClientTrace(ctx, &attempt.trace)
+	response, err := f.transportFor(outbound).RoundTrip(newRequest(traced, target, outbound, attempt.header))
 	if err != nil {
-		return Answer{}, transportRefusal(ctx, exchange.Verdict(), err)
+		return Answer{}, attempt.refusal(ctx, err)
 	}
-	if observer.unsolicited() {
-		observer.closeConn()
+	if attempt.observer.nothingWritten() {
+		attempt.observer.closeConn()
 		response.Body.Close()
-		// The request may have run: the transport may have sent it on another
-		// connection before.
+		// The request may have run: the transport may have begun to send it meanwhile.
 		return Answer{}, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
 	}
 	if refusal := f.checkAnswer(response); refusal != nil {
 		if refusal.Verdict != arbiter.NotRun {
-			observer.closeConn()
+			attempt.observer.closeConn()
 		}
 		response.Body.Close()
 		return f.refusedAnswer(response, refusal), refusal
 	}
-	exchange.Answered()
+	attempt.exchange.Answered()
 	return Answer{
 		Response:  response,
 		HasReport: true,
@@ -259,42 +252,41 @@
 	return f.pooled
 }
 
-// newRequest returns the HTTP request for one attempt.
-func (f *Forwarder) newRequest(ctx context.Context, target Target, outbound Outbound) *http.Request {
+// newRequest returns the HTTP request for one attempt, with the header of the attempt.
+func newRequest(ctx context.Context, target Target, outbound Outbound, header http.Header) *http.Request {
 	address := outbound.target
 	address.Host = target.Address
-	header := outbound.header.Clone()
-	f.translator.WriteMetadata(header, translator.UpstreamMetadata{
-		Team:     outbound.team,
-		Upstream: target.Name,
-		Deadline: outbound.deadline,
-	}, time.Now())
-	request := &http.Request{
+	request := http.Request{
 		Method:        outbound.method,
 		URL:           &address,
 		Host:          outbound.host,
 		Header:        header,
-		Body:          outbound.body.reader(outbound.idempotent),
+		Body:          outbound.body.reader(),
 		ContentLength: outbound.body.length,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
+	if outbound.body.isEmpty() {
+		frameEmpty(&request)
+	}
 	return request.WithContext(ctx)
 }
 
-// transportRefusal converts a transport's error to a refusal.
-func transportRefusal(ctx context.Context, verdict arbiter.Verdict, err error) *arbiter.Refusal {
-	reason := arbiter.UpstreamBroken
-	detail := "the upstream broke the connection"
-	switch {
-	case context.Cause(ctx) != nil:
-		return InterruptedRefusal(ctx).WithVerdict(verdict)
-	case verdict == arbiter.NotRun:
-		reason = arbiter.UpstreamUnreached
-		detail = "no connection to the upstream"
+// identityEncoding is the encoding of a body that is sent as it is. Requests share it.
+var identityEncoding = []string{"identity"}
+
+// frameEmpty makes the transport send a request with an empty body as one without a body. For
+// a body that is not nil it would otherwise send chunks, or read from the body in a further
+// goroutine first.
+func frameEmpty(request *http.Request) {
+	request.TransferEncoding = identityEncoding
+	switch request.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		// RFC 9110, section 8.6. The transport drops a field with the canonical name, and sets
+		// its own only for a body that is nil.
+		request.Header["content-length"] = []string{"0"}
 	}
-	return arbiter.Fail(reason, detail).WithVerdict(verdict).WithCause(err)
 }
 
 // InterruptedRefusal returns a refusal with the reason why a request's context has ended.
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -126,6 +126,10 @@
 			got:  string(arbiter.UpstreamUnreached),
 			want: "UpstreamUnreached",
 		},
+		{
+			got:  string(arbiter.ConnectionEnded),
+			want: "ConnectionEnded",
+		},
 		{
 			got:  string(arbiter.UpstreamShed),
 			want: "UpstreamShed",
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -20,8 +20,11 @@
 	outcome   *Outcome
 	// lastAnswer is the failed answer of the last attempt, if it got one.
 	lastAnswer heldAnswer
-	// failed holds the upstreams of the attempts so far, which have all failed.
+	// failed holds the upstreams of the attempts so far, which have all failed, except for
+	// those in which nothing was sent.
 	failed []*admitter.Upstream
+	// unsent is the upstream of the last attempt that failed before a byte was sent, or nil.
+	unsent *admitter.Upstream
 	// mayHaveRunErr is the first error after which the request may have run. If a
 	// later attempt ends with NotRun, that holds for the later attempt only.
 	mayHaveRunErr error
@@ -104,7 +107,7 @@
 
 // outboundFor returns the request for an attempt at an upstream.
 func (a *attempts) outboundFor(upstream *admitter.Upstream) forwarder.Outbound {
-	if slices.Contains(a.failed, upstream) {
+	if upstream == a.unsent || slices.Contains(a.failed, upstream) {
 		return a.outbound.WithUnsharedConnection()
 	}
 	return a.outbound
@@ -112,7 +115,12 @@
 
 // fail records an attempt that has failed with err, and returns the error of the request.
 func (a *attempts) fail(upstream *admitter.Upstream, err error) error {
-	a.failed = append(a.failed, upstream)
+	if arbiter.IsUnsent(err) {
+		// The upstream is not at fault, so the next attempt does not avoid it.
+		a.unsent = upstream
+	} else {
+		a.failed = append(a.failed, upstream)
+	}
 	return a.overallError(err)
 }
 
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -52,6 +53,9 @@
 	RequestAborted Reason = "RequestAborted"
 	// UpstreamUnreached means that no connection to the upstream could be made.
 	UpstreamUnreached Reason = "UpstreamUnreached"
+	// ConnectionEnded means that the connection kept to an upstream had ended before a byte
+	// of the request was sent. It shows nothing about the upstream: idle connections end.
+	ConnectionEnded Reason = "ConnectionEnded"
 	// UpstreamShed means that the upstream shed the request: it has no capacity and has
 	// not run it.
 	UpstreamShed Reason = "UpstreamShed"
@@ -91,6 +95,7 @@
 		CallerGone,
 		RequestAborted,
 		UpstreamUnreached,
+		ConnectionEnded,
 		UpstreamShed,
 		UpstreamBroken,
 		UpstreamFailed,
@@ -154,6 +159,13 @@
 	return &next
 }
 
+// IsUnsent reports whether an attempt failed before a byte of the request was sent, for a
+// reason that shows nothing about the upstream.
+func IsUnsent(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.Verdict == NotRun && refusal.Reason == ConnectionEnded
+}
+
 // Error returns the reason, verdict, detail and cause in one line.
 func (r *Refusal) Error() string {
 	if r.cause == nil {
--- a/pkg/command/retrier/retrier.go
+++ b/pkg/command/retrier/retrier.go
@@ -22,6 +22,9 @@
 	DefaultReserve = 20
 	// DefaultAttempts is the maximum number of attempts for one request.
 	DefaultAttempts = 3
+	// maxUnsent is how many attempts of one request may fail before a byte of it is sent
+	// without counting as attempts. The second of them is on a new connection.
+	maxUnsent = 2
 )
 
 // Budget limits retries to a fraction of the requests, so that retries cannot multiply an
@@ -113,17 +116,27 @@
 // Run sends a request until it succeeds or may not be sent again. It sends a request
 // again only if the verdict of the last attempt allows that, ctx has not ended, the body
 // is available, attempts are left, the deadline has not passed and the budget holds at
-// least one retry.
+// least one retry. An attempt that failed before a byte was sent (arbiter.IsUnsent) has put
+// no load on an upstream: it takes neither an attempt nor a retry, up to maxUnsent times.
 func Run[R any](ctx context.Context, budget *Budget, policy Policy, attempt func(number int) (R, error)) (R, error) {
 	budget.Earn()
-	for number := 1; ; number++ {
+	unsent := 0
+	for number := 1; ; {
 		result, err := attempt(number)
 		if err == nil {
 			return result, nil
 		}
-		if number >= policy.Attempts || !mayRetry(ctx, policy, err) || !budget.Spend() {
+		if !mayRetry(ctx, policy, err) {
 			return result, err
 		}
+		if unsent < maxUnsent && arbiter.IsUnsent(err) {
+			unsent++
+			continue
+		}
+		if number >= policy.Attempts || !budget.Spend() {
+			return result, err
+		}
+		number++
 	}
 }
 
--- a/pkg/command/retrier/retrier_test.go
+++ b/pkg/command/retrier/retrier_test.go
@@ -15,6 +15,7 @@
 func TestRequestIsSentAgainOnlyIfAllowed(t *testing.T) {
 	notRun := arbiter.Refuse(arbiter.UpstreamShed, "shed")
 	mayHaveRun := arbiter.Fail(arbiter.UpstreamBroken, "broken")
+	unsent := arbiter.Refuse(arbiter.ConnectionEnded, "ended")
 	cases := []struct {
 		name       string
 		idempotent bool
@@ -88,6 +89,23 @@
 			wantAttempts: 1,
 			wantError:    true,
 		},
+		{
+			name:         "attempts that have sent nothing don't count",
+			reserve:      5,
+			outcomes:     []error{unsent, notRun, unsent, notRun, nil},
+			wantAttempts: 5,
+		},
+		{
+			name:         "an empty budget allows what has sent nothing",
+			outcomes:     []error{unsent, nil},
+			wantAttempts: 2,
+		},
+		{
+			name:         "connections that keep ending count from the third on",
+			outcomes:     []error{unsent, unsent, unsent, nil},
+			wantAttempts: 3,
+			wantError:    true,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -104,7 +122,7 @@
 			sent := 0
 			_, err := retrier.Run(t.Context(), retrier.NewBudget(0.1, c.reserve), policy, func(number int) (int, error) {
 				sent++
-				return number, c.outcomes[number-1]
+				return number, c.outcomes[sent-1]
 			})
 			if sent != c.wantAttempts || (err != nil) != c.wantError {
 				t.Fatalf("got %d attempts and error %v, want %d attempts and an error: %t", sent, err, c.wantAttempts, c.wantError)
