--- a/internal/steerer/collections.go
+++ b/internal/steerer/collections.go
@@ -8,6 +8,7 @@
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/query/assessor"
 	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -48,10 +49,15 @@
 // applyRegistrations applies the registrations of upstreams.
 func (s *Steerer) applyRegistrations(entries []retainer.Entry[registrar.Registration], position storer.Position) {
 	listed := make([]registrar.Registration, 0, len(entries))
+	var unlisted []string
 	for _, entry := range entries {
-		listed = append(listed, entry.Value.WithName(entry.Name))
+		registration := entry.Value.WithName(entry.Name)
+		listed = append(listed, registration)
+		if entry.Kept {
+			unlisted = append(unlisted, registration.Upstream.Name)
+		}
 	}
-	s.setRegistrations(listed)
+	s.setRegistrations(listed, unlisted)
 	s.log.Info().Int("Upstreams", len(listed)).EmbedObject(loggedPosition(position)).Msg("UpstreamsListed")
 }
 
@@ -84,19 +90,12 @@
 // storeAnswered handles an answer of the store, and ends an outage if there was one.
 func (s *Steerer) storeAnswered() {
 	s.contact.store.Confirm(time.Now())
-	lost := s.storeLostNanos.Swap(0)
-	if lost == 0 {
-		return
-	}
-	lostFor := time.Since(time.Unix(0, lost))
-	s.log.Info().Dur("AwayMillis", lostFor).Msg("PlatformRegained")
-	s.startRegistrationGrace()
-	s.hub.HeartbeatPlaceNow()
+	s.changeAvailability(assessor.Availability.WithAnswer)
 }
 
-// storeFailed handles a failed call to the store, and begins an outage. The error
-// storer.ErrCompacted begins none: the platform has answered, but no longer knows the
-// changes since the view, so the watcher lists the objects again.
+// storeFailed handles a call with which the store was to be read and that has failed. The error
+// storer.ErrCompacted is an answer: the platform no longer knows the changes since the view,
+// so the watcher lists the objects again.
 func (s *Steerer) storeFailed(err error) {
 	if s.lifecycle.Work().Err() != nil {
 		return
@@ -105,8 +104,41 @@
 		s.log.Info().Err(err).Msg("HistoryLost")
 		return
 	}
-	if s.storeLostNanos.CompareAndSwap(0, time.Now().UnixNano()) {
-		s.log.Warn().Err(err).Msg("PlatformLost")
+	s.readFailures.Inc(1)
+	s.storeMu.Lock()
+	s.readError = err
+	s.storeMu.Unlock()
+	now := time.Now()
+	s.changeAvailability(func(a assessor.Availability) assessor.Availability { return a.WithFailure(now) })
+}
+
+// refreshAvailability begins an outage if the store has not answered for some time after a call
+// has failed.
+func (s *Steerer) refreshAvailability(now time.Time) {
+	s.changeAvailability(func(a assessor.Availability) assessor.Availability { return a.WithTime(now) })
+}
+
+// changeAvailability replaces what the calls to the store have shown by what next returns for it,
+// and begins or ends an outage accordingly.
+func (s *Steerer) changeAvailability(next func(assessor.Availability) assessor.Availability) {
+	s.storeMu.Lock()
+	before := s.storeAvailability.LostSince()
+	s.storeAvailability = next(s.storeAvailability)
+	since := s.storeAvailability.LostSince()
+	if since.IsZero() {
+		s.storeLostNanos.Store(0)
+	} else {
+		s.storeLostNanos.Store(since.UnixNano())
+	}
+	err := s.readError
+	s.storeMu.Unlock()
+	switch {
+	case before.IsZero() && !since.IsZero():
+		s.log.Warn().Dur("AwayMillis", time.Since(since)).Err(err).Msg("PlatformLost")
+		s.hub.HeartbeatPlaceNow()
+	case !before.IsZero() && since.IsZero():
+		s.log.Info().Dur("AwayMillis", time.Since(before)).Msg("PlatformRegained")
+		s.startRegistrationGrace()
 		s.hub.HeartbeatPlaceNow()
 	}
 }
--- a/internal/steerer/inputs.go
+++ b/internal/steerer/inputs.go
@@ -162,11 +162,12 @@
 }
 
 // mergeRegistrations returns the listed registrations, and those previous ones that are
-// not listed any more and were not leaving.
-func mergeRegistrations(previous, listed []registrar.Registration) []registrar.Registration {
+// not listed any more, are kept by the name of their upstream and were not leaving.
+func mergeRegistrations(previous, listed []registrar.Registration, keeps func(upstream string) bool) []registrar.Registration {
 	merged := slices.Clone(listed)
 	for _, registration := range previous {
-		if registration.Upstream.Leaving || containsUpstream(listed, registration.Upstream.Name) {
+		name := registration.Upstream.Name
+		if registration.Upstream.Leaving || containsUpstream(listed, name) || !keeps(name) {
 			continue
 		}
 		merged = append(merged, registration)
--- a/internal/steerer/inputs_test.go
+++ b/internal/steerer/inputs_test.go
@@ -70,7 +70,7 @@
 		},
 	}
 	for _, c := range cases {
-		if got := joinedNames(mergeRegistrations(c.previous, c.listed)); got != c.want {
+		if got := joinedNames(mergeRegistrations(c.previous, c.listed, func(string) bool { return true })); got != c.want {
 			t.Errorf("%s: got upstreams %q, want %q", c.name, got, c.want)
 		}
 	}
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -122,7 +122,7 @@
 			return nil
 		}
 		if err := s.writeEntry(ctx); err != nil {
-			s.storeFailed(err)
+			s.storeRefused(err)
 		}
 		// The platform's list needs time to show the written entry; until then the entry
 		// counts as missing.
@@ -132,6 +132,14 @@
 	}
 }
 
+// storeRefused logs a write that has failed. A store that refuses writes may answer reads, so only
+// failed reads begin an outage.
+func (s *Steerer) storeRefused(err error) {
+	if s.lifecycle.Work().Err() == nil {
+		s.log.Warn().Err(err).Msg("WriteFailed")
+	}
+}
+
 // writeEntry creates this instance's entry, or replaces the one of an earlier start.
 func (s *Steerer) writeEntry(ctx context.Context) error {
 	if _, listed := memberByName(*s.roster.Load(), s.self.Name); !listed {
@@ -189,7 +197,8 @@
 	s.updatePeerLinks()
 	rounds := 0
 	for sleep(ctx, refreshInterval) {
-		s.endRegistrationGrace()
+		s.refreshAvailability(time.Now())
+		s.refreshKeptRegistrations(time.Now())
 		s.endDeclarationWait()
 		s.refreshReflectors(time.Now())
 		s.refreshRoster()
@@ -245,7 +254,7 @@
 	for _, member := range members {
 		err := s.memberStore().Delete(ctx, s.entryName(member.Name), storer.Always())
 		if err != nil && !errors.Is(err, storer.ErrNotFound) {
-			s.storeFailed(err)
+			s.storeRefused(err)
 			return
 		}
 		s.log.Info().Str("Peer", member.Name).Str("Incarnation", member.Incarnation).Msg("EntryRemoved")
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -57,32 +57,45 @@
 	s.plans.Advance(*plan)
 }
 
-// endRegistrationGrace ends the grace period once its time has passed: upstreams that
-// the platform has not listed again are dropped.
-func (s *Steerer) endRegistrationGrace() {
+// refreshKeptRegistrations drops the upstreams that the platform does not list and that have been
+// kept for their time.
+func (s *Steerer) refreshKeptRegistrations(now time.Time) {
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
-	if s.registrationGraceUntil.IsZero() || time.Now().Before(s.registrationGraceUntil) {
+	if !s.keepsRegistrations {
 		return
 	}
-	s.registrationGraceUntil = time.Time{}
-	s.updatePlan(s.inputs.withRegistrations(s.listedRegistrations))
+	s.keepsRegistrations = s.registrationGrace.IsOpen(now)
+	s.applyListedRegistrations(now)
 }
 
 // setRegistrations applies the registrations that the platform lists. During the grace
 // period after an outage of the platform, upstreams that it no longer lists are kept,
-// unless they were leaving.
-func (s *Steerer) setRegistrations(listed []registrar.Registration) {
+// unless they were leaving. The upstreams named in unlisted are among the registrations, but the
+// platform has not listed them since its return from an older copy.
+func (s *Steerer) setRegistrations(listed []registrar.Registration, unlisted []string) {
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
+	now := time.Now()
 	s.listedRegistrations = listed
-	if !s.registrationGraceUntil.IsZero() {
-		listed = mergeRegistrations(s.inputs.registrations, listed)
+	absent := unlisted
+	for _, registration := range s.inputs.registrations {
+		if !containsUpstream(listed, registration.Upstream.Name) {
+			absent = append(absent, registration.Upstream.Name)
+		}
 	}
-	if slices.Equal(listed, s.inputs.registrations) {
-		return
+	s.registrationGrace = s.registrationGrace.WithAbsent(absent, now)
+	s.applyListedRegistrations(now)
+}
+
+// applyListedRegistrations applies the registrations that were listed last and those that are kept.
+// The caller holds planMu.
+func (s *Steerer) applyListedRegistrations(now time.Time) {
+	keeps := func(upstream string) bool { return s.registrationGrace.Keeps(upstream, now) }
+	counted := mergeRegistrations(s.inputs.registrations, s.listedRegistrations, keeps)
+	if !slices.Equal(counted, s.inputs.registrations) {
+		s.updatePlan(s.inputs.withRegistrations(counted))
 	}
-	s.updatePlan(s.inputs.withRegistrations(listed))
 }
 
 // updateSeats sets this instance's seat to its position in the roster, and passes the
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -29,7 +29,9 @@
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/assessor"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
@@ -65,10 +67,10 @@
 	awaiting declarer.Declaration
 	// listedRegistrations are the registrations that the platform listed last.
 	listedRegistrations []registrar.Registration
-	// registrationGraceUntil is the time until which upstreams are kept although the
-	// platform has not listed them since it became reachable again; zero outside such a
-	// grace period.
-	registrationGraceUntil time.Time
+	// registrationGrace decides which upstreams are kept although the platform does not list
+	// them after an outage, and keepsRegistrations is set while any may be.
+	registrationGrace  retainer.Grace
+	keepsRegistrations bool
 	// apportioner splits limits by demand, and demandBroadcast sends this instance's demand
 	// to the others. rationer applies the apportioner to the limits that upstreams state.
 	// None is ever nil.
@@ -125,9 +127,15 @@
 	entryMissing chan struct{}
 	// leaving is set when the drain begins.
 	leaving atomic.Bool
-	// storeLostNanos is when the platform's store stopped answering, in nanoseconds
-	// since the Unix epoch, or 0 while it answers.
-	storeLostNanos atomic.Int64
+	// storeMu guards storeAvailability, which is what the calls to the platform's store have
+	// shown, and readError, the error of the last one that has failed. storeLostNanos is when the store stopped answering by that, in nanoseconds since
+	// the Unix epoch, or 0 while it answers.
+	storeMu           sync.Mutex
+	storeAvailability assessor.Availability
+	readError         error
+	storeLostNanos    atomic.Int64
+	// readFailures counts the calls that have failed with which the store was to be read.
+	readFailures metrics.Counter
 	// storeEra is the latest era of the store that a view was from; 0 before the first view.
 	storeEra atomic.Uint64
 
@@ -170,6 +178,8 @@
 		entryMissing:  make(chan struct{}, 1),
 		moves:         map[string]*trackedMove{},
 		departedUntil: map[string]time.Time{},
+
+		registrationGrace: retainer.NewGrace(settings.Upstreams.LapseMillis),
 	}
 	s.locatorUpdates = coalescer.New(locatorIntervalMillis, s.updateLocator)
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
@@ -177,6 +187,7 @@
 	s.demandBroadcast = newDemandBroadcast(apportioner.Report{})
 	s.roster.Store(&registrar.Roster{})
 	s.countersByService.Store(&map[string]*moveCounters{})
+	s.readFailures = metrics.GetOrRegisterCounter("hemlockport_store_faults_total", s.registry)
 	s.requestLog = newRequestLog(s.log, s.registry)
 	s.plans.Advance(*admitter.InitialPlan(s.self.Place, s.self.Incarnation).WithAffinity(admitter.Affinity{
 		OtherPlace:  settings.Placing.OtherPlace,
--- a/internal/steerer/watching.go
+++ b/internal/steerer/watching.go
@@ -66,9 +66,11 @@
 
 // startRegistrationGrace starts the grace period after an outage of the platform. In it,
 // upstreams whose registrations have expired during the outage are kept, so that those
-// that are alive can register again.
+// that are alive can register again. Each one is kept for no longer than that after the view
+// that first lacked it (see retainer.Grace).
 func (s *Steerer) startRegistrationGrace() {
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
-	s.registrationGraceUntil = time.Now().Add(time.Duration(s.settings.Upstreams.LapseMillis) * time.Millisecond)
+	s.registrationGrace = s.registrationGrace.WithOutageEnded(time.Now())
+	s.keepsRegistrations = true
 }
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -134,7 +134,8 @@
 
 // Run keeps the view up to date until ctx is done, and always returns nil. It calls
 // onUpdate with each new view, whether listed, watched or offered; onAnswer after each
-// answer of the store, but not after an offer; and onError with each error of the store.
+// answer of the store, before onUpdate, but not after an offer; and onError with each error of
+// the store.
 // After an error it lists all objects again, because changes may have been lost. Calls
 // that Restart or Offer cancels don't count as errors.
 func (w *Watcher[T]) Run(ctx context.Context, onUpdate func(View[T]), onAnswer func(), onError func(error)) error {
@@ -161,10 +162,10 @@
 			continue
 		}
 		backoff.Reset()
+		onAnswer()
 		if changed {
 			onUpdate(w.view())
 		}
-		onAnswer()
 		if changed && w.pause(ctx) != nil {
 			break
 		}
