Add the decisions of a duty that one instance holds

Some calls to the platform are to be made by one instance at a time, with a fencing token, and the report of a window must never be sent with two different contents.

After a return of the store from an older copy, windows that have ended count as decided unless the holder itself has held the duty all the time.

--- /dev/null
+++ b/pkg/command/meter/ledger.go
@@ -0,0 +1,74 @@
+package meter
+
+import "slices"
+
+// Ledger says which windows have been decided: recorded with their counts or given up. It is
+// stored in the object of the duty before a report is sent, and is immutable.
+//
+// Invariant: a window is recorded at most once, because only windows after Last are.
+type Ledger struct {
+	_ struct{} `cbor:",toarray"`
+	// Last is the latest window that was decided; 0 before the first.
+	Last int64
+	// Reports are the windows that are recorded and not known to be acknowledged, in order.
+	Reports []WindowCounts
+	// Failures counts the holders in sequence that gave the duty up because the platform
+	// accepted none of their calls.
+	Failures int
+}
+
+// WithReport returns the ledger with a window recorded. A window that was decided before
+// changes nothing.
+func (l Ledger) WithReport(report WindowCounts) Ledger {
+	if report.Window <= l.Last {
+		return l
+	}
+	l.Last = report.Window
+	l.Reports = append(slices.Clip(slices.Clone(l.Reports)), report)
+	return l
+}
+
+// WithoutReports returns the ledger without the reports up to a window, which the platform has
+// accepted or has refused for good.
+func (l Ledger) WithoutReports(through int64) Ledger {
+	kept := make([]WindowCounts, 0, len(l.Reports))
+	for _, report := range l.Reports {
+		if report.Window > through {
+			kept = append(kept, report)
+		}
+	}
+	l.Reports = kept
+	return l
+}
+
+// WithFailures returns the ledger with that number of failed holders.
+func (l Ledger) WithFailures(failures int) Ledger {
+	l.Failures = failures
+	return l
+}
+
+// Adopted returns the ledger with which an instance takes over at a time in the window current.
+// If the ledger may not be the latest one, a holder that the store has forgotten may have
+// recorded any window that has ended, so all of them count as decided.
+func (l Ledger) Adopted(current int64, complete bool) Ledger {
+	if complete && l.Last != 0 {
+		return l
+	}
+	l.Last = max(l.Last, current-1)
+	return l
+}
+
+// Next returns the first window that is not decided, of those that can still be reported.
+func (l Ledger) Next(current int64) int64 {
+	return max(l.Last+1, current-Retained+1)
+}
+
+// Pending returns the first report after a window.
+func (l Ledger) Pending(after int64) (WindowCounts, bool) {
+	for _, report := range l.Reports {
+		if report.Window > after {
+			return report, true
+		}
+	}
+	return WindowCounts{}, false
+}
--- /dev/null
+++ b/pkg/command/meter/tally.go
@@ -0,0 +1,105 @@
+package meter
+
+import (
+	"maps"
+	"slices"
+)
+
+// Tally holds the counts that sources have reported, by window. Each report of a source
+// replaces the one before it, so that a repeat counts once. It is not safe for concurrent use.
+type Tally struct {
+	windows map[int64]map[string]Counts
+	// newest is the latest window that was set.
+	newest int64
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{
+		windows: map[int64]map[string]Counts{},
+	}
+}
+
+// Set records what a source has counted in a window.
+func (t *Tally) Set(source string, counted WindowCounts) {
+	if t.newest-counted.Window >= Retained {
+		return
+	}
+	sources, found := t.windows[counted.Window]
+	if !found {
+		sources = map[string]Counts{}
+		t.windows[counted.Window] = sources
+	}
+	sources[source] = counted.Counts
+	if counted.Window > t.newest {
+		t.newest = counted.Window
+		maps.DeleteFunc(t.windows, func(window int64, _ map[string]Counts) bool { return t.newest-window >= Retained })
+	}
+}
+
+// Sum returns the sum of what the sources have counted in a window.
+func (t *Tally) Sum(window int64) Counts {
+	sum := Counts{}
+	for _, counts := range t.windows[window] {
+		sum = sum.plus(counts)
+	}
+	return sum
+}
+
+// Highest returns, for each team, the most that a source has counted in a window. It applies to
+// sources that have counted the same requests, of which each may lack some.
+func (t *Tally) Highest(window int64) Counts {
+	highest := Counts{}
+	for _, counts := range t.windows[window] {
+		highest = highest.upTo(counts)
+	}
+	return highest
+}
+
+// Sums returns the sums of all windows after a given one, in order.
+func (t *Tally) Sums(after int64) []WindowCounts {
+	var sums []WindowCounts
+	for _, window := range slices.Sorted(maps.Keys(t.windows)) {
+		if window > after {
+			sums = append(sums, WindowCounts{
+				Window: window,
+				Counts: t.Sum(window),
+			})
+		}
+	}
+	return sums
+}
+
+// Outbox remembers what was sent to each receiver, so that only changes are sent. It is not safe
+// for concurrent use.
+type Outbox struct {
+	sent map[string]map[int64]Counts
+}
+
+// NewOutbox returns an outbox from which nothing was sent.
+func NewOutbox() *Outbox {
+	return &Outbox{
+		sent: map[string]map[int64]Counts{},
+	}
+}
+
+// Take returns the windows that the receiver does not have as they are now, and records them as
+// sent.
+func (o *Outbox) Take(receiver string, windows []WindowCounts) []WindowCounts {
+	before := o.sent[receiver]
+	next := make(map[int64]Counts, len(windows))
+	var changed []WindowCounts
+	for _, counted := range windows {
+		next[counted.Window] = counted.Counts
+		if known, found := before[counted.Window]; !found || !maps.Equal(known, counted.Counts) {
+			changed = append(changed, counted)
+		}
+	}
+	o.sent[receiver] = next
+	return changed
+}
+
+// Forget forgets what was sent, so that all of it is sent again.
+func (o *Outbox) Forget() {
+	clear(o.sent)
+}
