Add the settings of duties that one instance holds

The table Duty has the address of the calls, the length of a window, when a report is late, the interval in which holders must not alternate, the rate and the names of the duties.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -42,6 +42,7 @@
 	v.checkPlacing(s.Placing)
 	slack := s.Teams.Slack
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
+	v.checkDuty(s.Duty)
 	v.checkLog(s.Log)
 	return v.faults
 }
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -79,12 +79,20 @@
 [Drain]
 LimitMillis = 0
 KillSeconds = -1
+[Duty]
+Address = "somewhere"
+WindowSeconds = 0.5
+LateSeconds = 0.1
+LeaseMillis = 0
+CallsPerSecond = 0
 [Log]
 Level = "loud"
 Form = "xml"
 `,
 			fields: []string{
-				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds", "Log.Level", "Log.Form",
+				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds",
+				"Duty.Address", "Duty.WindowSeconds", "Duty.LateSeconds", "Duty.LeaseMillis", "Duty.CallsPerSecond",
+				"Log.Level", "Log.Form",
 			},
 		},
 	}
@@ -95,7 +103,8 @@
 	}{
 		{
 			name: "valid on the Thimblegate platform",
-			text: thimblegateSettings + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
+			text: thimblegateSettings + "[Readiness]\nListen = \"10.1.0.37:8384\"\n" +
+				"[Duty]\nAddress = \"http://10.200.1.9:80\"\nWindowSeconds = 5\nLateSeconds = 10.0\nCallsPerSecond = 50.0\nNames = [\"usage_report\"]\n",
 		},
 		{
 			name: "invalid on the Thimblegate platform",
