Report the usage of teams by one instance at a time

Where the settings name the duty and an address, each instance counts the requests that it sends by team and window, leaders of failure domains sum the counts, and the holder of the lease records each window in the store before it sends it. The record goes to all instances over the links, so that nobody polls the store in calm, and a successor sends exactly what was recorded.

A call uses a connection of its own and checks the lease after connecting. A call without an answer does not hold up later windows: it is repeated in the next pass, in order.

--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -189,9 +189,16 @@
 	s.countersByService.Store(&running)
 }
 
-// attemptBegins counts an attempt to send a request if a move of its service is running. It
-// returns the function to call when the attempt has ended.
+// attemptBegins counts an attempt to send a request for the usage of its team, and if a move of
+// its service is running. It returns the function to call when the attempt has ended.
 func (s *Steerer) attemptBegins(attempt receiver.Attempt) func(receiver.Attempt) {
+	if s.usage == nil {
+		return s.countForMove(attempt)
+	}
+	return s.countUsage(attempt, s.countForMove(attempt))
+}
+
+func (s *Steerer) countForMove(attempt receiver.Attempt) func(receiver.Attempt) {
 	if counters, found := (*s.countersByService.Load())[attempt.Admission.Service]; found {
 		return counters.begin(attempt)
 	}
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -49,6 +50,12 @@
 	Evacuations Collection[Evacuation]
 	// Members holds one object for each entry instance, under the instance's name.
 	Members Collection[registrar.Member]
+	// UsageDuty is the platform's name of the duty to report the usage of teams, UsageRecord
+	// the object that says who holds it, and NewUsageCaller returns the function that makes
+	// its calls to an address.
+	UsageDuty      string
+	UsageRecord    usagereporter.RecordStore
+	NewUsageCaller func(address string) (usagereporter.CallFunc, error)
 	// Translator translates the messages of callers and upstreams.
 	Translator translator.Translator
 	// NewLookupHandler returns the HTTP handler for lookups, and NewReadinessHandler
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockport/hemlockport/internal/coalescer"
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
@@ -56,6 +57,8 @@
 	receiver     *receiver.Receiver
 	drainer      *drainer.Drainer
 	inFlight     *tracker.Tracker[receiver.InFlightRequest]
+	// usage carries out the duty to report the usage of teams; nil if there is no such duty.
+	usage *usagereporter.Reporter
 
 	// planMu serializes the writers of the plan and guards the data that the plan is
 	// computed from. It is never locked on the path of a request.
@@ -183,6 +186,9 @@
 		LoadWeight:  settings.Placing.LoadWeight,
 	}))
 	s.assemble()
+	if err := s.assembleUsage(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -269,6 +275,9 @@
 		s.locatorUpdates.Run,
 		s.maintainEntry,
 	}
+	if s.usage != nil {
+		tasks = append(tasks, s.usage.Exchange, s.usage.Run)
+	}
 	for _, reflector := range s.reflectors {
 		tasks = append(tasks, reflector.run)
 	}
--- a/pkg/command/meter/duty_test.go
+++ b/pkg/command/meter/duty_test.go
@@ -60,7 +60,7 @@
 	machine    int
 	boot       time.Duration
 	state      dutyState
-	accepted   int64
+	progress   meter.Progress
 	stopping   bool
 	deadUntil  time.Duration
 	frozen     time.Duration
@@ -149,7 +149,7 @@
 		Name:    n.name,
 		Machine: n.machineName(),
 	}, n.clock(w))
-	n.accepted = 0
+	n.progress = meter.Progress{}
 	n.busy = nil
 	n.relays = nil
 	n.stopping = false
@@ -222,14 +222,14 @@
 	now := n.clock(w)
 	ledger := n.state.View().Record.Value
 	if !n.state.Holds() {
-		n.accepted = 0
+		n.progress = meter.Progress{}
 		n.failedFrom = 0
 	}
-	update, due := dutySchedule.Advance(ledger, n.accepted, n.trueTime(w), func(int64) (meter.Counts, bool) {
+	update, due := dutySchedule.Advance(ledger, n.progress, n.trueTime(w), func(int64) (meter.Counts, bool) {
 		w.counted++
 		return meter.Counts{"team": w.counted}, true
 	})
-	pending, isPending := ledger.Pending(n.accepted)
+	pending, isPending := n.progress.Next(ledger)
 	action := n.state.Decide(leaser.Wants[meter.Ledger]{
 		Eligible:  !n.stopping && w.now >= n.callsFrom,
 		Rank:      n.rank(w),
@@ -383,10 +383,11 @@
 	}
 	op.answer = func(w *world, n *node) {
 		if arrived && !loses {
-			n.accepted = report.Window
+			n.progress = n.progress.WithAccepted(report.Window)
 			n.failedFrom = 0
 			return
 		}
+		n.progress = n.progress.WithUnanswered(report.Window)
 		if n.failedFrom == 0 {
 			n.failedFrom = w.now
 		}
@@ -648,7 +649,7 @@
 			want[current][team]++
 		}
 		if random.IntN(20) == 0 {
-			outboxes[sender].Forget()
+			outboxes[sender].ForgetAll()
 		}
 		for _, changed := range outboxes[sender].Take("leader", counters[sender].Windows(0)) {
 			for range 1 + random.IntN(2) {
--- a/pkg/command/meter/ledger.go
+++ b/pkg/command/meter/ledger.go
@@ -28,12 +28,11 @@
 	return l
 }
 
-// WithoutReports returns the ledger without the reports up to a window, which the platform has
-// accepted or has refused for good.
-func (l Ledger) WithoutReports(through int64) Ledger {
+// WithoutReports returns the ledger without the reports that need no further call.
+func (l Ledger) WithoutReports(progress Progress) Ledger {
 	kept := make([]WindowCounts, 0, len(l.Reports))
 	for _, report := range l.Reports {
-		if report.Window > through {
+		if !progress.IsAccepted(report.Window) {
 			kept = append(kept, report)
 		}
 	}
@@ -62,13 +61,3 @@
 func (l Ledger) Next(current int64) int64 {
 	return max(l.Last+1, current-Retained+1)
 }
-
-// Pending returns the first report after a window.
-func (l Ledger) Pending(after int64) (WindowCounts, bool) {
-	for _, report := range l.Reports {
-		if report.Window > after {
-			return report, true
-		}
-	}
-	return WindowCounts{}, false
-}
--- a/pkg/command/meter/meter.go
+++ b/pkg/command/meter/meter.go
@@ -39,8 +39,8 @@
 	return time.Unix(0, (window+1)*int64(length))
 }
 
-// plus returns the sums of two counts.
-func (c Counts) plus(other Counts) Counts {
+// Plus returns the sums of two counts.
+func (c Counts) Plus(other Counts) Counts {
 	sum := maps.Clone(c)
 	for team, count := range other {
 		sum[team] += count
@@ -56,3 +56,12 @@
 	}
 	return highest
 }
+
+// Total returns the requests of all teams.
+func (c Counts) Total() int64 {
+	total := int64(0)
+	for _, count := range c {
+		total += count
+	}
+	return total
+}
--- a/pkg/command/meter/schedule.go
+++ b/pkg/command/meter/schedule.go
@@ -17,9 +17,9 @@
 type CountFunc func(window int64) (counts Counts, complete bool)
 
 // Advance returns the ledger with the windows recorded that are due at a true time, and whether
-// there are any. accepted is the latest window whose report needs no further call.
-func (s Schedule) Advance(ledger Ledger, accepted int64, now time.Time, count CountFunc) (Ledger, bool) {
-	next := ledger.WithoutReports(accepted)
+// there are any. The reports that need no further call are left out.
+func (s Schedule) Advance(ledger Ledger, progress Progress, now time.Time, count CountFunc) (Ledger, bool) {
+	next := ledger.WithoutReports(progress)
 	current := WindowAt(now, s.Length)
 	for window := ledger.Next(current); window < current; window++ {
 		since := now.Sub(EndOf(window, s.Length))
--- a/pkg/command/meter/tally.go
+++ b/pkg/command/meter/tally.go
@@ -41,7 +41,7 @@
 func (t *Tally) Sum(window int64) Counts {
 	sum := Counts{}
 	for _, counts := range t.windows[window] {
-		sum = sum.plus(counts)
+		sum = sum.Plus(counts)
 	}
 	return sum
 }
@@ -99,7 +99,12 @@
 	return changed
 }
 
-// Forget forgets what was sent, so that all of it is sent again.
-func (o *Outbox) Forget() {
+// Forget forgets what was sent to a receiver, so that all of it is sent again.
+func (o *Outbox) Forget(receiver string) {
+	delete(o.sent, receiver)
+}
+
+// ForgetAll forgets what was sent to all receivers.
+func (o *Outbox) ForgetAll() {
 	clear(o.sent)
 }
