--- a/internal/command/usagereporter/status.go
+++ b/internal/command/usagereporter/status.go
@@ -14,10 +14,12 @@
 // counters.
 type status struct {
 	log zerolog.Logger
-	// holds is 1 while this instance holds the duty, token the highest fencing token known, and
-	// lastWindow the latest window that was decided.
+	// holds is 1 while this instance holds the duty, token the fencing token of the holder that
+	// it knows, since when that was first seen, in seconds since the Unix epoch, and lastWindow
+	// the latest window that was decided.
 	holds      metrics.Gauge
 	token      metrics.Gauge
+	since      metrics.Gauge
 	lastWindow metrics.Gauge
 	// The counters of calls to the store and to the platform, and of windows by what became
 	// of them.
@@ -45,6 +47,7 @@
 		log:           log,
 		holds:         gauge("hemlockport_duty_holds"),
 		token:         gauge("hemlockport_duty_token"),
+		since:         gauge("hemlockport_duty_since_seconds"),
 		lastWindow:    gauge("hemlockport_usage_last_window"),
 		reads:         counter(`hemlockport_duty_store_calls_total{kind="read"}`),
 		writes:        counter(`hemlockport_duty_store_calls_total{kind="write"}`),
@@ -75,6 +78,7 @@
 	s.held = state.Holds()
 	if record.Token != s.loggedToken {
 		s.loggedToken = record.Token
+		s.since.Update(time.Now().Unix())
 		s.log.Info().Str("Holder", record.Name).Str("Machine", record.Machine).Uint64("Token", record.Token).Msg("DutyHolder")
 	}
 }
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -97,8 +97,9 @@
 	Record   RecordStore
 	Call     CallFunc
 	// Fleet returns what is known of the others. holder is the incarnation that holds the
-	// duty; it is left out of Rank.
+	// duty; it is left out of Rank. Leaving reports whether this instance is stopping.
 	Fleet    func(holder string) Fleet
+	Leaving  func() bool
 	Log      zerolog.Logger
 	Registry metrics.Registry
 }
@@ -121,6 +122,10 @@
 	state  leaser.State[meter.Ledger]
 	clocks meter.Clocks
 	fleet  Fleet
+	// fleetUntil is the instant until which fleet counts if nothing changes, and fleetHolder the
+	// holder that it was asked for.
+	fleetUntil  leaser.Instant
+	fleetHolder string
 	// term is what this instance has done in its present lease.
 	term term
 	// abstainUntil is the instant from which this instance may hold the duty again.
@@ -171,6 +176,8 @@
 const (
 	// tickInterval is the time between two rounds of checks.
 	tickInterval = 250 * time.Millisecond
+	// fleetInterval is the longest time between two looks at the other instances.
+	fleetInterval = time.Second
 	// renewMargin is how much longer than a window a holder waits for something to record
 	// before it renews its lease, and leaseMargin how much longer than that the lease is.
 	renewMargin = time.Second
@@ -251,12 +258,8 @@
 
 // tick takes what is due at this moment.
 func (r *Reporter) tick() {
+	r.refreshFleet()
 	r.mu.Lock()
-	holder := r.state.View().Record.Machine
-	r.mu.Unlock()
-	fleet := r.options.Fleet(holder)
-	r.mu.Lock()
-	r.fleet = fleet
 	now := r.boot.now()
 	r.clocks = r.clocks.WithOwn(time.Now(), now)
 	r.updatePartedFrom(now)
@@ -270,6 +273,26 @@
 	r.wakeUp()
 }
 
+// refreshFleet asks for the fleet again if it may have changed. Most changes show by the links;
+// the heartbeats of peers are looked at once in fleetInterval, because that takes a while with
+// thousands of instances.
+func (r *Reporter) refreshFleet() {
+	r.mu.Lock()
+	holder := r.state.View().Record.Machine
+	known := holder == r.fleetHolder && r.fleet.Changes == r.options.Hub.Changes() &&
+		r.fleet.Leaving == r.options.Leaving() && r.boot.now() < r.fleetUntil
+	r.mu.Unlock()
+	if known {
+		return
+	}
+	fleet := r.options.Fleet(holder)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet = fleet
+	r.fleetHolder = holder
+	r.fleetUntil = r.boot.now() + fleetInterval
+}
+
 // updateAnchor ties the time of requests to true time again. The caller holds mu or is New.
 func (r *Reporter) updateAnchor() {
 	r.anchor.Store(&meter.Anchor{
--- a/internal/steerer/duty.go
+++ b/internal/steerer/duty.go
@@ -32,6 +32,7 @@
 		Record:   s.platform.UsageRecord,
 		Call:     call,
 		Fleet:    s.dutyFleet,
+		Leaving:  s.leaving.Load,
 		Log:      s.log,
 		Registry: s.registry,
 	})
