--- a/internal/command/usagereporter/duty.go
+++ b/internal/command/usagereporter/duty.go
@@ -45,7 +45,7 @@
 // act takes one step, and returns whether another may follow at once.
 func (r *Reporter) act(ctx context.Context) bool {
 	r.mu.Lock()
-	now := r.boot.now()
+	now := r.now()
 	if r.state.Token() != r.term.token {
 		r.term = term{
 			token: r.state.Token(),
@@ -140,10 +140,10 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.status.storeFailed("Read", err)
-		r.state = r.state.Failed(false, r.boot.now())
+		r.state = r.state.Failed(false, r.now())
 		return false
 	}
-	r.state = r.state.Read(view, r.boot.now())
+	r.state = r.state.Read(view, r.now())
 	r.status.update(r.state)
 	return true
 }
@@ -158,10 +158,10 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	r.status.writes.Inc(1)
-	startedAt := r.boot.now()
+	startedAt := r.now()
 	position, err := r.options.Record.Write(ctx, value, action.Revision)
 	r.mu.Lock()
-	now := r.boot.now()
+	now := r.now()
 	if err != nil {
 		r.writeFailed(err, now)
 		r.mu.Unlock()
@@ -219,7 +219,7 @@
 func (r *Reporter) call(ctx context.Context, report meter.WindowCounts, until leaser.Instant) {
 	r.mu.Lock()
 	token := r.state.Token()
-	now := r.boot.now()
+	now := r.now()
 	r.term.nextCallAt = now + seconds(rateMargin/r.options.Settings.CallsPerSecond)
 	r.term.attempts++
 	r.mu.Unlock()
@@ -233,7 +233,7 @@
 		Permitted: func() bool {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			return r.state.Token() == token && r.state.MayCall(r.boot.now())
+			return r.state.Token() == token && r.state.MayCall(r.now())
 		},
 	})
 	r.mu.Lock()
@@ -241,7 +241,7 @@
 	if r.term.token != token {
 		return
 	}
-	now = r.boot.now()
+	now = r.now()
 	if err != nil && !errors.Is(err, ErrRejected) {
 		r.term.progress = r.term.progress.WithFailed()
 		if errors.Is(err, ErrUnanswered) {
--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -142,7 +142,7 @@
 			Revision: received.Revision,
 		},
 		Record: received.Record,
-	}, r.boot.now())
+	}, r.now())
 	r.status.update(r.state)
 	var messages []message
 	if r.state.View().Position != before && from.Place != r.options.Self.Place && r.isLeader() {
@@ -157,7 +157,7 @@
 func (r *Reporter) receiveClock(from registrar.Member, received clockMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.clocks = r.clocks.WithPeer(from.Incarnation, time.Unix(0, received.UnixNanos), r.boot.now())
+	r.clocks = r.clocks.WithPeer(from.Incarnation, time.Unix(0, received.UnixNanos), r.now())
 }
 
 // message is a message that is to be sent once mu is no longer held.
@@ -270,7 +270,7 @@
 	})
 	others = append(others[after:], others[:after]...)
 	own := clockMessage{
-		UnixNanos: time.Now().UnixNano(),
+		UnixNanos: r.wall().UnixNano(),
 	}
 	var messages []message
 	for _, peer := range others[:min(len(others), clockReceivers)] {
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -109,7 +109,10 @@
 	options  Options
 	terms    leaser.Terms
 	schedule meter.Schedule
-	boot     *bootClock
+	// now returns the present instant of a clock that counts suspended time.
+	now func() leaser.Instant
+	// wall returns the time of day of this machine, which may jump.
+	wall func() time.Time
 	// anchor and counter are used on the path of a request.
 	anchor  atomic.Pointer[meter.Anchor]
 	counter meter.Counter
@@ -217,7 +220,8 @@
 			Settle:       seconds(late * settleShare),
 			SettleLatest: seconds(late * settleLatestShare),
 		},
-		boot:        boot,
+		now:         boot.now,
+		wall:        time.Now,
 		status:      newStatus(options.Log, options.Registry),
 		wake:        make(chan struct{}, 1),
 		clocks:      meter.NewClocks(time.Now(), boot.now()),
@@ -260,8 +264,8 @@
 func (r *Reporter) tick() {
 	r.refreshFleet()
 	r.mu.Lock()
-	now := r.boot.now()
-	r.clocks = r.clocks.WithOwn(time.Now(), now)
+	now := r.now()
+	r.clocks = r.clocks.WithOwn(r.wall(), now)
 	r.updatePartedFrom(now)
 	r.updateAnchor()
 	messages := r.dueMessages()
@@ -280,7 +284,7 @@
 	r.mu.Lock()
 	holder := r.state.View().Record.Machine
 	known := holder == r.fleetHolder && r.fleet.Changes == r.options.Hub.Changes() &&
-		r.fleet.Leaving == r.options.Leaving() && r.boot.now() < r.fleetUntil
+		r.fleet.Leaving == r.options.Leaving() && r.now() < r.fleetUntil
 	r.mu.Unlock()
 	if known {
 		return
@@ -290,14 +294,14 @@
 	defer r.mu.Unlock()
 	r.fleet = fleet
 	r.fleetHolder = holder
-	r.fleetUntil = r.boot.now() + fleetInterval
+	r.fleetUntil = r.now() + fleetInterval
 }
 
 // updateAnchor ties the time of requests to true time again. The caller holds mu or is New.
 func (r *Reporter) updateAnchor() {
 	r.anchor.Store(&meter.Anchor{
 		Read: time.Now(),
-		True: r.clocks.At(r.boot.now()),
+		True: r.clocks.At(r.now()),
 	})
 }
 
@@ -321,7 +325,7 @@
 
 // trueTime returns the estimate of true time. The caller holds mu.
 func (r *Reporter) trueTime() time.Time {
-	return r.clocks.At(r.boot.now())
+	return r.clocks.At(r.now())
 }
 
 // isLeader reports whether this instance sums the counts of its failure domain. The caller holds
