Tell from logs who held the duty and what became of each window

hemlockport duty reads the logs of instances, as explain does, and prints the holders with the start and end of their leases, and each window with its state and why its report is late or missing. Instances on this platform have no operators' API, so the timeline command cannot show it.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -50,6 +50,7 @@
 	Lookup   lookupQuery   `cmd:"" group:"queries" help:"Look up which entry instances a client should use."`
 	Timeline timelineQuery `cmd:"" group:"queries" help:"Print the events of all instances in causal order."`
 	Explain  explainQuery  `cmd:"" group:"queries" help:"Explain from logs what happened to a request, and why."`
+	Duty     dutyQuery     `cmd:"" group:"queries" help:"Tell from logs who held the duty to report the usage, and what became of each window."`
 	Version  versionQuery  `cmd:"" group:"queries" help:"Print the program's version."`
 }
 
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -18,7 +18,7 @@
 
 // Run explains from logs what happened to a request and why.
 func (q *explainQuery) Run(s *invocation) error {
-	logs, err := readLogs(q.Files)
+	logs, err := readLogs(q.Files, explainer.Read)
 	if err != nil {
 		return err
 	}
@@ -37,13 +37,14 @@
 	return nil
 }
 
-func readLogs(files []string) ([]explainer.Log, error) {
+// readLogs reads log files; standard input if there are none.
+func readLogs[L any](files []string, read func(io.Reader) (L, error)) ([]L, error) {
 	if len(files) == 0 {
 		files = []string{"-"}
 	}
-	logs := make([]explainer.Log, 0, len(files))
+	logs := make([]L, 0, len(files))
 	for _, name := range files {
-		log, err := readLog(name)
+		log, err := readLog(name, read)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
@@ -52,16 +53,17 @@
 	return logs, nil
 }
 
-func readLog(name string) (explainer.Log, error) {
+func readLog[L any](name string, read func(io.Reader) (L, error)) (L, error) {
 	if name == "-" {
-		return explainer.Read(os.Stdin)
+		return read(os.Stdin)
 	}
 	file, err := os.Open(name)
 	if err != nil {
-		return explainer.Log{}, err
+		var none L
+		return none, err
 	}
 	defer file.Close()
-	return explainer.Read(file)
+	return read(file)
 }
 
 func printExplanation(w io.Writer, explanation explainer.Explanation) {
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"io"
 	"time"
 
@@ -50,7 +49,19 @@
 // Read reads a log. It ignores what precedes the first brace of a line, such as a
 // timestamp that a log collector adds.
 func Read(source io.Reader) (Log, error) {
-	var log Log
+	lines, foreign, err := ReadLines(source, func(line Line) bool {
+		return line.Message != "" && line.Instance != "" && !line.Time.IsZero()
+	})
+	return Log{
+		Lines:   lines,
+		Foreign: foreign,
+	}, err
+}
+
+// ReadLines reads the lines of a log as values of a type that the caller needs. It also returns
+// how many lines were skipped: those that are no JSON object, or that are not complete, as those
+// of another program.
+func ReadLines[T any](source io.Reader, isComplete func(line T) bool) (lines []T, foreign int, err error) {
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -58,31 +69,13 @@
 		if len(text) == 0 {
 			continue
 		}
-		line, err := parseLine(text)
-		if err != nil {
-			log.Foreign++
+		var line T
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || json.Unmarshal(text[start:], &line) != nil || !isComplete(line) {
+			foreign++
 			continue
 		}
-		log.Lines = append(log.Lines, line)
-	}
-	return log, scanner.Err()
-}
-
-// errForeignLine is the error of a line that lacks the fields of this program's lines.
-var errForeignLine = errors.New("not a line of this program")
-
-// parseLine parses the JSON object in a line of a log.
-func parseLine(text []byte) (Line, error) {
-	var line Line
-	start := bytes.IndexByte(text, '{')
-	if start < 0 {
-		return line, errForeignLine
-	}
-	if err := json.Unmarshal(text[start:], &line); err != nil {
-		return line, err
-	}
-	if line.Message == "" || line.Instance == "" || line.Time.IsZero() {
-		return line, errForeignLine
+		lines = append(lines, line)
 	}
-	return line, nil
+	return lines, foreign, scanner.Err()
 }
