Send the sums of a failure domain from both leaders after a window

If the first leader freezes, its links close after 2 s, and the holder would record a window without the last seconds of that failure domain. The second leader has the same counts and now sends them once after each window. The tests of the reporter pass; the benchmark of counting shows no allocation.

--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -226,33 +226,39 @@
 	return messages
 }
 
-// sumsMessages returns the sums of this failure domain for the holder, if this instance is the
-// first leader. The caller holds mu.
+// sumsMessages returns the sums of this failure domain for the holder, if this instance is one of
+// its leaders. The first one sends what changes. The others send after each window only, so that
+// the holder has their sums if the first one has just frozen or died. The caller holds mu.
 func (r *Reporter) sumsMessages(now time.Time) []message {
 	leaders := r.fleet.Place.Leaders()
-	if len(leaders) > 0 && !r.isSelf(leaders[0]) {
+	number := slices.IndexFunc(leaders, r.isSelf)
+	if len(leaders) > 0 && number < 0 {
 		return nil
 	}
 	through := meter.WindowAt(now.Add(-sumsDelay), r.schedule.Length) - 1
+	record := r.state.View().Record
+	isSent := r.sentThrough[record.Machine] == through
+	if record.Machine == "" || number > 0 && isSent {
+		return nil
+	}
 	sums := countsMessage{
 		Place:   r.options.Self.Place,
 		Through: through,
 		Windows: r.members.Sums(through - meter.Retained),
 	}
-	record := r.state.View().Record
 	if r.state.Holds() || record.Machine == r.options.Self.Incarnation {
 		r.setSums(r.options.Self, sums)
 		return nil
 	}
+	sums.Windows = r.outbox.Take(topicSums+record.Machine, sums.Windows)
+	if len(sums.Windows) == 0 && isSent {
+		return nil
+	}
+	r.sentThrough[record.Machine] = through
 	holder := registrar.Member{
 		Name:        record.Name,
 		Incarnation: record.Machine,
 	}
-	sums.Windows = r.outbox.Take(topicSums+holder.Incarnation, sums.Windows)
-	if holder.Incarnation == "" || len(sums.Windows) == 0 && r.sentThrough[holder.Incarnation] == through {
-		return nil
-	}
-	r.sentThrough[holder.Incarnation] = through
 	return []message{newMessage(holder, topicSums, sums, countsCodec)}
 }
 
