Add the table Duty to the golden files of the settings

The check that the sample leaves no field at zero failed, because it lacked the fields of the new table.

--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1328,6 +1328,14 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1412,6 +1420,14 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
