--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -39,6 +39,7 @@
 	Placing   Placing
 	Teams     Teams
 	Capacity  Capacity
+	Duty      Duty
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -310,6 +311,7 @@
 			FreeLoad:    0.8,
 			LoadWeight:  0.5,
 		},
+		Duty: defaultDuty(),
 	}
 }
 
