Keep a leader's part near those of its region

A case in which the messages of a leader are lost while its links stand showed that it went on by itself: parts of one region were 0.35 to 0.39 apart. A leader now follows the median of the reported parts while its own is more than 0.1 away, and also after it was cut off, since the monotonic clock may not show a pause of the machine.

--- a/pkg/command/balancer/balancer.go
+++ b/pkg/command/balancer/balancer.go
@@ -2,18 +2,23 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// adoptTime is how long an instance that has become the leader of its region follows the
-	// other instances of the region before it decides, so that their parts go on from where
-	// they are.
+	// adoptTime is how long an instance that has become the leader of its region, or was cut
+	// off, follows the other instances of the region before it decides, so that their parts go
+	// on from where they are.
 	adoptTime = 2500 * time.Millisecond
 	// maxPause is the time between two calls of Adjust from which on the instance was paused:
 	// another one may have led the region meanwhile.
 	maxPause = 2 * time.Second
+	// maxLead is how far a leader's part may be from those of its region. They follow by what a
+	// part moves within two seconds, the time of a message and of a report, unless the leader's
+	// messages do not arrive.
+	maxLead = 0.1
 )
 
 // Member is an instance as far as balancing is concerned.
@@ -107,6 +112,7 @@
 // SetMembers replaces the other listed instances, and reports whether this instance has begun
 // or ceased to lead its region.
 func (b *Balancer) SetMembers(members []Member, now time.Time) bool {
+	wasCutOff := b.isCutOff()
 	b.members = members
 	leader := b.self.Name
 	leaders := map[string]string{}
@@ -124,7 +130,8 @@
 	}
 	changed := (leader == b.self.Name) != b.Leads()
 	b.leader, b.leaders = leader, leaders
-	if changed && b.Leads() {
+	// The monotonic clock may not show a pause, but the links have been lost in it.
+	if b.Leads() && (changed || wasCutOff && !b.isCutOff()) {
 		b.adoptUntil = now.Add(adoptTime)
 	}
 	return changed
@@ -238,9 +245,9 @@
 		target, known = fractions[service.Name]
 		return target, true, known
 	}
-	if now.Before(b.adoptUntil) {
-		target, known = b.medianReported(service.Name, now)
-		return target, true, known
+	reported, known := b.medianReported(service.Name, now)
+	if now.Before(b.adoptUntil) || known && math.Abs(service.Fraction-reported) > maxLead {
+		return reported, true, known
 	}
 	rooms, complete := b.rooms(service, now)
 	if !complete {
