--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -174,19 +174,7 @@
 // upstream to avoid, which may be nil, is used only if no other one is usable. The caller
 // must call Release on the upstream.
 func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
-	if a.objectHash != 0 {
-		random = a.objectHash
-	}
-	plan := a.currentPlan()
-	pools := plan.pools[a.Service]
-	wanted := criteria{
-		now:          now,
-		avoid:        avoid,
-		routeRegions: a.Route.Declared.Homes,
-		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].includes(random),
-		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
-	}
+	random, pools, wanted := a.choice(now, random, avoid)
 	if upstream, found := pools.acquire(random, wanted); found {
 		return upstream, nil
 	}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -37,6 +37,9 @@
 	// request is part of the spillover. It has no effect in pools without affinity, nor
 	// on routeRegions and teamRegions.
 	anyRegion bool
+	// probe, if not nil, collects the upstreams that the request would choose from, and none
+	// is chosen.
+	probe *roomProbe
 }
 
 // allowsRegion reports whether the request may run in a region.
@@ -67,6 +70,9 @@
 // service's bound and room in its limit. A request that only the limit keeps away counts as
 // demand for it.
 func (c *candidate) Usable(criteria criteria) bool {
+	if criteria.probe != nil {
+		return criteria.probe.visit(c, criteria)
+	}
 	if !c.hasFreeSlot() || !c.loadBound.admits(c.loadAt(criteria.now)) || !c.mayServe(criteria) {
 		return false
 	}
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -57,6 +57,8 @@
 	// othersRequests is the number of requests that all other instances have at the
 	// upstream, estimated from its answers; nil before the first.
 	othersRequests atomic.Pointer[loadObservation]
+	// watchers are told of each release of a slot; nil if there are none.
+	watchers atomic.Pointer[[]*Watcher]
 }
 
 // newUpstream returns the state of an upstream that is live and has no requests.
@@ -149,6 +151,7 @@
 // Release gives back the slot of a request that has ended.
 func (u *Upstream) Release() {
 	u.slots.Release()
+	u.tellWatchers()
 }
 
 // applyDeclaration replaces the declaration by one with the same address and
