Let requests wait in the queue of their service

A request that finds no upstream with room is refused at once, and its caller retries a second later, together with all others. With the new table Queue on, it waits in a bounded queue of its service if a slot is expected in time, and goes on in the order of package scheduler as soon as a slot is released. Waits end at the request's deadline, at the end of the longest wait, when the service goes and when the instance stops; a new plan wakes all that wait, and they keep their places.

Instances tell the leader of their failure domain once a second how requests have ended, and the leaders tell one another and their members the sums, from which each computes the same admission level. This exchange has no test with links yet; it is on by Queue.Level only.

--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -38,6 +38,7 @@
 	Readiness Readiness
 	Placing   Placing
 	Teams     Teams
+	Queue     Queue
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -305,6 +306,7 @@
 			FreeLoad:    0.8,
 			LoadWeight:  0.5,
 		},
+		Queue: defaultQueue(),
 	}
 }
 
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -110,6 +110,11 @@
 `,
 			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
 		},
+		{
+			name:   "a queue that holds nothing and one that holds requests for ever",
+			text:   validSettings + "[Queue]\nLongest = 0\nWaitShare = 1.5\n",
+			fields: []string{"Queue.Longest", "Queue.WaitShare"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -31,13 +30,13 @@
 // an answer is expected, it returns the answer of the attempt before.
 func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
 	now := time.Now()
-	if refusal := a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now); refusal != nil {
+	if refusal := a.checkDrain(now); refusal != nil {
 		return a.lastAnswer, a.overallError(refusal)
 	}
 	if len(a.failed) > 0 {
 		a.receiver.metrics.CountRetry()
 	}
-	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
+	upstream, now, refusal := a.acquire(ctx, now)
 	if refusal != nil {
 		a.outcome.LoadBound = a.admission.LoadBound()
 		return a.lastAnswer, a.overallError(refusal)
--- a/internal/receiver/forward_test.go
+++ b/internal/receiver/forward_test.go
@@ -38,6 +38,13 @@
 
 // newEntry starts an entry for a service whose upstreams listen at the addresses.
 func newEntry(t testing.TB, addresses ...string) *entry {
+	t.Helper()
+	return newEntryOf(t, serviceSet(addresses), nil)
+}
+
+// newEntryOf starts an entry for a declared set. The queues are nil if no request waits for an
+// upstream.
+func newEntryOf(t testing.TB, set declarer.Set, queues *receiver.Queues) *entry {
 	t.Helper()
 	plans := holder.New[admitter.Plan]()
 	// The team's bucket starts empty. A start one hour ago makes it full now.
@@ -46,7 +53,6 @@
 		Index: 0,
 		Count: 1,
 	}
-	set := serviceSet(addresses)
 	plan := admitter.InitialPlan("derby", "derby-1").WithSeats([]splitter.Seat{seat}, start).WithTable(router.New(1, set), start)
 	plan.Confirm(start)
 	plans.Advance(*plan)
@@ -64,6 +70,7 @@
 		Metrics:           exporter.NewRequestCounters(metrics.NewRegistry()),
 		WaitingForRate:    func() {},
 		UpstreamSuspected: func(*admitter.Upstream, *arbiter.Refusal) {},
+		Queues:            queues,
 	})
 	server := httptest.NewServer(requestReceiver)
 	t.Cleanup(server.Close)
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -34,6 +34,10 @@
 	// LoadBound is the service's load bound if an attempt found no upstream with room for
 	// the request, or 0 (see admitter.Admission.LoadBound).
 	LoadBound float64
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
+	// Queue is what the queue did with the request.
+	Queue QueueOutcome
 	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
 	Status int
 	// Refusal is why the request failed, or nil.
@@ -50,6 +54,7 @@
 	o.Route = admission.Route.Declared.Name
 	o.Service = admission.Service
 	o.Team = admission.Team()
+	o.Priority = admission.Priority()
 	o.Revision = admission.Plan.Table().RevisionNumber()
 	o.Generation = admission.Plan.RevisionNumber()
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -60,6 +60,8 @@
 	// upstreamAdvertised is called when an upstream says something else of itself than before
 	// (see admitter.Advertisement).
 	upstreamAdvertised func(upstream *admitter.Upstream)
+	// queues holds the requests that wait for an upstream with room; nil if none waits.
+	queues *Queues
 }
 
 // Options holds the dependencies and the settings of a receiver.
@@ -99,6 +101,9 @@
 	// UpstreamAdvertised, if not nil, is called when an upstream says something else of
 	// itself than before (see admitter.Advertisement).
 	UpstreamAdvertised func(upstream *admitter.Upstream)
+	// Queues holds the requests that wait for an upstream with room. If it is nil, requests
+	// that find none are refused at once.
+	Queues *Queues
 }
 
 // New returns a receiver with the given dependencies.
@@ -132,6 +137,7 @@
 		waitingForRate:     options.WaitingForRate,
 		upstreamSuspected:  options.UpstreamSuspected,
 		upstreamAdvertised: upstreamAdvertised,
+		queues:             options.Queues,
 	}
 }
 
@@ -166,6 +172,9 @@
 	r.metrics.Count(refusal, outcome.Arrived)
 	outcome.Refusal = refusal
 	outcome.Ended = time.Now()
+	if r.queues != nil {
+		r.queues.ended(&outcome)
+	}
 	r.requestEnded(outcome)
 	switch {
 	case refusal == nil:
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -21,6 +21,7 @@
 	schedule := drainer.NewSchedule(begun, s.settings.Drain.GraceMillis, s.settings.Drain.LimitMillis).
 		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
+	s.wakeQueues()
 	if !schedule.CloseBy.IsZero() {
 		s.listeners.callers.LimitLinger(schedule.CloseBy)
 	}
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -209,6 +209,7 @@
 			}
 			s.fetchFromPeers()
 			s.refreshLenders()
+			s.shareQueueCounts()
 		}
 	}
 	return nil
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -55,6 +55,7 @@
 		s.publishLocator(plan.Table())
 	}
 	s.plans.Advance(*plan)
+	s.wakeQueues()
 }
 
 // endRegistrationGrace ends the grace period once its time has passed: upstreams that
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -100,12 +100,32 @@
 	if outcome.LoadBound > 0 {
 		line = line.Float64("LoadBound", roundLoad(outcome.LoadBound))
 	}
+	if outcome.Queue.Cause != "" {
+		line = addQueueFields(line, outcome)
+	}
 	if leftOut > 0 {
 		line = line.Int64("LeftOut", leftOut)
 	}
 	return line
 }
 
+// addQueueFields adds what the queue did with a request, and what decided it.
+func addQueueFields(line *zerolog.Event, outcome receiver.Outcome) *zerolog.Event {
+	queue := outcome.Queue
+	line = line.
+		Str("Queue", string(queue.Cause)).
+		Int("Priority", outcome.Priority).
+		Int64("WaitedMillis", queue.Waited.Milliseconds())
+	if queue.LevelShare > 0 {
+		return line.Float64("LevelShare", roundLoad(queue.LevelShare))
+	}
+	line = line.Int("Ahead", queue.Ahead)
+	if !queue.Expected.IsZero() {
+		line = line.Int64("ExpectedMillis", queue.Expected.Sub(outcome.Arrived).Milliseconds())
+	}
+	return line
+}
+
 // roundLoad rounds a load to hundredths.
 func roundLoad(load float64) float64 {
 	const hundredths = 100
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -54,8 +54,12 @@
 	borrower     *borrower.Borrower
 	forwarder    *forwarder.Forwarder
 	receiver     *receiver.Receiver
-	drainer      *drainer.Drainer
-	inFlight     *tracker.Tracker[receiver.InFlightRequest]
+	// queues holds the requests that wait for an upstream with room, and queueBoard what the
+	// instances tell one another of them; both are nil unless Queue.On is set.
+	queues     *receiver.Queues
+	queueBoard *queueBoard
+	drainer    *drainer.Drainer
+	inFlight   *tracker.Tracker[receiver.InFlightRequest]
 
 	// planMu serializes the writers of the plan and guards the data that the plan is
 	// computed from. It is never locked on the path of a request.
@@ -220,6 +224,7 @@
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
+	s.openQueues()
 	s.receiver = receiver.New(receiver.Options{
 		Admitter:           admitter.New(s.plans, s.freshness),
 		Forwarder:          s.forwarder,
@@ -236,6 +241,7 @@
 		WaitingForRate:     s.borrower.PollNow,
 		UpstreamSuspected:  s.logSuspect,
 		UpstreamAdvertised: s.upstreamAdvertised,
+		Queues:             s.queues,
 	})
 }
 
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -106,7 +106,7 @@
 func (r Room) ReadyAt(now time.Time) time.Time {
 	var earliest time.Time
 	for _, upstream := range r.upstreams {
-		at := upstream.readyAt(now, r.answer)
+		at, _ := upstream.readyAt(now, r.answer)
 		if !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
 			earliest = at
 		}
@@ -114,6 +114,20 @@
 	return earliest
 }
 
+// LookAt returns the earliest time at which one of the upstreams is expected to have a slot
+// although this instance has released none there: because of the requests of other instances, a
+// rate or a time for a retry. It returns zero if a slot comes only by a release.
+func (r Room) LookAt(now time.Time) time.Time {
+	var earliest time.Time
+	for _, upstream := range r.upstreams {
+		at, byRelease := upstream.readyAt(now, r.answer)
+		if !byRelease && !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
 // PerSecond returns how many requests a second the upstreams begin while all of their slots
 // are in use, for all instances together; 0 if that is unknown.
 func (r Room) PerSecond() float64 {
@@ -153,22 +167,20 @@
 
 // readyAt returns when the upstream is expected to have room for a request of this instance:
 // a slot, a load below the bound, a token of its cold rate and of its limit, and no time for
-// a retry that is still to come. It returns zero if it never has a token.
-func (u *Upstream) readyAt(now time.Time, answer time.Duration) time.Time {
-	at := now
+// a retry that is still to come. It returns zero if it never has a token. byRelease reports
+// that it has none before this instance has released a slot.
+func (u *Upstream) readyAt(now time.Time, answer time.Duration) (at time.Time, byRelease bool) {
+	at, byRelease = u.loadReadyAt(now, answer)
 	if retryAt := u.Advertisement().RetryAt; retryAt.After(at) {
 		at = retryAt
 	}
-	if loadAt := u.loadReadyAt(now, answer); loadAt.After(at) {
-		at = loadAt
-	}
 	if u.IsCold(now) {
 		at = laterToken(at, u.coldBucket.Next(now))
 	}
 	if u.IsLimited(now) {
 		at = laterToken(at, u.limitBucket.Next(now))
 	}
-	return at
+	return at, byRelease
 }
 
 // laterToken returns the later of a time and that of a token; zero if either is zero.
@@ -184,24 +196,25 @@
 
 // loadReadyAt returns when this instance is expected to have a slot at the upstream, and the
 // load to be below the bound. The requests of other instances are taken to end as their
-// estimate decays, and each of this instance's to end within the time of an answer.
-func (u *Upstream) loadReadyAt(now time.Time, answer time.Duration) time.Time {
+// estimate decays, and each of this instance's to end within the time of an answer. byRelease
+// reports that one of this instance's has to end.
+func (u *Upstream) loadReadyAt(now time.Time, answer time.Duration) (at time.Time, byRelease bool) {
 	own := u.slots.InUse()
 	bound := u.loadBound.value() * float64(u.declared.Load().Slots)
 	spare := bound - float64(own)
 	if own >= u.slots.Limit() || spare <= 0 {
-		return now.Add(answer / time.Duration(max(own, 1)))
+		return now.Add(answer / time.Duration(max(own, 1))), true
 	}
 	observation := u.othersRequests.Load()
 	if observation == nil {
-		return now
+		return now, false
 	}
 	others := observation.decayedAt(now)
 	if others < spare {
-		return now
+		return now, false
 	}
 	halfLives := math.Log2(others / spare)
-	return now.Add(time.Duration(halfLives*float64(observationHalfLife)) + loadMargin)
+	return now.Add(time.Duration(halfLives*float64(observationHalfLife)) + loadMargin), false
 }
 
 // Watcher is told of each release of a slot of the upstreams that it watches. It is called by
--- a/pkg/command/scheduler/gate.go
+++ b/pkg/command/scheduler/gate.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // minRecheck is the least time between two looks at a request for which a slot was expected and
 // not found. Each further look waits as long again as the request has waited so far, so that a
@@ -59,12 +62,13 @@
 	return g.queue.Len()
 }
 
-// Offer takes a request. It goes on at once, or waits, or is refused; the decision says which
-// of the last two, and a request that goes on has the zero decision. Requests that wait and go
-// first are tried before it.
+// Offer takes a request. It goes on at once, ends, waits or is refused; the decision says which
+// of the last two, and a request that goes on or ends has the zero decision. Requests that wait
+// and go first are tried before it.
 func (g *Gate[E]) Offer(entry E, now time.Time) Decision {
 	g.Wake(now)
-	if entry.Try(now) {
+	// What would end the request may have happened before it came here, and is not told again.
+	if entry.End(now) || entry.Try(now) {
 		return Decision{}
 	}
 	request, room := entry.Request(), entry.Room(now)
@@ -105,7 +109,7 @@
 	var next time.Time
 	for waiter := range g.queue.All() {
 		at := waiter.Decision.Until
-		if expected := waiter.Value.Room(now).At; !expected.IsZero() {
+		if expected := waiter.Value.Room(now).LookAt; !expected.IsZero() {
 			recheck := max(minRecheck, now.Sub(waiter.Request.Arrived))
 			at = earlier(at, later(expected, now.Add(recheck)))
 		}
@@ -116,6 +120,17 @@
 	return next
 }
 
+// All returns the requests that wait, in order.
+func (g *Gate[E]) All() iter.Seq[E] {
+	return func(yield func(E) bool) {
+		for waiter := range g.queue.All() {
+			if !yield(waiter.Value) {
+				return
+			}
+		}
+	}
+}
+
 // Leave takes a request out that waits no longer, and reports whether it was waiting.
 func (g *Gate[E]) Leave(entry E) bool {
 	return g.queue.Remove(func(other E) bool { return other == entry })
@@ -145,7 +160,7 @@
 
 // demandOf returns the demand of the teams with a priority.
 func (g *Gate[E]) demandOf(priority int) *TeamDemand {
-	index := clampPriority(priority)
+	index := PriorityIndex(priority)
 	if g.demands[index] == nil {
 		g.demands[index] = NewTeamDemand()
 	}
--- a/pkg/command/scheduler/gate_test.go
+++ b/pkg/command/scheduler/gate_test.go
@@ -76,6 +76,7 @@
 		},
 		room: scheduler.Room{
 			At:     at(100),
+			LookAt: at(100),
 			Answer: 200 * time.Millisecond,
 		},
 		slots: &b.slots,
@@ -322,7 +323,7 @@
 	if next := b.gate.NextWake(start); !next.Equal(at(100)) {
 		t.Errorf("got the next look at %v, want it when a slot is expected", next)
 	}
-	first.room.At = time.Time{}
+	first.room.LookAt = time.Time{}
 	first.ended = true
 	b.gate.Wake(at(200))
 	if b.gate.Len() != 1 {
--- a/pkg/command/scheduler/level.go
+++ b/pkg/command/scheduler/level.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "math"
+
 // Count is how many requests of one service and priority have ended in a time. It is
 // immutable.
 type Count struct {
@@ -136,5 +138,14 @@
 
 // Share returns the share of a priority's requests that is admitted, from 0 to 1.
 func (l Level) Share(priority int) float64 {
-	return 1 - l.turned[clampPriority(priority)]
+	return 1 - l.turned[PriorityIndex(priority)]
+}
+
+// Rounded returns a copy with shares in tenths, for comparing levels.
+func (l Level) Rounded() Level {
+	const tenths = 10
+	for priority := range l.turned {
+		l.turned[priority] = math.Round(l.turned[priority]*tenths) / tenths
+	}
+	return l
 }
--- a/pkg/command/scheduler/retry.go
+++ b/pkg/command/scheduler/retry.go
@@ -9,8 +9,8 @@
 // last one.
 const Priorities = 8
 
-// clampPriority returns the index of a priority.
-func clampPriority(priority int) int {
+// PriorityIndex returns the place of a priority in Counts: from 0 to Priorities-1.
+func PriorityIndex(priority int) int {
 	return min(max(priority, 0), Priorities-1)
 }
 
@@ -42,7 +42,7 @@
 		at = now.Add(unknownRetry)
 	}
 	at = later(at, now)
-	priority := clampPriority(request.Priority)
+	priority := PriorityIndex(request.Priority)
 	for _, planned := range p.last[:priority+1] {
 		at = later(at, planned)
 	}
--- a/pkg/command/scheduler/scheduler.go
+++ b/pkg/command/scheduler/scheduler.go
@@ -33,6 +33,9 @@
 	// At is the earliest time at which one of them is expected to have a slot; zero if none of
 	// them can serve the request.
 	At time.Time
+	// LookAt is the earliest time at which one of them may have a slot although the instance has
+	// released none; zero if a slot comes only by a release.
+	LookAt time.Time
 	// PerSecond is how many requests a second they can begin while all of their slots are in
 	// use; 0 if that is unknown, and then a request ahead costs no time.
 	PerSecond float64
