Compute the admission level from late answers and fair shares

A level that counts refusals alone never began to refuse. It now counts late answers of upstreams at which requests wait as well, admits in proportion to what is answered, and begins only when half of the requests are late or refused, so that the usual load is not touched.

--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -36,6 +36,11 @@
 	LoadBound float64
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
+	// Objective is the time until which an answer is worth most; zero if the route has none.
+	Objective time.Time
+	// AnswerLoad is the load of the upstream, in requests for each slot, when it had answered; 0
+	// if there was no answer.
+	AnswerLoad float64
 	// Queue is what the queue did with the request.
 	Queue QueueOutcome
 	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
@@ -55,6 +60,7 @@
 	o.Service = admission.Service
 	o.Team = admission.Team()
 	o.Priority = admission.Priority()
+	o.Objective = admission.Objective(o.Arrived)
 	o.Revision = admission.Plan.Table().RevisionNumber()
 	o.Generation = admission.Plan.RevisionNumber()
 }
--- a/internal/receiver/queue.go
+++ b/internal/receiver/queue.go
@@ -103,7 +103,7 @@
 // the level admits.
 func (q *serviceQueue) admit(request scheduler.Request, now time.Time) (scheduler.Refusal, float64, bool) {
 	level := q.level.Load()
-	if level == nil || level.Share(request.Priority) >= 1 {
+	if level == nil {
 		return scheduler.Refusal{}, 1, true
 	}
 	q.mu.Lock()
@@ -197,6 +197,7 @@
 	scheduler.QueueFull:  "no upstream has a free slot, and the queue is full",
 	scheduler.Displaced:  "no upstream has a free slot, and a more urgent request has taken the place in the queue",
 	scheduler.WaitEnded:  "no upstream had a free slot before the wait ended",
+	scheduler.OverShare:  "the service is overloaded, and the team asks for more than its fair share",
 	scheduler.BelowLevel: "the service is overloaded, and the admission level does not admit the request",
 }
 
--- a/internal/receiver/queues.go
+++ b/internal/receiver/queues.go
@@ -136,9 +136,11 @@
 	switch refusal := outcome.Refusal; {
 	case refusal == nil:
 		found.answers.Record(outcome.Ended.Sub(outcome.Placement.ChosenAt))
-		found.queue.tally.of(outcome.Priority).served.Add(1)
+		found.queue.tally.of(outcome.Priority).add(scheduler.NewCount(outcome.Ended, outcome.Objective, outcome.AnswerLoad))
 	case outcome.Queue.Cause == scheduler.BelowLevel:
 		found.queue.tally.of(outcome.Priority).turned.Add(1)
+	case outcome.Queue.Cause == scheduler.OverShare:
+		found.queue.tally.of(outcome.Priority).over.Add(1)
 	case lacksRoom(outcome):
 		found.queue.tally.of(outcome.Priority).full.Add(1)
 	}
@@ -165,11 +167,19 @@
 // priorityTally counts the requests of one priority by how they ended; held is how many wait.
 type priorityTally struct {
 	served atomic.Int64
+	late   atomic.Int64
 	full   atomic.Int64
 	turned atomic.Int64
+	over   atomic.Int64
 	held   atomic.Int64
 }
 
+// add counts a request that was answered.
+func (t *priorityTally) add(answered scheduler.Count) {
+	t.served.Add(int64(answered.Served))
+	t.late.Add(int64(answered.Late))
+}
+
 // of returns the counters of a priority.
 func (t *tally) of(priority int) *priorityTally {
 	return &t[scheduler.PriorityIndex(priority)]
@@ -181,8 +191,10 @@
 	for i := range t {
 		counts[i] = scheduler.Count{
 			Served: int(t[i].served.Swap(0)),
+			Late:   int(t[i].late.Swap(0)),
 			Full:   int(t[i].full.Swap(0)),
 			Turned: int(t[i].turned.Swap(0)),
+			Over:   int(t[i].over.Swap(0)),
 			Held:   int(t[i].held.Load()),
 		}
 	}
--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -6,6 +6,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
+	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 )
 
@@ -21,6 +22,10 @@
 	admitter    *admitter.Admitter
 	apportioner *apportioner.Apportioner
 	rationer    *rationer.Rationer
+	// queues are the queues by service; lastCounts are the counts of the last levelInterval.
+	queues     map[string]*queue
+	lastCounts scheduler.Figures
+	board      scheduler.Board
 }
 
 // newInstance returns an instance that knows no configuration yet.
@@ -36,6 +41,7 @@
 		admitter:    admitter.New(plans, admitter.NewFreshness(s.start)),
 		apportioner: fractions,
 		rationer:    rationer.New(fractions),
+		queues:      map[string]*queue{},
 	}
 }
 
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -1,8 +1,9 @@
 // Package simulator plays the load of callers against the decisions of several instances
 // in virtual time, with a model of the upstreams: their slots, their queues, and the
 // objects that they have handled and serve faster. It calls the same code of package
-// admitter as an instance does, without a network, so that a test can check what callers
-// get. It leaves out connections, transmission times beyond a fixed latency, and teams.
+// admitter and scheduler as an instance does, without a network, so that a test can check what
+// callers get. It leaves out connections, transmission times beyond a fixed latency, and the
+// limits of teams.
 package simulator
 
 import (
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
 )
@@ -29,6 +31,10 @@
 	Requests []Kind
 	// Changes are what happens to the declared set and the upstreams, in any order.
 	Changes []Change
+	// Queue, if not nil, lets requests wait at the instances within these limits.
+	Queue *scheduler.Limits
+	// Level lets the instances agree on an admission level. It needs Queue.
+	Level bool
 	// Length is the time after which callers send no more requests.
 	Length time.Duration
 	// Seed makes the random choices.
@@ -47,8 +53,12 @@
 	Name string
 	// Host is the host name that the requests are for.
 	Host string
+	// Team is the team of the callers, whose key is the team's name; empty on an open route.
+	Team string
 	// PerSecond is the rate over all callers.
 	PerSecond float64
+	// Factor, if not nil, multiplies the rate at a time, counted from the start.
+	Factor func(at time.Duration) float64
 	// Objects is the number of objects in each failure domain that its callers ask for.
 	Objects int
 	// Work is how long a slot is taken for an object that the upstream does not know.
@@ -110,6 +120,9 @@
 		s.after(change.At, func() { s.apply(change) })
 	}
 	s.after(admitter.SpilloverInterval, s.refresh)
+	if scenario.Queue != nil && scenario.Level {
+		s.after(levelInterval, s.shareCounts)
+	}
 	for _, kind := range scenario.Requests {
 		s.scheduleArrival(kind)
 	}
@@ -171,7 +184,11 @@
 // scheduleArrival schedules the next request of a kind, with exponentially distributed
 // times between requests.
 func (s *simulation) scheduleArrival(kind Kind) {
-	wait := time.Duration(s.random.ExpFloat64() / kind.PerSecond * float64(time.Second))
+	rate := kind.PerSecond
+	if kind.Factor != nil {
+		rate *= kind.Factor(s.now.Sub(s.start))
+	}
+	wait := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 	if s.now.Add(wait).Sub(s.start) >= s.scenario.Length {
 		return
 	}
--- a/internal/steerer/queuelevels.go
+++ b/internal/steerer/queuelevels.go
@@ -50,8 +50,10 @@
 	_        struct{} `cbor:",toarray"`
 	Priority uint8
 	Served   uint32
+	Late     uint32
 	Full     uint32
 	Turned   uint32
+	Over     uint32
 	Held     uint32
 }
 
@@ -73,8 +75,10 @@
 			encoded.Priorities = append(encoded.Priorities, queuePriority{
 				Priority: uint8(priority),
 				Served:   uint32(count.Served),
+				Late:     uint32(count.Late),
 				Full:     uint32(count.Full),
 				Turned:   uint32(count.Turned),
+				Over:     uint32(count.Over),
 				Held:     uint32(count.Held),
 			})
 		}
@@ -95,8 +99,10 @@
 			var one scheduler.Counts
 			one[scheduler.PriorityIndex(int(received.Priority))] = scheduler.Count{
 				Served: int(received.Served),
+				Late:   int(received.Late),
 				Full:   int(received.Full),
 				Turned: int(received.Turned),
+				Over:   int(received.Over),
 				Held:   int(received.Held),
 			}
 			counts = counts.Plus(one)
@@ -255,6 +261,6 @@
 		for priority := range scheduler.Priorities {
 			shares = append(shares, math.Round(rounded.Share(priority)*10)/10)
 		}
-		s.log.Info().Str("Service", service).Floats64("Shares", shares).Msg("LevelChanged")
+		s.log.Info().Str("Service", service).Floats64("Shares", shares).Float64("FairShare", rounded.FairShare()).Msg("LevelChanged")
 	}
 }
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -58,6 +58,11 @@
 	return found
 }
 
+// Load returns the estimated number of requests at the upstream relative to its slots.
+func (u *Upstream) Load(now time.Time) float64 {
+	return u.loadAt(now)
+}
+
 // choice returns the random number, the pools and the criteria by which an upstream is chosen.
 func (a Admission) choice(now time.Time, random uint64, avoid *Upstream) (uint64, versionPools, criteria) {
 	if a.objectHash != 0 {
--- a/pkg/command/scheduler/gate.go
+++ b/pkg/command/scheduler/gate.go
@@ -46,14 +46,15 @@
 type Gate[E Competitor[E]] struct {
 	queue   *Queue[E, *StartTimeFair]
 	retries RetryPlan
-	// demands holds the demand of the teams by priority; nil where the level has admitted all.
-	demands [Priorities]*TeamDemand
+	// demand is that of the teams while the level does not admit all.
+	demand *TeamDemand
 }
 
 // NewGate returns a gate at which nothing waits.
 func NewGate[E Competitor[E]](limits Limits) *Gate[E] {
 	return &Gate[E]{
-		queue: NewQueue[E](limits, NewStartTimeFair),
+		queue:  NewQueue[E](limits, NewStartTimeFair),
+		demand: NewTeamDemand(),
 	}
 }
 
@@ -136,35 +137,36 @@
 	return g.queue.Remove(func(other E) bool { return other == entry })
 }
 
-// Admit decides by the admission level whether a request that has not waited yet goes on. The
-// level admits a share of its priority's requests, which the teams share fairly by what this
-// instance sees of them. If it is not admitted, Admit returns the refusal.
+// Admit decides by the admission level whether a request that has not waited yet goes on: first
+// whether its team is within its fair share, by what this instance sees of the teams, then by
+// its priority. If it is not admitted, Admit returns the refusal.
 func (g *Gate[E]) Admit(request Request, level Level, now time.Time) (Refusal, bool) {
-	share := level.Share(request.Priority)
-	if share >= 1 {
+	if level.AdmitsAll() {
 		return Refusal{}, true
 	}
-	demand := g.demandOf(request.Priority)
-	demand.Add(request.Team, now)
-	if request.Random < demand.Share(request.Team, share) {
+	g.demand.Add(request.Team, now)
+	fair := g.demand.Share(request.Team, level.FairShare())
+	share := level.Share(request.Priority)
+	switch {
+	case request.Random >= fair:
+		return g.turn(request, OverShare, now), false
+	// Below fair, the random number is uniform from 0 to fair.
+	case request.Random >= fair*share:
+		return g.turn(request, BelowLevel, now), false
+	default:
 		return Refusal{}, true
 	}
+}
+
+// turn returns a refusal by the admission level, and plans the retry.
+func (g *Gate[E]) turn(request Request, cause Cause, now time.Time) Refusal {
 	refusal := Refusal{
 		Decision: Decision{
-			Cause: BelowLevel,
+			Cause: cause,
 		},
 	}
 	refusal.RetryAt, g.retries = g.retries.With(request, refusal.Decision, Room{}, now)
-	return refusal, false
-}
-
-// demandOf returns the demand of the teams with a priority.
-func (g *Gate[E]) demandOf(priority int) *TeamDemand {
-	index := PriorityIndex(priority)
-	if g.demands[index] == nil {
-		g.demands[index] = NewTeamDemand()
-	}
-	return g.demands[index]
+	return refusal
 }
 
 // refuse ends a request, and plans its retry.
--- a/pkg/command/scheduler/level.go
+++ b/pkg/command/scheduler/level.go
@@ -1,16 +1,23 @@
 package scheduler
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Count is how many requests of one service and priority have ended in a time. It is
 // immutable.
 type Count struct {
-	// Served were answered.
+	// Served were answered in time, or late for another reason than their number.
 	Served int
+	// Late were answered after their objective by an upstream at which requests wait.
+	Late int
 	// Full were refused, shed or timed out because the upstreams had no room.
 	Full int
-	// Turned were refused by the admission level.
+	// Turned were refused by the admission level, and Over because their team asks for more
+	// than its fair share.
 	Turned int
+	Over   int
 	// Held wait now.
 	Held int
 }
@@ -19,15 +26,39 @@
 func (c Count) plus(other Count) Count {
 	return Count{
 		Served: c.Served + other.Served,
+		Late:   c.Late + other.Late,
 		Full:   c.Full + other.Full,
 		Turned: c.Turned + other.Turned,
+		Over:   c.Over + other.Over,
 		Held:   c.Held + other.Held,
 	}
 }
 
-// offered returns how many requests there were.
+// admitted returns how many requests the level has let through.
+func (c Count) admitted() int {
+	return c.Served + c.Late + c.Full
+}
+
+// offered returns how many requests there were within the fair shares of their teams.
 func (c Count) offered() int {
-	return c.Served + c.Full + c.Turned
+	return c.admitted() + c.Turned
+}
+
+// crowdedLoad is the load, in requests for each slot, from which on an upstream's late answer
+// counts as caused by the number of requests: a quarter of its slots have a request waiting.
+const crowdedLoad = 1.25
+
+// NewCount returns the count of one request that was answered: when, its objective, which may
+// be zero, and the upstream's load at that time.
+func NewCount(answeredAt, objective time.Time, load float64) Count {
+	if !objective.IsZero() && answeredAt.After(objective) && load >= crowdedLoad {
+		return Count{
+			Late: 1,
+		}
+	}
+	return Count{
+		Served: 1,
+	}
 }
 
 // Counts holds a Count for each priority of a service.
@@ -54,14 +85,16 @@
 	// minOffered is the least number of requests that a level is based on. With fewer, one
 	// refusal more or less would change the level.
 	minOffered = 20
-	// calmShare and busyShare bound the share of the requests that were let through and found
-	// no room. Below calmShare the budget grows by calmGrowth, so that an overload that has
-	// ended is forgotten within some seconds; between them by busyGrowth, and above busyShare
-	// not at all.
-	calmShare  = 0.02
-	busyShare  = 0.10
-	calmGrowth = 0.4
-	busyGrowth = 0.1
+	// overloadShare is the share of the requests let through that are late or find no room from
+	// which on a level begins to refuse.
+	overloadShare = 0.5
+	// steadyShare is that share at which as many requests are let through as are answered. With
+	// a higher one, fewer are, down to minGrowth, so that the queues of the upstreams empty.
+	// With a lower one, more are, up to maxGrowth, so that an overload that has ended is
+	// forgotten within some seconds.
+	steadyShare = 0.15
+	minGrowth   = 0.5
+	maxGrowth   = 1.2
 	// floorShare is how often each priority is admitted at least, relative to all requests.
 	floorShare = 0.25
 )
@@ -72,6 +105,9 @@
 type Level struct {
 	// turned is, by priority, the share that is not admitted, from 0 to 1.
 	turned [Priorities]float64
+	// over is the share of all requests for which there is no room, from 0 to 1. Teams share
+	// the rest fairly.
+	over float64
 }
 
 // NewLevel returns the level that follows from the counts of all instances in the last seconds.
@@ -80,15 +116,16 @@
 func NewLevel(counts Counts) Level {
 	var level Level
 	total := counts.total()
-	admitted := total.Served + total.Full
-	if total.offered() < minOffered || admitted == 0 {
+	if total.offered() < minOffered || total.admitted() == 0 {
 		return level
 	}
-	full := float64(total.Full) / float64(admitted)
-	if total.Turned == 0 && full < busyShare {
+	bad := float64(total.Late+total.Full) / float64(total.admitted())
+	if total.Turned+total.Over == 0 && bad < overloadShare {
 		return level
 	}
-	budget := float64(total.Served) * (1 + growth(full))
+	// While requests wait at the upstreams, these answer as many as they can.
+	budget := float64(total.Served+total.Late) * growth(bad)
+	level.over = 1 - min(budget/float64(total.offered()+total.Over), 1)
 	floor := floorShare * min(budget/float64(total.offered()), 1)
 	for _, count := range counts {
 		budget -= floor * float64(count.offered())
@@ -118,17 +155,13 @@
 	return l
 }
 
-// growth returns by which fraction more requests are admitted than were served, if that share
-// of the requests that were let through found no room.
-func growth(full float64) float64 {
-	switch {
-	case full < calmShare:
-		return calmGrowth
-	case full < busyShare:
-		return busyGrowth
-	default:
-		return 0
+// growth returns how many requests are admitted for each that was answered, if that share of
+// those let through was late or found no room.
+func growth(bad float64) float64 {
+	if bad < steadyShare {
+		return maxGrowth - (maxGrowth-1)*bad/steadyShare
 	}
+	return max(1-(bad-steadyShare), minGrowth)
 }
 
 // AdmitsAll reports whether the level admits every request.
@@ -141,11 +174,17 @@
 	return 1 - l.turned[PriorityIndex(priority)]
 }
 
+// FairShare returns the share of all requests for which there is room, from 0 to 1.
+func (l Level) FairShare() float64 {
+	return 1 - l.over
+}
+
 // Rounded returns a copy with shares in tenths, for comparing levels.
 func (l Level) Rounded() Level {
 	const tenths = 10
 	for priority := range l.turned {
 		l.turned[priority] = math.Round(l.turned[priority]*tenths) / tenths
 	}
+	l.over = math.Round(l.over*tenths) / tenths
 	return l
 }
--- a/pkg/command/scheduler/scheduler.go
+++ b/pkg/command/scheduler/scheduler.go
@@ -109,6 +109,9 @@
 	Displaced Cause = "Displaced"
 	// WaitEnded means that the request has waited and got no slot in time.
 	WaitEnded Cause = "WaitEnded"
+	// OverShare means that the service is overloaded and the team asks for more than its fair
+	// share.
+	OverShare Cause = "OverShare"
 	// BelowLevel means that the admission level does not admit the request.
 	BelowLevel Cause = "BelowLevel"
 )
