Explain why a request waited for an upstream or was refused

The lines Answered and Refused tell the queue's decision with its inputs, and the command explain said only that no upstream had a free slot. It now says which cause the queue or the admission level had, how many requests went first, how long the request waited and when a slot was expected.

--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -67,6 +67,7 @@
 	"StoreRestored":      "store",
 	"UpstreamSuspect":    "suspicion",
 	"UpstreamAdvertised": "advertisement",
+	"LevelChanged":       "level",
 	"PeerLost":           "links",
 }
 
@@ -153,6 +154,9 @@
 	case arbiter.TeamOverRate:
 		return explainOverRate(end, beliefs)
 	case arbiter.NoRoom:
+		if end.Queue != "" {
+			return explainQueue(end)
+		}
 		return fmt.Sprintf("%s had no upstream of %s with a free slot, as far as it knew%s.", end.Instance, end.Service, ageSuffix(beliefs, "UpstreamsListed"))
 	case arbiter.UnknownService:
 		return fmt.Sprintf("the declaration %d of %s has no route for this host and path%s.", end.Revision, end.Instance, ageSuffix(beliefs, "ConfigInForce"))
@@ -184,6 +188,10 @@
 	if end.Status >= http.StatusInternalServerError {
 		return fmt.Sprintf("%s answered %d by itself after %d ms, and it was passed on.", end.Upstream, end.Status, end.TookMillis)
 	}
+	if end.Queue != "" {
+		return fmt.Sprintf("%s answered %d after %d ms, of which the request, of priority %d, waited %d ms for a slot behind %d others; it did not fail here.",
+			end.Upstream, end.Status, end.TookMillis, end.Priority, end.WaitedMillis, end.Ahead)
+	}
 	return fmt.Sprintf("%s answered %d after %d ms; it did not fail here.", end.Upstream, end.Status, end.TookMillis)
 }
 
--- a/internal/query/explainer/explainer_test.go
+++ b/internal/query/explainer/explainer_test.go
@@ -22,6 +22,10 @@
    4.4 front-kettering-4 {"level":"info","Instance":"front-kettering-4","Request":"e4","Route":"r-q9rns2r","Service":"tivo25b","Team":"bami644","Upstream":"i-3db471b3f9","Attempts":2,"Status":500,"Revision":8,"Plan":16,"TookMillis":2734,"time":"2026-04-28T19:45:23.40Z","message":"Answered"}
    5.0 front-corby-1 {"level":"info","Instance":"front-corby-1","Incarnation":"front-corby-1-B","time":"2026-04-28T19:45:24.00Z","message":"Started"}
    5.4 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e5","Team":"bami644","Attempts":0,"Revision":8,"TookMillis":170,"Verdict":"NotRun","Reason":"TeamOverRate","time":"2026-04-28T19:45:24.40Z","message":"Refused"}
+   5.5 front-corby-1 {"level":"info","Instance":"front-corby-1","Service":"seda15a","Shares":[1,1,0.4],"FairShare":0.6,"time":"2026-04-28T19:45:24.50Z","message":"LevelChanged"}
+   5.6 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e7","Service":"seda15a","Queue":"BelowLevel","Priority":2,"LevelShare":0.4,"Verdict":"NotRun","Reason":"NoRoom","time":"2026-04-28T19:45:24.60Z","message":"Refused"}
+   5.7 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e8","Service":"seda15a","Queue":"TooLate","Priority":1,"Ahead":3,"ExpectedMillis":900,"Verdict":"NotRun","Reason":"NoRoom","time":"2026-04-28T19:45:24.70Z","message":"Refused"}
+   5.8 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e9","Service":"seda15a","Upstream":"i-aa","Status":200,"TookMillis":400,"Queue":"Waits","Priority":1,"Ahead":2,"WaitedMillis":120,"time":"2026-04-28T19:45:24.80Z","message":"Answered"}
 `
 
 // recordedForeign is how many lines of recordedLog must be skipped.
@@ -66,6 +70,22 @@
 			cause:    "front-corby-1 had started 400 ms before and held only its even part of the limit of bami644",
 			believes: "Started",
 		},
+		{
+			name:     "below the admission level",
+			request:  "e7",
+			cause:    "the admission level let through 0.40 of the requests of priority 2",
+			believes: "LevelChanged",
+		},
+		{
+			name:    "no slot in time",
+			request: "e8",
+			cause:   "one was expected 900 ms after its arrival, behind 3 others, which was too late",
+		},
+		{
+			name:    "answered after a wait",
+			request: "e9",
+			cause:   "waited 120 ms for a slot behind 2 others",
+		},
 		{
 			name:    "unknown request",
 			request: "e6",
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -38,6 +38,14 @@
 	Reason      arbiter.Reason `json:"Reason"`
 	Detail      string         `json:"Detail"`
 	Cause       string         `json:"Cause"`
+	// The fields from Queue on are those of a request that waited for an upstream, or that the
+	// queue or the admission level refused (see scheduler.Cause).
+	Queue          string  `json:"Queue"`
+	Priority       int     `json:"Priority"`
+	WaitedMillis   int64   `json:"WaitedMillis"`
+	Ahead          int     `json:"Ahead"`
+	ExpectedMillis int64   `json:"ExpectedMillis"`
+	LevelShare     float64 `json:"LevelShare"`
 }
 
 // Log holds the lines that one or more instances logged.
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -38,6 +38,25 @@
 				},
 			},
 		}),
+		comparer.NewCase("queue_figures.cbor", encoder.CBOR[queueFigures]{}, queueFigures{
+			Scope: queueScopeDomain,
+			Services: []queueService{
+				{
+					Service: "service",
+					Priorities: []queuePriority{
+						{
+							Priority: 2,
+							Served:   3,
+							Late:     4,
+							Full:     5,
+							Turned:   6,
+							Over:     7,
+							Held:     8,
+						},
+					},
+				},
+			},
+		}),
 		// Counts without durations are encoded as before these were counted.
 		comparer.NewCase("progress.cbor", encoder.CBOR[progress]{}, progress{
 			Service:       "service",
