--- a/internal/steerer/queuelevels.go
+++ b/internal/steerer/queuelevels.go
@@ -120,7 +120,8 @@
 	// last holds this instance's counts of the last interval. Figures are those of two
 	// intervals, so that one without requests does not change the level.
 	last scheduler.Figures
-	// logged holds the levels that were logged last, with shares in tenths.
+	// logged holds the levels that were logged last, with shares in tenths. A service that is
+	// not in it admits all.
 	logged map[string]scheduler.Level
 }
 
@@ -247,20 +248,39 @@
 	}
 }
 
-// logLevels logs the levels that have changed by a tenth or more.
+// logLevels logs the levels that have changed by a tenth or more. A service without figures, of
+// which no instance has had a request lately, has the level that admits all.
 func (s *Steerer) logLevels(levels map[string]scheduler.Level) {
 	s.queueBoard.mu.Lock()
 	defer s.queueBoard.mu.Unlock()
-	for service, level := range levels {
-		rounded := level.Rounded()
-		if rounded == s.queueBoard.logged[service] {
-			continue
+	logged := s.queueBoard.logged
+	for service := range logged {
+		if _, found := levels[service]; !found {
+			s.logLevel(service, scheduler.Level{})
+			delete(logged, service)
 		}
-		s.queueBoard.logged[service] = rounded
-		shares := make([]float64, 0, scheduler.Priorities)
-		for priority := range scheduler.Priorities {
-			shares = append(shares, math.Round(rounded.Share(priority)*10)/10)
+	}
+	for service, level := range levels {
+		if rounded := level.Rounded(); rounded != logged[service] {
+			s.logLevel(service, rounded)
+			logged[service] = rounded
+			if rounded.AdmitsAll() {
+				delete(logged, service)
+			}
 		}
-		s.log.Info().Str("Service", service).Floats64("Shares", shares).Float64("FairShare", rounded.FairShare()).Msg("LevelChanged")
 	}
 }
+
+// logLevel logs a level with shares in tenths.
+func (s *Steerer) logLevel(service string, level scheduler.Level) {
+	const tenths = 10
+	shares := make([]float64, 0, scheduler.Priorities)
+	for priority := range scheduler.Priorities {
+		shares = append(shares, math.Round(level.Share(priority)*tenths)/tenths)
+	}
+	s.log.Info().
+		Str("Service", service).
+		Floats64("Shares", shares).
+		Float64("FairShare", math.Round(level.FairShare()*tenths)/tenths).
+		Msg("LevelChanged")
+}
--- a/pkg/command/scheduler/level.go
+++ b/pkg/command/scheduler/level.go
@@ -94,9 +94,12 @@
 	// forgotten within some seconds.
 	steadyShare = 0.15
 	minGrowth   = 0.5
-	maxGrowth   = 1.2
+	maxGrowth   = 1.5
 	// floorShare is how often each priority is admitted at least, relative to all requests.
 	floorShare = 0.25
+	// minBudgetShare is the share of the requests that is admitted at least, so that it shows
+	// when upstreams that answered nothing do so again.
+	minBudgetShare = 0.05
 )
 
 // Level is the admission level of a service: the share of each priority's requests that is
@@ -125,6 +128,7 @@
 	}
 	// While requests wait at the upstreams, these answer as many as they can.
 	budget := float64(total.Served+total.Late) * growth(bad)
+	budget = max(budget, minBudgetShare*float64(total.offered()))
 	level.over = 1 - min(budget/float64(total.offered()+total.Over), 1)
 	floor := floorShare * min(budget/float64(total.offered()), 1)
 	for _, count := range counts {
