--- a/internal/receiver/queue.go
+++ b/internal/receiver/queue.go
@@ -142,12 +142,7 @@
 
 // Room returns what is expected at the request's upstreams.
 func (w *waiting) Room(now time.Time) scheduler.Room {
-	return scheduler.Room{
-		At:        w.room.ReadyAt(now),
-		LookAt:    w.room.LookAt(now),
-		PerSecond: w.room.PerSecond(),
-		Answer:    w.room.Answer(),
-	}
+	return w.room.Expected(now)
 }
 
 // CompetesWith reports whether two requests need the same upstreams.
@@ -291,14 +286,7 @@
 
 // queueRequest returns what the queue needs to know of the request.
 func (a *attempts) queueRequest() scheduler.Request {
-	return scheduler.Request{
-		Priority:  a.outcome.Priority,
-		Team:      a.admission.Team(),
-		Arrived:   a.outcome.Arrived,
-		Objective: a.admission.Objective(a.outcome.Arrived),
-		Deadline:  a.admission.Deadline,
-		Random:    rand.Float64(),
-	}
+	return a.admission.Queued(a.outcome.Arrived, rand.Float64())
 }
 
 // checkDrain returns a refusal if the instance drains and an answer is not expected in time.
--- a/internal/simulator/queue.go
+++ b/internal/simulator/queue.go
@@ -131,24 +131,12 @@
 
 // Request returns what the order depends on.
 func (w *waiting) Request() scheduler.Request {
-	return scheduler.Request{
-		Priority:  w.admission.Priority(),
-		Team:      w.admission.Team(),
-		Arrived:   w.request.servedAt,
-		Objective: w.admission.Objective(w.request.servedAt),
-		Deadline:  w.admission.Deadline,
-		Random:    w.spread,
-	}
+	return w.admission.Queued(w.request.servedAt, w.spread)
 }
 
 // Room returns what is expected at the request's upstreams.
 func (w *waiting) Room(now time.Time) scheduler.Room {
-	return scheduler.Room{
-		At:        w.room.ReadyAt(now),
-		LookAt:    w.room.LookAt(now),
-		PerSecond: w.room.PerSecond(),
-		Answer:    w.room.Answer(),
-	}
+	return w.room.Expected(now)
 }
 
 // CompetesWith reports whether two requests need the same upstreams.
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
 )
 
 // Room is what this instance knows of the upstreams among which a request that finds no slot
@@ -52,6 +54,19 @@
 	return arrived.Add(time.Duration(objective) * time.Millisecond)
 }
 
+// Queued returns what the queue of the service needs to know of the request, which arrived at a
+// time. The random number spreads the retries of refused requests.
+func (a Admission) Queued(arrived time.Time, random float64) scheduler.Request {
+	return scheduler.Request{
+		Priority:  a.Priority(),
+		Team:      a.Team(),
+		Arrived:   arrived,
+		Objective: a.Objective(arrived),
+		Deadline:  a.Deadline,
+		Random:    random,
+	}
+}
+
 // ServiceDeclared reports whether the plan in force declares the request's service.
 func (a Admission) ServiceDeclared() bool {
 	_, found := a.plans.Load().pools[a.Service]
@@ -106,6 +121,16 @@
 	}
 }
 
+// Expected returns what is expected of the upstreams now.
+func (r Room) Expected(now time.Time) scheduler.Room {
+	return scheduler.Room{
+		At:        r.ReadyAt(now),
+		LookAt:    r.lookAt(now),
+		PerSecond: r.perSecond(),
+		Answer:    r.answer,
+	}
+}
+
 // ReadyAt returns the earliest time at which one of the upstreams is expected to have a slot
 // for the request, now or later; zero if there is none.
 func (r Room) ReadyAt(now time.Time) time.Time {
@@ -119,10 +144,10 @@
 	return earliest
 }
 
-// LookAt returns the earliest time at which one of the upstreams is expected to have a slot
+// lookAt returns the earliest time at which one of the upstreams is expected to have a slot
 // although this instance has released none there: because of the requests of other instances, a
 // rate or a time for a retry. It returns zero if a slot comes only by a release.
-func (r Room) LookAt(now time.Time) time.Time {
+func (r Room) lookAt(now time.Time) time.Time {
 	var earliest time.Time
 	for _, upstream := range r.upstreams {
 		at, byRelease := upstream.readyAt(now, r.answer)
@@ -133,9 +158,9 @@
 	return earliest
 }
 
-// PerSecond returns how many requests a second the upstreams begin while all of their slots
+// perSecond returns how many requests a second the upstreams begin while all of their slots
 // are in use, for all instances together; 0 if that is unknown.
-func (r Room) PerSecond() float64 {
+func (r Room) perSecond() float64 {
 	if r.answer <= 0 {
 		return 0
 	}
@@ -146,11 +171,6 @@
 	return float64(slots) / r.answer.Seconds()
 }
 
-// Answer returns the expected time to an answer; 0 if it is unknown.
-func (r Room) Answer() time.Duration {
-	return r.answer
-}
-
 // Overlaps reports whether an upstream is in both.
 func (r Room) Overlaps(other Room) bool {
 	return slices.ContainsFunc(r.upstreams, func(upstream *Upstream) bool {
