--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -45,6 +45,7 @@
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkDuty(s.Duty)
 	v.checkLog(s.Log)
+	v.checkQueue(s.Queue)
 	return v.faults
 }
 
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -40,6 +40,7 @@
 	Teams     Teams
 	Capacity  Capacity
 	Duty      Duty
+	Queue     Queue
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -311,7 +312,8 @@
 			FreeLoad:    0.8,
 			LoadWeight:  0.5,
 		},
-		Duty: defaultDuty(),
+		Duty:  defaultDuty(),
+		Queue: defaultQueue(),
 	}
 }
 
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -130,6 +130,11 @@
 			text:   strings.Replace(thimblegateSettings, "Cores = 0.112", "Cores = nan", 1) + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
 			fields: []string{"Capacity.Cores"},
 		},
+		{
+			name:   "a queue that holds nothing and one that holds requests for ever",
+			text:   validSettings + "[Queue]\nLongest = 0\nWaitShare = 1.5\n",
+			fields: []string{"Queue.Longest", "Queue.WaitShare"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1228,6 +1228,13 @@
 					Reason:      arbiter.UpstreamShed,
 					Detail:      "detail",
 					Cause:       "cause",
+
+					Queue:          "queue",
+					Priority:       31,
+					WaitedMillis:   32,
+					Ahead:          33,
+					ExpectedMillis: 34,
+					LevelShare:     35.5,
 				},
 			},
 			Beliefs: []explainer.Belief{
@@ -1261,6 +1268,13 @@
 			Reason:      arbiter.UpstreamShed,
 			Detail:      "detail",
 			Cause:       "cause",
+
+			Queue:          "queue",
+			Priority:       20,
+			WaitedMillis:   21,
+			Ahead:          22,
+			ExpectedMillis: 23,
+			LevelShare:     24.5,
 		}),
 		comparer.NewCase("keeper-faults.json", encoder.JSON[memstorer.Faults]{}, memstorer.Faults{
 			Down:        true,
@@ -1393,6 +1407,12 @@
 				CallsPerSecond: 71.5,
 				Names:          []string{"names1", "names2"},
 			},
+			Queue: configurer.Queue{
+				On:        true,
+				Longest:   80,
+				WaitShare: 81.5,
+				Level:     true,
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1493,6 +1513,12 @@
 				CallsPerSecond: 71.5,
 				Names:          []string{"names1", "names2"},
 			},
+			Queue: configurer.Queue{
+				On:        true,
+				Longest:   80,
+				WaitShare: 81.5,
+				Level:     true,
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -35,7 +34,7 @@
 // the attempt before.
 func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
 	now := time.Now()
-	if refusal := a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now); refusal != nil {
+	if refusal := a.checkDrain(now); refusal != nil {
 		return a.lastAnswer, a.overallError(refusal)
 	}
 	// The key may have been withdrawn or moved while the request waited or was sent before.
@@ -45,7 +44,7 @@
 	if len(a.failed) > 0 {
 		a.receiver.metrics.CountRetry()
 	}
-	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
+	upstream, now, refusal := a.acquire(ctx, now)
 	if refusal != nil {
 		a.outcome.LoadBound = a.admission.LoadBound()
 		return a.lastAnswer, a.overallError(refusal)
@@ -71,7 +70,9 @@
 		a.recordFailedAnswer(upstream, response.StatusCode)
 		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
 	}
-	upstream.RecordSuccess(time.Now())
+	answeredAt := time.Now()
+	upstream.RecordSuccess(answeredAt)
+	a.outcome.AnswerLoad = upstream.Load(answeredAt)
 	return a.lastAnswer, nil
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -53,6 +53,8 @@
 	// upstreamAdvertised is called when an upstream says something else of itself than before
 	// (see admitter.Advertisement).
 	upstreamAdvertised func(upstream *admitter.Upstream)
+	// queues holds the requests that wait for an upstream with room; nil if none waits.
+	queues *Queues
 }
 
 // Options holds the dependencies and the settings of a receiver.
@@ -92,6 +94,9 @@
 	// UpstreamAdvertised, if not nil, is called when an upstream says something else of
 	// itself than before (see admitter.Advertisement).
 	UpstreamAdvertised func(upstream *admitter.Upstream)
+	// Queues holds the requests that wait for an upstream with room. If it is nil, requests
+	// that find none are refused at once.
+	Queues *Queues
 }
 
 // New returns a receiver with the given dependencies.
@@ -125,6 +130,7 @@
 		waitingForRate:     options.WaitingForRate,
 		upstreamSuspected:  options.UpstreamSuspected,
 		upstreamAdvertised: upstreamAdvertised,
+		queues:             options.Queues,
 	}
 }
 
@@ -141,6 +147,9 @@
 	r.metrics.Count(refusal, outcome.Arrived)
 	outcome.Refusal = refusal
 	outcome.Ended = time.Now()
+	if r.queues != nil {
+		r.queues.ended(&outcome)
+	}
 	r.requestEnded(outcome)
 	switch {
 	case refusal == nil:
--- a/internal/simulator/balance.go
+++ b/internal/simulator/balance.go
@@ -28,26 +28,26 @@
 		plan.AdjustSpillovers(now)
 		return
 	}
-	rooms := plan.Rooms()
-	services := make([]balancer.Service, 0, len(rooms))
-	for _, room := range rooms {
-		services = append(services, room.ForBalancer())
+	loads := plan.ServiceLoads()
+	services := make([]balancer.Service, 0, len(loads))
+	for _, load := range loads {
+		services = append(services, load.ForBalancer())
 	}
 	for _, decision := range i.balancer.Adjust(services, now) {
 		plan.SetSpillover(decision.Service, decision.Fraction)
 	}
 	if i.rounds++; i.rounds%roundsPerMessage == 0 {
-		i.shareBalance(rooms)
+		i.shareBalance(loads)
 	}
 }
 
 // shareBalance sends the messages of a second.
-func (i *instance) shareBalance(rooms []admitter.Room) {
+func (i *instance) shareBalance(loads []admitter.ServiceLoad) {
 	s := i.simulation
 	fractions := map[string]float64{}
-	for _, room := range rooms {
-		fractions[room.Service] = room.Fraction
-		i.balancer.Observe(room.Service, room.Requests, room.InUse, s.now)
+	for _, load := range loads {
+		fractions[load.Service] = load.Fraction
+		i.balancer.Observe(load.Service, load.Requests, load.InUse, s.now)
 	}
 	var others []balancer.Member
 	for _, declared := range s.scenario.Instances {
--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
 	"github.com/hemlockport/hemlockport/pkg/command/balancer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
+	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
 	"github.com/hemlockport/hemlockport/pkg/holder"
 )
 
@@ -26,6 +27,10 @@
 	balancer *balancer.Balancer
 	// rounds counts the calls of refresh.
 	rounds int
+	// queues are the queues by service; lastCounts are the counts of the last levelInterval.
+	queues     map[string]*queue
+	lastCounts scheduler.Figures
+	board      scheduler.Board
 }
 
 // newInstance returns an instance that knows no configuration yet.
@@ -41,6 +46,7 @@
 		admitter:    admitter.New(plans, admitter.NewFreshness(s.start)),
 		apportioner: fractions,
 		rationer:    rationer.New(fractions),
+		queues:      map[string]*queue{},
 	}
 	if s.scenario.ShiftPerWindow > 0 {
 		created.balancer = balancer.New(s.balancerMember(declared), s.scenario.ShiftPerWindow)
--- a/internal/steerer/balance.go
+++ b/internal/steerer/balance.go
@@ -67,8 +67,8 @@
 		plan.AdjustSpillovers(now)
 		return
 	}
-	rooms := plan.Rooms()
-	decisions := s.balance.adjust(rooms, now)
+	loads := plan.ServiceLoads()
+	decisions := s.balance.adjust(loads, now)
 	for _, decision := range decisions {
 		plan.SetSpillover(decision.Service, decision.Fraction)
 		s.balance.show(decision)
@@ -81,14 +81,14 @@
 		return
 	}
 	s.balance.toldAt = now
-	s.shareBalance(rooms, now)
+	s.shareBalance(loads, now)
 }
 
 // adjust returns the decisions on all services.
-func (b *balance) adjust(rooms []admitter.Room, now time.Time) []balancer.Decision {
-	services := make([]balancer.Service, 0, len(rooms))
-	for _, room := range rooms {
-		services = append(services, room.ForBalancer())
+func (b *balance) adjust(loads []admitter.ServiceLoad, now time.Time) []balancer.Decision {
+	services := make([]balancer.Service, 0, len(loads))
+	for _, load := range loads {
+		services = append(services, load.ForBalancer())
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -123,16 +123,16 @@
 }
 
 // shareBalance records this instance's demand and sends the messages of one interval.
-func (s *Steerer) shareBalance(rooms []admitter.Room, now time.Time) {
+func (s *Steerer) shareBalance(loads []admitter.ServiceLoad, now time.Time) {
 	members := s.balanceMembers()
-	fractions := make(map[string]float64, len(rooms))
+	fractions := make(map[string]float64, len(loads))
 	messages := map[string]balancer.Message{}
 	s.balance.mu.Lock()
 	changed := s.balance.balancer.SetMembers(balancerMembers(members), now)
 	leads := s.balance.balancer.Leads()
-	for _, room := range rooms {
-		fractions[room.Service] = room.Fraction
-		s.balance.balancer.Observe(room.Service, room.Requests, room.InUse, now)
+	for _, load := range loads {
+		fractions[load.Service] = load.Fraction
+		s.balance.balancer.Observe(load.Service, load.Requests, load.InUse, now)
 	}
 	for _, member := range members {
 		if message, found := s.balance.balancer.MessageTo(member.Member, fractions, now); found {
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -55,6 +55,7 @@
 		s.publishLocator(plan.Table())
 	}
 	s.plans.Advance(*plan)
+	s.wakeQueues()
 }
 
 // refreshKeptRegistrations drops the upstreams that the platform does not list and that have been
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -58,10 +58,14 @@
 	borrower     *borrower.Borrower
 	forwarder    *forwarder.Forwarder
 	receiver     *receiver.Receiver
-	drainer      *drainer.Drainer
-	inFlight     *tracker.Tracker[receiver.InFlightRequest]
 	// usage carries out the duty to report the usage of teams; nil if there is no such duty.
 	usage *usagereporter.Reporter
+	// queues holds the requests that wait for an upstream with room, and queueBoard what the
+	// instances tell one another of them; both are nil unless Queue.On is set.
+	queues     *receiver.Queues
+	queueBoard *queueBoard
+	drainer    *drainer.Drainer
+	inFlight   *tracker.Tracker[receiver.InFlightRequest]
 
 	// planMu serializes the writers of the plan and guards the data that the plan is
 	// computed from. It is never locked on the path of a request.
@@ -262,6 +266,7 @@
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
+	s.openQueues()
 	s.receiver = receiver.New(receiver.Options{
 		Admitter:           admitter.New(s.plans, s.freshness),
 		Forwarder:          s.forwarder,
@@ -278,6 +283,7 @@
 		WaitingForRate:     s.borrower.PollNow,
 		UpstreamSuspected:  s.logSuspect,
 		UpstreamAdvertised: s.upstreamAdvertised,
+		Queues:             s.queues,
 	})
 }
 
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -156,28 +156,17 @@
 // upstream to avoid, which may be nil, is used only if no other one is usable. The caller
 // must call Release on the upstream.
 func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
-	if a.objectHash != 0 {
-		random = a.objectHash
-	}
-	plan := a.currentPlan()
-	pools := plan.pools[a.Service]
-	wanted := criteria{
-		now:          now,
-		avoid:        avoid,
-		routeRegions: a.Route.Declared.Homes,
-		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].choose(random),
-		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
-	}
-	if upstream, found := pools.acquire(random, wanted); found {
-		return upstream, nil
-	}
-	if avoid != nil {
+	random, pools, wanted := a.choice(now, random, avoid)
+	upstream, found := pools.acquire(random, wanted)
+	if !found && avoid != nil {
 		// No other upstream is available, so the avoided one may serve the request.
 		wanted.avoid = nil
-		if upstream, found := pools.acquire(random, wanted); found {
-			return upstream, nil
-		}
+		upstream, found = pools.acquire(random, wanted)
+	}
+	if found {
+		// A request that waits tries again and again, so only a success counts as demand.
+		a.currentPlan().spillovers[a.Service].countRequest()
+		return upstream, nil
 	}
 	retryAt := now.Add(NoRoomRetryMillis * time.Millisecond)
 	if next := pools.nextRetryAt(random, wanted); next.After(retryAt) {
--- a/pkg/command/admitter/rooms.go
+++ b/pkg/command/admitter/serviceload.go
@@ -6,9 +6,9 @@
 	"github.com/hemlockport/hemlockport/pkg/command/balancer"
 )
 
-// Room is what a service has in each region and what this instance's requests take of it. It is
+// ServiceLoad is what a service has in each region and what this instance's requests take of it. It is
 // immutable.
-type Room struct {
+type ServiceLoad struct {
 	Service string
 	// Slots is the number of slots of the live upstreams, by region.
 	Slots map[string]float64
@@ -25,14 +25,14 @@
 	distanceCost float64
 }
 
-// ForBalancer returns the room in the form that package balancer decides on.
-func (r Room) ForBalancer() balancer.Service {
+// ForBalancer returns the load in the form that package balancer decides on.
+func (l ServiceLoad) ForBalancer() balancer.Service {
 	return balancer.Service{
-		Name:        r.Service,
-		Slots:       r.Slots,
-		Requests:    r.Requests,
-		Fraction:    r.Fraction,
-		FractionFor: r.FractionFor,
+		Name:        l.Service,
+		Slots:       l.Slots,
+		Requests:    l.Requests,
+		Fraction:    l.Fraction,
+		FractionFor: l.FractionFor,
 	}
 }
 
@@ -40,47 +40,47 @@
 // many requests run in other regions as if a part of all requests were spread over all slots.
 // It takes into account the objects that prefer another region without that. While one side has
 // no upstreams the part stays as it is, because it has no effect.
-func (r Room) FractionFor(roaming float64) float64 {
-	if r.own.slots == 0 || r.others.slots == 0 {
-		return r.Fraction
+func (l ServiceLoad) FractionFor(roaming float64) float64 {
+	if l.own.slots == 0 || l.others.slots == 0 {
+		return l.Fraction
 	}
-	return spillFor(roaming*spilledFraction(r.own, r.others), r.own, r.others, r.distanceCost)
+	return spillFor(roaming*spilledFraction(l.own, l.others), l.own, l.others, l.distanceCost)
 }
 
-// Rooms returns the room of each service, in no particular order.
-func (p *Plan) Rooms() []Room {
-	rooms := make([]Room, 0, len(p.spillovers))
+// ServiceLoads returns the load of each service, in no particular order.
+func (p *Plan) ServiceLoads() []ServiceLoad {
+	loads := make([]ServiceLoad, 0, len(p.spillovers))
 	for service, spillover := range p.spillovers {
-		room := Room{
+		load := ServiceLoad{
 			Service:  service,
 			Slots:    map[string]float64{},
 			Requests: spillover.requests.Load(),
 			Fraction: spillover.fraction(),
 		}
-		room.addPool(p.pools[service].stable)
-		room.addPool(p.pools[service].next)
-		rooms = append(rooms, room)
+		load.addPool(p.pools[service].stable)
+		load.addPool(p.pools[service].next)
+		loads = append(loads, load)
 	}
-	return rooms
+	return loads
 }
 
 // addPool counts the live upstreams of a pool, which may be nil.
-func (r *Room) addPool(pool *Pool) {
+func (l *ServiceLoad) addPool(pool *Pool) {
 	if pool == nil {
 		return
 	}
 	for _, tier := range pool.tiers {
 		for _, member := range tier {
-			r.InUse += float64(member.slots.InUse())
+			l.InUse += float64(member.slots.InUse())
 			if member.Health() != Live {
 				continue
 			}
 			slots := member.declared.Load().Slots
-			r.Slots[member.region] += float64(slots)
-			group := &r.own
+			l.Slots[member.region] += float64(slots)
+			group := &l.own
 			if member.remote {
-				group = &r.others
-				r.distanceCost = member.distanceCost
+				group = &l.others
+				l.distanceCost = member.distanceCost
 			}
 			group.upstreams++
 			group.slots += slots
@@ -105,11 +105,9 @@
 	return now.Sub(s.createdAt) < spilloverSettleTime
 }
 
-// choose counts a request in a balanced plan, and reports whether its object may go to the
-// upstreams of all regions equally.
-func (s *spillover) choose(objectHash uint64) bool {
+// countRequest counts a request in a balanced plan.
+func (s *spillover) countRequest() {
 	if s != nil && s.balanced {
 		s.requests.Add(1)
 	}
-	return s.includes(objectHash)
 }
