Call a store that is down the less often the later an instance's turn is

Once the turns of all instances had passed, each of them repeated its read twice a second while the store was down: by the code some 390 calls a second with 195 instances. The turn now follows each repeat too. The test of the calls in an outage fails without the change (rank 10: 106 calls in a minute, at most 9 are wanted).

--- a/pkg/command/leaser/decide.go
+++ b/pkg/command/leaser/decide.go
@@ -66,13 +66,14 @@
 }
 
 // turnAt returns when an instance that does not hold the duty may call the store to take it
-// over.
+// over. While the store is down, an instance repeats its calls the less often the more of the
+// others precede it.
 func (s State[T]) turnAt(rank int) Instant {
 	from := s.unchangedSince
 	if !s.isVacant() {
 		from += s.terms.Lease + s.terms.Margin
 	}
-	return max(from+Instant(rank)*s.terms.Turn, s.retryAt)
+	return max(from, s.retryAt) + Instant(rank)*s.terms.Turn
 }
 
 // isVacant reports whether no other instance can hold the duty: it was never held, or was
--- a/pkg/command/leaser/leaser_test.go
+++ b/pkg/command/leaser/leaser_test.go
@@ -175,3 +175,41 @@
 		t.Fatal("got no call after the write, want one at once: the lease has no gap")
 	}
 }
+
+// TestCallsWhileTheStoreIsDown checks that instances that are far back in the order of precedence
+// do not all call a store that is down again and again.
+func TestCallsWhileTheStoreIsDown(t *testing.T) {
+	const outage = time.Minute
+	cases := []struct {
+		rank int
+		want int
+	}{
+		{
+			rank: 0,
+			want: int(outage / terms.Retry),
+		},
+		{
+			rank: 10,
+			want: int(outage / (terms.Retry + 10*terms.Turn)),
+		},
+		{
+			rank: 100,
+			want: 0,
+		},
+	}
+	for _, c := range cases {
+		behind := wants
+		behind.Rank = c.rank
+		state := leaser.New[int](terms, leaser.Holder{}, 0)
+		calls := 0
+		for now := time.Duration(0); now < outage; now += 50 * time.Millisecond {
+			if state.Decide(behind, now).Step != leaser.Wait {
+				calls++
+				state = state.Failed(false, now)
+			}
+		}
+		if calls > c.want+1 {
+			t.Errorf("rank %d: got %d calls in %v, want at most %d", c.rank, calls, outage, c.want+1)
+		}
+	}
+}
