Hold answers that may break off while requests behind them run

Cause: an answer of unknown length, or of more than 64 KiB, left the buffer at once. If it broke off, its connection had to close, and conn.writeResponses discarded the answers behind it, whose requests had been passed on.

An answer now leaves the buffer only if no request behind it has started. Otherwise it is buffered until it is complete, or replaced by a failure if it breaks off or reaches its deadline. While an answer streams, no further request of its connection starts. A buffered answer with a trailer is now encoded as chunks; it would have been written without.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -52,8 +52,11 @@
 	currentMu sync.Mutex
 	current   *exchange
 	// openExchanges counts the exchanges that have started and whose responses have not
-	// been written or discarded. It is negative once no further exchange may start.
+	// been written or discarded. It is negative once no further exchange may start, and has
+	// streamingMark added while a response streams.
 	openExchanges atomic.Int64
+	// lastStarted is the exchange that has started last, or nil. Only readRequests uses it.
+	lastStarted *exchange
 	// readerInUse reports that reader may be in use after the connection has closed, so
 	// that its buffer can't be reused.
 	readerInUse atomic.Bool
@@ -261,7 +264,7 @@
 	refused.status = status
 	refused.closesConn = true
 	refused.markHandlerDone()
-	if c.tryOpen() {
+	if c.open() {
 		c.queue <- refused
 	}
 }
@@ -270,9 +273,10 @@
 // handler in a goroutine and returns true. If no further exchange may start, it does
 // nothing and returns false.
 func (c *conn) startExchange(next *exchange, group *errgroup.Group) bool {
-	if !c.tryOpen() {
+	if !c.open() {
 		return false
 	}
+	c.lastStarted = next
 	c.queue <- next
 	group.Go(func() error {
 		next.run()
@@ -281,15 +285,18 @@
 	return true
 }
 
-// tryOpen counts one more open exchange and returns true, unless no further one may
-// start.
-func (c *conn) tryOpen() bool {
+// open counts one more open exchange and returns true, unless no further one may start. While
+// a response streams, it waits: should that response break off, the connection closes, and the
+// request must not have been passed on.
+func (c *conn) open() bool {
 	for {
 		open := c.openExchanges.Load()
-		if open < 0 {
+		switch {
+		case open < 0:
 			return false
-		}
-		if c.openExchanges.CompareAndSwap(open, open+1) {
+		case open >= streamingMark:
+			<-c.lastStarted.written
+		case c.openExchanges.CompareAndSwap(open, open+1):
 			return true
 		}
 	}
@@ -298,7 +305,8 @@
 // forbidNewIfLast forbids further exchanges if exactly one is open, and reports whether
 // it did.
 func (c *conn) forbidNewIfLast() bool {
-	return c.openExchanges.CompareAndSwap(1, noNewExchanges)
+	return c.openExchanges.CompareAndSwap(1, noNewExchanges) ||
+		c.openExchanges.CompareAndSwap(streamingMark+1, noNewExchanges)
 }
 
 // writeResponses writes the responses in order. It discards those after a response that
@@ -312,9 +320,10 @@
 		}
 		ended = !next.writeResponse()
 		c.setCurrent(nil, time.Time{})
-		if remaining := c.openExchanges.Add(-1); remaining == 0 && !ended {
+		if remaining := c.openExchanges.Add(next.closingCount(ended)); remaining == 0 {
 			c.becomeIdle()
 		}
+		next.releaseHeld()
 		close(next.written)
 		if ended {
 			c.cancel()
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -22,8 +22,9 @@
 //
 // The response is buffered until the handler returns and written by the connection's
 // writer goroutine. If it is flushed or exceeds maxBufferedBytes, it is buffered only
-// until its turn; from then on the handler writes to the connection. Either way just
-// one goroutine writes to the connection at a time.
+// until its turn; from then on the handler writes to the connection, unless requests behind
+// it have started (see mayStream). Either way just one goroutine writes to the connection at
+// a time.
 type exchange struct {
 	conn    *conn
 	request *http.Request
@@ -42,6 +43,11 @@
 	buffered bytes.Buffer
 	// streaming reports that the handler writes to the connection.
 	streaming bool
+	// marked reports that the connection's count of open exchanges has the streamingMark of
+	// this one.
+	marked bool
+	// reservedBytes is what buffered has reserved of the server's held bytes.
+	reservedBytes int64
 	// chunkWriter, if not nil, encodes the body as chunks.
 	chunkWriter io.WriteCloser
 	// broken reports that the response can't be completed, because its handler panicked, a
@@ -133,7 +139,8 @@
 }
 
 // Write buffers a part of the response's body. Once the buffer would exceed
-// maxBufferedBytes, it waits for the response's turn and writes to the connection.
+// maxBufferedBytes, it waits for the response's turn and writes to the connection, if the
+// response may stream.
 func (e *exchange) Write(p []byte) (int, error) {
 	e.WriteHeader(http.StatusOK)
 	if !e.hasBody() {
@@ -143,20 +150,27 @@
 		if e.buffered.Len()+len(p) <= maxBufferedBytes {
 			return e.buffered.Write(p)
 		}
-		if err := e.startStreaming(); err != nil {
+		if err := e.startStreaming(len(p)); err != nil {
 			return 0, err
 		}
+		if !e.streaming {
+			return e.buffered.Write(p)
+		}
 	}
 	return e.writeBody(p)
 }
 
-// FlushError waits for the response's turn and sends the buffered part of it.
+// FlushError waits for the response's turn and sends the buffered part of it, if the response
+// may stream.
 func (e *exchange) FlushError() error {
 	e.WriteHeader(http.StatusOK)
 	if !e.streaming {
-		if err := e.startStreaming(); err != nil {
+		if err := e.startStreaming(0); err != nil {
 			return err
 		}
+		if !e.streaming {
+			return nil
+		}
 	}
 	return e.conn.writer.Flush()
 }
@@ -194,14 +208,22 @@
 	return e.conn.setWriteDeadline(e, deadline)
 }
 
-// startStreaming waits for the response's turn and writes the buffered part of it. Later
-// parts go directly to the connection's writer.
-func (e *exchange) startStreaming() error {
+// startStreaming waits for the response's turn and writes the buffered part of it, if it may
+// stream. Later parts go directly to the connection's writer then. Otherwise the given number
+// of bytes may be buffered in addition.
+func (e *exchange) startStreaming(more int) error {
 	select {
 	case <-e.turn:
 	case <-e.conn.ctx.Done():
+	}
+	// The turn of a response that is discarded comes after ctx has ended. Written then, it
+	// could pass for the rest of the response before it.
+	if err := e.conn.ctx.Err(); err != nil {
 		e.broken = true
-		return e.conn.ctx.Err()
+		return err
+	}
+	if !e.mayStream(more) {
+		return nil
 	}
 	e.streaming = true
 	if err := e.writeHead(); err != nil {
@@ -245,7 +267,7 @@
 		if e.writeHead() != nil {
 			return false
 		}
-		if _, err := e.conn.writer.Write(e.buffered.Bytes()); err != nil {
+		if _, err := e.writeBody(e.buffered.Bytes()); err != nil {
 			return false
 		}
 	}
@@ -261,6 +283,7 @@
 	e.conn.openExchanges.Add(-1)
 	close(e.turn)
 	<-e.handlerDone
+	e.releaseHeld()
 	close(e.written)
 }
 
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -52,6 +52,8 @@
 	closeAnnounced atomic.Bool
 	// conns holds the *conn of each open connection as a key.
 	conns sync.Map
+	// heldBytes is what the responses of all connections have reserved (see maxHeldBytes).
+	heldBytes atomic.Int64
 	// connGroup runs the connections.
 	connGroup errgroup.Group
 	// stopped reports that Shutdown has been called.
