--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -36,6 +36,11 @@
 Address = "http://10.200.1.7:8382"
 [Drain]
 KillSeconds = 6
+[Capacity]
+Cores = 0.112
+LinkMbits = 10
+MemoryMB = 136.0
+Descriptors = 2870
 `
 
 func TestInvalidSettingsNameTheFaultyFields(t *testing.T) {
@@ -79,12 +84,20 @@
 [Drain]
 LimitMillis = 0
 KillSeconds = -1
+[Duty]
+Address = "somewhere"
+WindowSeconds = 0.5
+LateSeconds = 0.1
+LeaseMillis = 0
+CallsPerSecond = 0
 [Log]
 Level = "loud"
 Form = "xml"
 `,
 			fields: []string{
-				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds", "Log.Level", "Log.Form",
+				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds",
+				"Duty.Address", "Duty.WindowSeconds", "Duty.LateSeconds", "Duty.LeaseMillis", "Duty.CallsPerSecond",
+				"Log.Level", "Log.Form",
 			},
 		},
 	}
@@ -95,7 +108,8 @@
 	}{
 		{
 			name: "valid on the Thimblegate platform",
-			text: thimblegateSettings + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
+			text: thimblegateSettings + "[Readiness]\nListen = \"10.1.0.37:8384\"\n" +
+				"[Duty]\nAddress = \"http://10.200.1.9:80\"\nWindowSeconds = 5\nLateSeconds = 10.0\nCallsPerSecond = 50.0\nNames = [\"usage_report\"]\n",
 		},
 		{
 			name: "invalid on the Thimblegate platform",
@@ -107,8 +121,14 @@
 [Placing]
 Choices = 9
 OtherRegion = -0.5
+ShiftPerWindow = 1.5
 `,
-			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
+			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.ShiftPerWindow", "Placing.OtherRegion", "Teams.Slack"},
+		},
+		{
+			name:   "a capacity that is no number",
+			text:   strings.Replace(thimblegateSettings, "Cores = 0.112", "Cores = nan", 1) + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
+			fields: []string{"Capacity.Cores"},
 		},
 		{
 			name:   "unknown platform",
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -378,6 +378,30 @@
 			StoreLost:   true,
 			EveryMillis: 13,
 			Seatless:    true,
+		}).WithSparse(),
+		comparer.NewCase("beat-saturated.cbor", encoder.CBOR[linker.Heartbeat]{}, linker.Heartbeat{
+			Revision:  2,
+			Roster:    3,
+			AgeMillis: 4,
+			Leaving:   true,
+			Feeds: [5]uint64{
+				7,
+				8,
+				9,
+				10,
+				11,
+			},
+			Eras: [5]uint64{
+				14,
+				15,
+				16,
+				17,
+				18,
+			},
+			StoreLost:   true,
+			EveryMillis: 13,
+			Seatless:    true,
+			Saturated:   true,
 		}),
 		comparer.NewCase("member.cbor", encoder.CBOR[registrar.Member]{}, registrar.Member{
 			Incarnation:   "incarnation",
@@ -389,6 +413,23 @@
 			PeerAddress:   "peer address",
 			Listed:        true,
 			Leaving:       true,
+		}).WithSparse(),
+		comparer.NewCase("member-capacity.cbor", encoder.CBOR[registrar.Member]{}, registrar.Member{
+			Incarnation:   "incarnation",
+			Name:          "name",
+			Place:         "place",
+			SeatPlace:     "seat place",
+			Seat:          6,
+			CallerAddress: "caller address",
+			PeerAddress:   "peer address",
+			Listed:        true,
+			Leaving:       true,
+			Capacity: registrar.Capacity{
+				Cores:       0.5,
+				LinkMbits:   11,
+				MemoryMB:    12,
+				Descriptors: 13,
+			},
 		}),
 		comparer.NewCase("vacant.cbor", encoder.CBOR[registrar.Member]{}, registrar.Vacant(registrar.Seat{
 			Place:  "place",
@@ -406,7 +447,7 @@
 				Listed:        true,
 				Leaving:       true,
 			},
-		}),
+		}).WithSparse(),
 		comparer.NewCase("ask.cbor", encoder.CBOR[borrower.Ask]{}, borrower.Ask{
 			Number:         2,
 			Resource:       "resource",
@@ -1332,10 +1373,26 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1416,10 +1473,26 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -35,6 +35,7 @@
 		Leaving:   s.leaving.Load(),
 		StoreLost: s.storeLostNanos.Load() != 0,
 		AgeMillis: s.contact.reportedAge(time.Now()).Milliseconds(),
+		Saturated: s.saturated.Load(),
 	}
 	for i, reflector := range s.reflectors {
 		heartbeat = heartbeat.WithPosition(i, reflector.position())
@@ -55,7 +56,7 @@
 		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
 		s.hub.Go(func() { s.markLeft(peer) })
 	}
-	if previous == (linker.Heartbeat{}) || heartbeat.Leaving != previous.Leaving {
+	if previous == (linker.Heartbeat{}) || heartbeat.Leaving != previous.Leaving || heartbeat.Saturated != previous.Saturated {
 		s.locatorUpdates.Request()
 	}
 	if s.watching.Load() || s.receivesFrom(peer) {
@@ -122,7 +123,7 @@
 			return nil
 		}
 		if err := s.writeEntry(ctx); err != nil {
-			s.storeFailed(err)
+			s.storeRefused(err)
 		}
 		// The platform's list needs time to show the written entry; until then the entry
 		// counts as missing.
@@ -132,6 +133,14 @@
 	}
 }
 
+// storeRefused logs a write that has failed. A store that refuses writes may answer reads, so only
+// failed reads begin an outage.
+func (s *Steerer) storeRefused(err error) {
+	if s.lifecycle.Work().Err() == nil {
+		s.log.Warn().Err(err).Msg("WriteFailed")
+	}
+}
+
 // writeEntry creates this instance's entry, or replaces the one of an earlier start.
 func (s *Steerer) writeEntry(ctx context.Context) error {
 	if _, listed := memberByName(*s.roster.Load(), s.self.Name); !listed {
@@ -188,8 +197,9 @@
 func (s *Steerer) refreshLoop(ctx context.Context) error {
 	s.updatePeerLinks()
 	rounds := 0
-	for sleep(ctx, refreshInterval) {
-		s.endRegistrationGrace()
+	for s.sleepMeasured(ctx, refreshInterval) {
+		s.refreshAvailability(time.Now())
+		s.refreshKeptRegistrations(time.Now())
 		s.endDeclarationWait()
 		s.refreshReflectors(time.Now())
 		s.refreshRoster()
@@ -197,7 +207,7 @@
 		s.updateWatching()
 		s.reportDemand()
 		s.shareAdvertisements()
-		s.plans.Load().AdjustSpillovers(time.Now())
+		s.adjustSpillovers(time.Now())
 		s.advanceMoves(ctx)
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
@@ -245,7 +255,7 @@
 	for _, member := range members {
 		err := s.memberStore().Delete(ctx, s.entryName(member.Name), storer.Always())
 		if err != nil && !errors.Is(err, storer.ErrNotFound) {
-			s.storeFailed(err)
+			s.storeRefused(err)
 			return
 		}
 		s.log.Info().Str("Peer", member.Name).Str("Incarnation", member.Incarnation).Msg("EntryRemoved")
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -19,8 +19,10 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -49,6 +51,12 @@
 	Evacuations Collection[Evacuation]
 	// Members holds one object for each entry instance, under the instance's name.
 	Members Collection[registrar.Member]
+	// UsageDuty is the platform's name of the duty to report the usage of teams, UsageRecord
+	// the object that says who holds it, and NewUsageCaller returns the function that makes
+	// its calls to an address.
+	UsageDuty      string
+	UsageRecord    usagereporter.RecordStore
+	NewUsageCaller func(address string) (usagereporter.CallFunc, error)
 	// Translator translates the messages of callers and upstreams.
 	Translator translator.Translator
 	// NewLookupHandler returns the HTTP handler for lookups, and NewReadinessHandler
@@ -78,9 +86,19 @@
 // there get no more requests.
 type Evacuation struct{}
 
-// LocateFunc returns the entry instances that a caller in a failure domain should use for
-// a host. It returns false while no instance is available.
-type LocateFunc func(host, place string) (LookupResult, bool)
+// Lookup is the question of a caller which entry instances it should use.
+type Lookup struct {
+	// Host is the host name that the caller's requests are for.
+	Host string
+	// Place is the failure domain that the caller names as its own.
+	Place string
+	// Caller is the address that the question came from; the zero value if it is not known.
+	Caller netip.Addr
+}
+
+// LocateFunc returns the entry instances that a caller should use. It returns false while no
+// instance is available.
+type LocateFunc func(question Lookup) (LookupResult, bool)
 
 // LookupResult lists entry instances that are equally suitable for a caller.
 type LookupResult struct {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockport/hemlockport/internal/coalescer"
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
@@ -23,13 +24,16 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/detector"
 	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/holder"
+	"github.com/hemlockport/hemlockport/pkg/query/assessor"
 	"github.com/hemlockport/hemlockport/pkg/query/locator"
+	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
@@ -56,6 +60,8 @@
 	receiver     *receiver.Receiver
 	drainer      *drainer.Drainer
 	inFlight     *tracker.Tracker[receiver.InFlightRequest]
+	// usage carries out the duty to report the usage of teams; nil if there is no such duty.
+	usage *usagereporter.Reporter
 
 	// planMu serializes the writers of the plan and guards the data that the plan is
 	// computed from. It is never locked on the path of a request.
@@ -65,10 +71,10 @@
 	awaiting declarer.Declaration
 	// listedRegistrations are the registrations that the platform listed last.
 	listedRegistrations []registrar.Registration
-	// registrationGraceUntil is the time until which upstreams are kept although the
-	// platform has not listed them since it became reachable again; zero outside such a
-	// grace period.
-	registrationGraceUntil time.Time
+	// registrationGrace decides which upstreams are kept although the platform does not list
+	// them after an outage, and keepsRegistrations is set while any may be.
+	registrationGrace  retainer.Grace
+	keepsRegistrations bool
 	// apportioner splits limits by demand, and demandBroadcast sends this instance's demand
 	// to the others. rationer applies the apportioner to the limits that upstreams state.
 	// None is ever nil.
@@ -83,6 +89,16 @@
 	locatorMu         sync.Mutex
 	locatorGeneration uint64
 	locatorInputs     locatorInputs
+	// balance moves the parts of objects that roam between regions; nil if the settings leave
+	// that to Plan.AdjustSpillovers.
+	balance *balance
+	// lookupCrowd tells addresses that several callers share.
+	lookupCrowd    locator.Crowd
+	lookupCounters lookupCounters
+	// saturation is the latest state of this instance's processor. Only refreshLoop uses it;
+	// saturated is what it says.
+	saturation detector.Saturation
+	saturated  atomic.Bool
 	// locatorUpdates runs updateLocator after changes of links and members.
 	locatorUpdates *coalescer.Coalescer
 
@@ -104,6 +120,9 @@
 	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
 	moves map[string]*trackedMove
+	// informedPeers holds the incarnations of the linked peers that have been informed of all
+	// moves and verdicts. planMu guards it.
+	informedPeers map[string]bool
 	// countersByService holds the counters of the running moves by the name of their
 	// service; never nil.
 	countersByService atomic.Pointer[map[string]*moveCounters]
@@ -122,9 +141,15 @@
 	entryMissing chan struct{}
 	// leaving is set when the drain begins.
 	leaving atomic.Bool
-	// storeLostNanos is when the platform's store stopped answering, in nanoseconds
-	// since the Unix epoch, or 0 while it answers.
-	storeLostNanos atomic.Int64
+	// storeMu guards storeAvailability, which is what the calls to the platform's store have
+	// shown, and readError, the error of the last one that has failed. storeLostNanos is when the store stopped answering by that, in nanoseconds since
+	// the Unix epoch, or 0 while it answers.
+	storeMu           sync.Mutex
+	storeAvailability assessor.Availability
+	readError         error
+	storeLostNanos    atomic.Int64
+	// readFailures counts the calls that have failed with which the store was to be read.
+	readFailures metrics.Counter
 	// storeEra is the latest era of the store that a view was from; 0 before the first view.
 	storeEra atomic.Uint64
 
@@ -150,6 +175,12 @@
 			Place:         settings.Place,
 			CallerAddress: settings.Callers.Listen,
 			PeerAddress:   settings.Peers.Listen,
+			Capacity: registrar.Capacity{
+				Cores:       settings.Capacity.Cores,
+				LinkMbits:   settings.Capacity.LinkMbits,
+				MemoryMB:    settings.Capacity.MemoryMB,
+				Descriptors: settings.Capacity.Descriptors,
+			},
 		},
 		listeners: opened,
 		plans:     holder.New[admitter.Plan](),
@@ -167,6 +198,8 @@
 		entryMissing:  make(chan struct{}, 1),
 		moves:         map[string]*trackedMove{},
 		departedUntil: map[string]time.Time{},
+
+		registrationGrace: retainer.NewGrace(settings.Upstreams.LapseMillis),
 	}
 	s.locatorUpdates = coalescer.New(locatorIntervalMillis, s.updateLocator)
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
@@ -174,15 +207,22 @@
 	s.demandBroadcast = newDemandBroadcast(apportioner.Report{})
 	s.roster.Store(&registrar.Roster{})
 	s.countersByService.Store(&map[string]*moveCounters{})
+	s.readFailures = metrics.GetOrRegisterCounter("hemlockport_store_faults_total", s.registry)
 	s.requestLog = newRequestLog(s.log, s.registry)
+	s.lookupCounters = newLookupCounters(s.registry)
+	s.balance = newBalance(settings, s.registry)
 	s.plans.Advance(*admitter.InitialPlan(s.self.Place, s.self.Incarnation).WithAffinity(admitter.Affinity{
 		OtherPlace:  settings.Placing.OtherPlace,
 		OtherRegion: settings.Placing.OtherRegion,
 		Choices:     settings.Placing.Choices,
 		FreeLoad:    settings.Placing.FreeLoad,
 		LoadWeight:  settings.Placing.LoadWeight,
+		Balanced:    settings.Placing.ShiftPerWindow > 0,
 	}))
 	s.assemble()
+	if err := s.assembleUsage(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -211,7 +251,9 @@
 	})
 	s.registerDemandHandler()
 	s.registerMoveHandler()
+	s.registerVerdictsHandler()
 	s.registerAdvertisementsHandler()
+	s.registerBalanceHandler()
 	s.reflectors = s.newReflectors()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
@@ -269,6 +311,9 @@
 		s.locatorUpdates.Run,
 		s.maintainEntry,
 	}
+	if s.usage != nil {
+		tasks = append(tasks, s.usage.Exchange, s.usage.Run)
+	}
 	for _, reflector := range s.reflectors {
 		tasks = append(tasks, reflector.run)
 	}
