Say where a request would go without sending it

Operators could learn why a request went where it went only from logs afterwards (hemlockport explain). The new query route asks an instance, at GET /route of the operators' listener, for the upstream that it would choose now or the refusal, with the inputs: route, rate, move, regions, load bound, and each upstream's rank, load and what keeps it away.

Admitter.Preview calls the functions that decide on requests. Admit and Acquire are divided for that into parts that change nothing and parts that take tokens and slots; criteria.preview keeps a pool from taking and counting. The caller's team is named in place of a key.

TestPreviewIsTheDecision asks 50 times for each of 20 objects and then sends them: the upstream is the one named, and all are admitted. TestRouteNamesTheUpstreamOfTheRequest does so through the operators' listener of an instance.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -48,6 +48,7 @@
 	Get      getQuery      `cmd:"" group:"queries" help:"Print objects of the configuration in force."`
 	Status   statusQuery   `cmd:"" group:"queries" help:"Print the status of an instance, its peers and the upstreams."`
 	Lookup   lookupQuery   `cmd:"" group:"queries" help:"Look up which entry instances a client should use."`
+	Route    routeQuery    `cmd:"" group:"queries" help:"Say where an instance would send a request now, and why, without sending it."`
 	Timeline timelineQuery `cmd:"" group:"queries" help:"Print the events of all instances in causal order."`
 	Explain  explainQuery  `cmd:"" group:"queries" help:"Explain from logs what happened to a request, and why."`
 	Duty     dutyQuery     `cmd:"" group:"queries" help:"Tell from logs who held the duty to report the usage, and what became of each window."`
@@ -169,15 +170,9 @@
 
 // client returns a client for the instance that the flags select.
 func (r Remote) client() (*operator.Client, error) {
-	key := r.Key
-	if r.KeyFile != "" {
-		data, err := os.ReadFile(r.KeyFile)
-		if err != nil {
-			return nil, &usageError{
-				message: err.Error(),
-			}
-		}
-		key = strings.TrimSpace(string(data))
+	key, err := r.key()
+	if err != nil {
+		return nil, err
 	}
 	if key == "" {
 		return nil, &usageError{
@@ -186,3 +181,17 @@
 	}
 	return operator.New(r.At, key), nil
 }
+
+// key returns the operators' key that the flags select, or "" if they select none.
+func (r Remote) key() (string, error) {
+	if r.KeyFile == "" {
+		return r.Key, nil
+	}
+	data, err := os.ReadFile(r.KeyFile)
+	if err != nil {
+		return "", &usageError{
+			message: err.Error(),
+		}
+	}
+	return strings.TrimSpace(string(data)), nil
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
 	"github.com/hemlockport/hemlockport/internal/responder"
@@ -106,6 +107,17 @@
 	return call[timeliner.Timeline](ctx, c, http.MethodGet, responder.PathTimeline, query, nil)
 }
 
+// Route returns where the instance would send a request now, and why. Nothing is sent.
+func (c *Client) Route(ctx context.Context, question previewer.Question) (previewer.Answer, error) {
+	query := url.Values{}
+	addParameter(query, responder.ParamHost, question.Host)
+	addParameter(query, responder.ParamPath, question.Path)
+	addParameter(query, responder.ParamMethod, question.Method)
+	addParameter(query, responder.ParamTeam, question.Team)
+	addParameter(query, responder.ParamObject, question.Object)
+	return call[previewer.Answer](ctx, c, http.MethodGet, responder.PathRoute, query, nil)
+}
+
 // addParameter adds a query parameter unless its value is empty.
 func addParameter(query url.Values, name, value string) {
 	if value != "" {
--- a/internal/responder/decode.go
+++ b/internal/responder/decode.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/merger"
@@ -17,6 +18,10 @@
 	ParamProcess = "process"
 	ParamObject  = "object"
 	ParamSince   = "since"
+	ParamHost    = "host"
+	ParamPath    = "path"
+	ParamMethod  = "method"
+	ParamTeam    = "team"
 )
 
 func decodeEmpty(*http.Request) (reporter.Empty, error) {
@@ -53,3 +58,18 @@
 	}
 	return filter.WithSince(since), nil
 }
+
+func decodeQuestion(request *http.Request) (previewer.Question, error) {
+	query := request.URL.Query()
+	question := previewer.Question{
+		Host:   query.Get(ParamHost),
+		Path:   query.Get(ParamPath),
+		Method: query.Get(ParamMethod),
+		Team:   query.Get(ParamTeam),
+		Object: query.Get(ParamObject),
+	}
+	if question.Host == "" || question.Path == "" {
+		return question, fmt.Errorf("want the parameters %s and %s", ParamHost, ParamPath)
+	}
+	return question, nil
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -15,6 +15,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
@@ -32,6 +33,7 @@
 	PathObjects  = "/objects"
 	PathStatus   = "/status"
 	PathTimeline = "/timeline"
+	PathRoute    = "/route"
 	PathMetrics  = "/metrics"
 )
 
@@ -65,6 +67,7 @@
 	Objects  handler.Query[reporter.Selection, reporter.Objects]
 	Status   handler.Query[reporter.Empty, reporter.Status]
 	Timeline handler.Query[merger.Filter, timeliner.Timeline]
+	Route    handler.Query[previewer.Question, previewer.Answer]
 	Registry metrics.Registry
 }
 
@@ -75,6 +78,7 @@
 	protected.Handle("GET "+PathObjects, queryHandler(options.Objects, decodeSelection))
 	protected.Handle("GET "+PathStatus, queryHandler(options.Status, decodeEmpty))
 	protected.Handle("GET "+PathTimeline, queryHandler(options.Timeline, decodeFilter))
+	protected.Handle("GET "+PathRoute, RouteHandler(options.Route))
 	protected.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		// Write fails only if the client that collects the metrics has disconnected.
@@ -86,6 +90,11 @@
 	return mux
 }
 
+// RouteHandler returns the handler of PathRoute, which says where a request would be sent.
+func RouteHandler(query handler.Query[previewer.Question, previewer.Answer]) http.Handler {
+	return queryHandler(query, decodeQuestion)
+}
+
 // requireKey passes a request on to next only if it shows the operators' key.
 func requireKey(hash declarer.KeyHash, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
@@ -23,6 +24,7 @@
 		Objects:  reporter.NewObjectReader(s.applier),
 		Status:   handler.QueryFunc[reporter.Empty, reporter.Status](s.status),
 		Timeline: s.timeliner,
+		Route:    previewer.New(s.self.Name, admitter.New(s.plans, s.freshness)),
 		Registry: s.registry,
 	}
 }
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -16,6 +16,9 @@
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/internal/query/previewer"
+	"github.com/hemlockport/hemlockport/internal/responder"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
 
 const (
@@ -89,6 +92,7 @@
 	linkMux.Handle("GET "+linker.Path, s.hub)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET "+metricsPath, s.serveMetrics)
+	metricsMux.Handle("GET "+responder.PathRoute, responder.RouteHandler(previewer.New(s.settings.Name, admitter.New(s.plans, s.freshness))))
 	endpoints := []struct {
 		handler  http.Handler
 		listener net.Listener
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -102,6 +102,22 @@
 // After a refusal because of the team's rate, Wait can be called on the returned
 // admission.
 func (a *Admitter) Admit(request Request) (Admission, *arbiter.Refusal) {
+	admission, refusal := a.match(request)
+	if refusal != nil {
+		return Admission{}, refusal
+	}
+	if admission.Route.Declared.Open {
+		return admission, nil
+	}
+	refusal = a.authenticate(&admission, request)
+	if refusal != nil {
+		return Admission{}, refusal
+	}
+	return admission.charge(request.Now)
+}
+
+// match finds the route and the service of a request. It changes nothing.
+func (a *Admitter) match(request Request) (Admission, *arbiter.Refusal) {
 	plan := a.plans.Load()
 	if plan == nil || plan.table.RevisionNumber() == 0 {
 		refusal := arbiter.Refuse(arbiter.NotReady, "no configuration is in force yet")
@@ -129,14 +145,7 @@
 	if !request.Now.Before(admission.Deadline) {
 		return Admission{}, arbiter.Refuse(arbiter.DeadlineExceeded, "the deadline has passed")
 	}
-	if route.Declared.Open {
-		return admission, nil
-	}
-	refusal := a.authenticate(&admission, request)
-	if refusal != nil {
-		return Admission{}, refusal
-	}
-	return admission.charge(request.Now)
+	return admission, nil
 }
 
 // currentPlan returns the plan whose upstreams the request may be sent to. That is the
@@ -160,27 +169,39 @@
 		random = a.objectHash
 	}
 	plan := a.currentPlan()
-	pools := plan.pools[a.Service]
-	wanted := criteria{
+	wanted := a.criteriaAt(plan, now, random)
+	wanted.avoid = avoid
+	wanted.anyRegion = plan.spillovers[a.Service].choose(random)
+	return plan.pools[a.Service].acquireAny(random, wanted)
+}
+
+// criteriaAt returns which upstreams the request may use at a time. The hash is that of its
+// object, or a random number.
+func (a Admission) criteriaAt(plan *Plan, now time.Time, hash uint64) criteria {
+	return criteria{
 		now:          now,
-		avoid:        avoid,
 		routeRegions: a.Route.Declared.Homes,
 		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].choose(random),
+		anyRegion:    plan.spillovers[a.Service].includes(hash),
 		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
 	}
-	if upstream, found := pools.acquire(random, wanted); found {
+}
+
+// acquireAny takes a slot at the best upstream for an object, given by its hash, if need be at
+// the one to avoid.
+func (p versionPools) acquireAny(random uint64, wanted criteria) (*Upstream, *arbiter.Refusal) {
+	if upstream, found := p.acquire(random, wanted); found {
 		return upstream, nil
 	}
-	if avoid != nil {
+	if wanted.avoid != nil {
 		// No other upstream is available, so the avoided one may serve the request.
 		wanted.avoid = nil
-		if upstream, found := pools.acquire(random, wanted); found {
+		if upstream, found := p.acquire(random, wanted); found {
 			return upstream, nil
 		}
 	}
-	retryAt := now.Add(NoRoomRetryMillis * time.Millisecond)
-	if next := pools.nextRetryAt(random, wanted); next.After(retryAt) {
+	retryAt := wanted.now.Add(NoRoomRetryMillis * time.Millisecond)
+	if next := p.nextRetryAt(random, wanted); next.After(retryAt) {
 		retryAt = next
 	}
 	return nil, arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot").WithRetryAt(retryAt)
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -37,6 +37,8 @@
 	// request is part of the spillover. It has no effect in pools without affinity, nor
 	// on routeRegions and teamRegions.
 	anyRegion bool
+	// preview reports that the choice is only shown: it takes no slot and counts nothing.
+	preview bool
 }
 
 // allowsRegion reports whether the request may run in a region.
@@ -73,7 +75,9 @@
 	if c.admitsLimit(criteria.now) {
 		return true
 	}
-	c.limitDemand.Add(1)
+	if !criteria.preview {
+		c.limitDemand.Add(1)
+	}
 	return false
 }
 
@@ -96,9 +100,11 @@
 	if c.Upstream == criteria.avoid || !c.admitsCold(criteria.now) || !criteria.allowsRegion(c.region) {
 		return false
 	}
-	if !c.advertisement.Load().acceptsAt(criteria.now) {
-		return false
-	}
+	return c.advertisement.Load().acceptsAt(criteria.now) && c.isHealthyFor(criteria)
+}
+
+// isHealthyFor reports whether the upstream's health allows that it serves a request.
+func (c *candidate) isHealthyFor(criteria criteria) bool {
 	switch c.Health() {
 	case Live:
 		return true
@@ -257,7 +263,7 @@
 			if !found {
 				break
 			}
-			if picked.takeSlot(criteria.now) {
+			if criteria.preview || picked.takeSlot(criteria.now) {
 				return picked.Upstream, true
 			}
 		}
--- a/pkg/command/limiter/bucket.go
+++ b/pkg/command/limiter/bucket.go
@@ -198,6 +198,18 @@
 	return now.Add(time.Duration(missing * float64(state.limit.interval())))
 }
 
+// Peek returns what Take would return, and takes no token.
+func (b *Bucket) Peek(now time.Time) (time.Time, bool) {
+	if lease := b.lease.Load(); lease != nil && lease.isOver(now) {
+		return time.Time{}, false
+	}
+	next := b.Next(now)
+	if next.IsZero() || next.After(now) {
+		return next, false
+	}
+	return time.Time{}, true
+}
+
 // tokensAt returns the number of tokens at the time now, if arrival is the theoretical
 // arrival time.
 func (s *limitState) tokensAt(arrival int64, now time.Time) float64 {
--- a/pkg/command/sharer/limiter.go
+++ b/pkg/command/sharer/limiter.go
@@ -132,6 +132,15 @@
 	return retryAt, false
 }
 
+// Peek returns what Take would return. It takes no unit and counts no request.
+func (l *Limiter) Peek(now time.Time) (time.Time, bool) {
+	retryAt, ok := l.Bucket.Peek(now)
+	if ok || l.borrowed.remaining(now) > 0 {
+		return time.Time{}, true
+	}
+	return retryAt, false
+}
+
 // TotalDemand returns how many units have been requested here so far, by requests and by
 // instances without a part of their own.
 func (l *Limiter) TotalDemand() uint64 {
