Decide by the machine what an instance holds for callers

Nothing bounded the connections of callers, nor the memory of all requests together, whatever the machine offers.

A budget of bytes is shared by all connections without a lock; large requests leave half of it to ordinary ones. It does no I/O. An unknown machine sets no bound.

go test -race ./pkg/command/bounder passes.

--- /dev/null
+++ b/pkg/command/bounder/bounder_test.go
@@ -0,0 +1,162 @@
+package bounder_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
+)
+
+// TestBoundsFollowTheMachine guards against bounds that together exceed the memory or the
+// descriptors of the machine, or that no legal request fits into.
+func TestBoundsFollowTheMachine(t *testing.T) {
+	const (
+		megabyte = 1 << 20
+		// largestLines is how many of the shortest lines fit into a head of largestBytes.
+		largestBytes = 16 << 10
+		largestLines = largestBytes / 4
+	)
+	cases := []struct {
+		name    string
+		machine bounder.Machine
+	}{
+		{
+			name: "smallest machine that the settings allow",
+			machine: bounder.Machine{
+				MemoryMB:    64,
+				Descriptors: 300,
+			},
+		},
+		{
+			name: "smallest machine of a deployment",
+			machine: bounder.Machine{
+				MemoryMB:    136,
+				Descriptors: 2870,
+			},
+		},
+		{
+			name: "largest machine of a deployment",
+			machine: bounder.Machine{
+				MemoryMB:    536,
+				Descriptors: 8192,
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bounds := c.machine.Bounds()
+			connections := 0
+			bytes := int64(0)
+			for _, share := range []bounder.Share{bounds.Callers, bounds.Lookups, bounds.Readiness} {
+				connections += share.Connections
+				bytes += share.HeldBytes + int64(share.Connections)*bounder.ConnectionBytes
+				budget := bounder.NewBudget(share.HeldBytes)
+				if !budget.Take(bounder.HeadCost(largestBytes, largestLines)) {
+					t.Errorf("a budget of %d bytes refuses the largest legal head, want it to be taken", share.HeldBytes)
+				}
+			}
+			if limit := int64(c.machine.MemoryMB) * megabyte * 3 / 4; bytes > limit {
+				t.Errorf("got %d bytes for connections and requests, want at most %d", bytes, limit)
+			}
+			if limit := (c.machine.Descriptors - 200) * 3 / 4; connections > limit {
+				t.Errorf("got %d connections, want at most %d", connections, limit)
+			}
+			if bounds.RuntimeBytes <= 0 || bounds.RuntimeBytes > int64(c.machine.MemoryMB)*megabyte*7/8 {
+				t.Errorf("got a memory limit of %d bytes, want one below the memory of the machine", bounds.RuntimeBytes)
+			}
+		})
+	}
+}
+
+// TestUnknownMachineSetsNoBounds guards against bounds in a deployment whose settings state
+// none.
+func TestUnknownMachineSetsNoBounds(t *testing.T) {
+	var machine bounder.Machine
+	if got := machine.Bounds(); got != (bounder.Bounds{}) {
+		t.Fatalf("got %+v, want no bounds", got)
+	}
+	if !bounder.NewBudget(0).Take(1 << 40) {
+		t.Fatal("a budget without a bound refuses bytes")
+	}
+}
+
+// TestLargeRequestsLeaveRoomForOrdinaryOnes guards against a few large requests that keep
+// out all others.
+func TestLargeRequestsLeaveRoomForOrdinaryOnes(t *testing.T) {
+	budget := bounder.NewBudget(1 << 20)
+	large := int64(200 << 10)
+	for budget.Take(large) {
+	}
+	if got := budget.Held(); got > 1<<19 {
+		t.Fatalf("got %d bytes held by large requests, want at most half of the budget", got)
+	}
+	if !budget.Take(bounder.HeadCost(300, 10)) {
+		t.Fatal("an ordinary request finds no room beside large ones")
+	}
+}
+
+// TestBudgetIsNeverExceeded guards against takers that race for the last bytes, and against
+// bytes that are lost on the way back.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	const limit = 10_000
+	budget := bounder.NewBudget(limit)
+	var held atomic.Int64
+	var group errgroup.Group
+	for range 8 {
+		group.Go(func() error {
+			for range 5000 {
+				if !budget.Take(3000) {
+					continue
+				}
+				if got := held.Add(3000); got > limit {
+					t.Errorf("got %d bytes held, want at most %d", got, limit)
+				}
+				held.Add(-3000)
+				budget.Return(3000)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if got := budget.Held(); got != 0 {
+		t.Fatalf("got %d bytes held at the end, want 0", got)
+	}
+}
+
+// TestOrderOfClosing guards against closing a head that has just begun before connections
+// that are idle, or before a head that arrives slowly.
+func TestOrderOfClosing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := []bounder.Waiting{
+		{
+			Phase: bounder.Unused,
+			Since: now,
+		},
+		{
+			Phase: bounder.Idle,
+			Since: now.Add(-time.Minute),
+		},
+		{
+			Phase: bounder.Idle,
+			Since: now,
+		},
+		{
+			Phase: bounder.Reading,
+			Since: now.Add(-time.Second),
+		},
+		{
+			Phase: bounder.Reading,
+			Since: now,
+		},
+	}
+	for i, first := range order {
+		for j, second := range order {
+			if got := first.ClosesBefore(second); got != (i < j) {
+				t.Errorf("got %t for %+v before %+v, want %t", got, first, second, i < j)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/command/bounder/budget.go
@@ -0,0 +1,92 @@
+package bounder
+
+import "sync/atomic"
+
+// Budget is a number of bytes that many connections share. It is safe for concurrent use
+// and takes no lock. A nil budget has no bound.
+//
+// Invariant: what has been taken and not returned is at most the limit.
+type Budget struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// NewBudget returns a budget of a number of bytes, or nil, which has no bound, for 0.
+func NewBudget(limit int64) *Budget {
+	if limit == 0 {
+		return nil
+	}
+	return &Budget{
+		limit: limit,
+	}
+}
+
+// Take takes bytes from the budget and reports whether they were free. A size above
+// ordinaryBytes must leave half of the budget free, so that a few large requests do not
+// keep out all ordinary ones.
+func (b *Budget) Take(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	limit := b.limit
+	if bytes > ordinaryBytes {
+		limit /= 2
+	}
+	for {
+		held := b.held.Load()
+		if held+bytes > limit {
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+bytes) {
+			return true
+		}
+	}
+}
+
+// Return returns bytes that were taken.
+func (b *Budget) Return(bytes int64) {
+	if b != nil && bytes != 0 {
+		b.held.Add(-bytes)
+	}
+}
+
+// Held returns how many bytes are taken.
+func (b *Budget) Held() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.held.Load()
+}
+
+const (
+	// requestBytes is what a request in flight costs beside its head and its body, in bytes:
+	// its goroutines, its exchange, and a connection to an upstream with its buffers.
+	requestBytes = 24 << 10
+	// lineBytes is what a header line costs beside its bytes, in bytes: an entry of a map, a
+	// slice and two strings, and the copy that goes to the upstream.
+	lineBytes = 128
+	// bytesFactor is how often the bytes of a head are held: as they arrived, as parsed
+	// strings, and in the copy that goes to the upstream.
+	bytesFactor = 3
+	// ordinaryBytes is the largest cost of an ordinary request, in bytes: one with a head of
+	// up to 4 KB and 80 lines, or a part of its answer or body of as much.
+	ordinaryBytes = 48 << 10
+	// StreamBytes is what an answer or a body that is passed on in parts costs, in bytes.
+	StreamBytes = 40 << 10
+)
+
+// HeadCost returns what a request costs whose head has a number of bytes and lines, in
+// bytes. It is an upper bound: 16 KB of four-byte lines cost some 600 KB.
+func HeadCost(bytes, lines int) int64 {
+	return requestBytes + int64(bytes)*bytesFactor + int64(lines)*lineBytes
+}
+
+// BodyCost returns what a request's body costs, in bytes. A body of up to bufferedBytes is
+// held completely before the request is sent, a longer one or one of unknown length (-1) is
+// passed on in parts.
+func BodyCost(length, bufferedBytes int64) int64 {
+	if length < 0 || length > bufferedBytes {
+		return StreamBytes
+	}
+	return length
+}
