Bound the open connections of a listener

Each accepted connection was served, and each closed one lingered for up to 500 ms with its descriptor open, so that callers who connect over and over used up the descriptors.

The lingering listener gets a bound on the connections that linger at the same time, and a way to close one at once. Without bounds nothing changes.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -26,6 +26,10 @@
 	lingering errgroup.Group
 	// lingerUntil bounds the lingering closes that begin from now on; nil if nothing does.
 	lingerUntil atomic.Pointer[time.Time]
+	// maxLingering bounds the connections that linger at the same time; 0 if nothing does.
+	maxLingering int64
+	// lingeringCount is the number of connections that linger.
+	lingeringCount atomic.Int64
 }
 
 // New returns a listener that wraps another one.
@@ -35,6 +39,16 @@
 	}
 }
 
+// WithMaxLingering returns a listener that wraps the same one, and of which at most the
+// given number of connections linger at the same time. Further ones are closed at once. 0
+// means that there is no bound.
+func (l *Listener) WithMaxLingering(connections int) *Listener {
+	return &Listener{
+		Listener:     l.Listener,
+		maxLingering: int64(connections),
+	}
+}
+
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
@@ -114,15 +128,22 @@
 
 // Close closes the connection for writing and returns. The connection itself is closed
 // when its peer has closed it, LingerTimeout has passed or LimitLinger ends it. One that can't be
-// half-closed is closed immediately.
+// half-closed, or for which there is no room among the connections that linger, is closed
+// immediately.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
 		writer, ok := c.Conn.(halfCloser)
-		if !ok || writer.CloseWrite() != nil {
+		if !ok || !c.listener.beginLinger() {
+			c.Conn.Close()
+			return
+		}
+		if writer.CloseWrite() != nil {
+			c.listener.lingeringCount.Add(-1)
 			c.Conn.Close()
 			return
 		}
 		c.listener.lingering.Go(func() error {
+			defer c.listener.lingeringCount.Add(-1)
 			c.discardUntilClosed()
 			return nil
 		})
@@ -130,6 +151,22 @@
 	return nil
 }
 
+// Abort closes the connection immediately, also one that lingers.
+func (c *conn) Abort() error {
+	c.closeOnce.Do(func() {})
+	return c.Conn.Close()
+}
+
+// beginLinger counts one more connection that lingers and returns true, unless there are
+// maxLingering.
+func (l *Listener) beginLinger() bool {
+	if l.lingeringCount.Add(1) > l.maxLingering && l.maxLingering > 0 {
+		l.lingeringCount.Add(-1)
+		return false
+	}
+	return true
+}
+
 // discardUntilClosed discards what is received until the peer closes the connection or
 // LingerTimeout has passed, and closes the connection.
 func (c *conn) discardUntilClosed() {
