Scan heads before they are parsed, within a shared budget

A head was parsed line by line while it arrived: some 15 times its bytes were held for as long as the caller took to send it. Nothing bounded the lines, nor what all heads together held.

The bytes of a head now stay in the buffer of the connection, in which its end and its lines are found without any allocation. A complete head is parsed once the budget has room for what it costs by bytes and lines; the body, the buffered part of an answer and an answer that is passed on in parts count in the same budget until the response is written. Without room the slowest unfinished head gives way, then the request is refused with status 503, which says that it has not run. A pipelined request first waits for the responses before it. A head that does not arrive in time gets status 408 in place of a closed connection.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 const (
@@ -40,8 +41,8 @@
 type conn struct {
 	server  *Server
 	netConn net.Conn
-	// source is what reader reads from. It limits the size of headers and keeps the read
-	// deadline of a request that is being read.
+	// source is what reader reads from. It keeps the read deadline of a request that is
+	// being read.
 	source *source
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -60,6 +61,16 @@
 	// stopping reports that the connection closes: after the responses to the requests that
 	// have started or, if there are none, after one last attempt to read a request.
 	stopping atomic.Bool
+	// largeBytes is what reader's buffer has taken from the budget, in bytes; 0 if it is a
+	// small one.
+	largeBytes atomic.Int64
+	// headSince is when the first byte of the head arrived that is being read, and idleSince
+	// when the last request ended or the connection was accepted, both in nanoseconds since
+	// the Unix epoch. headSince is 0 while no head is read.
+	headSince atomic.Int64
+	idleSince atomic.Int64
+	// used reports that the first byte of a request has arrived.
+	used atomic.Bool
 	// ctx is the parent context of the connection's requests; cancel cancels it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -67,13 +78,15 @@
 
 func newConn(server *Server, accepted net.Conn) *conn {
 	ctx, cancel := context.WithCancel(server.requestsCtx)
-	return &conn{
+	created := &conn{
 		server:  server,
 		netConn: accepted,
 		queue:   make(chan *exchange, server.limits.MaxPipelined),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
+	created.idleSince.Store(time.Now().UnixNano())
+	return created
 }
 
 // serve serves the connection and closes it at the end.
@@ -94,10 +107,7 @@
 	_ = group.Wait()
 	c.cancel()
 	c.netConn.Close()
-	if !c.readerInUse.Load() {
-		c.reader.Reset(nil)
-		readBuffers.Put(c.reader)
-	}
+	c.putReader()
 	c.writer.Reset(nil)
 	writeBuffers.Put(c.writer)
 }
@@ -126,7 +136,7 @@
 			c.handleReadError(err)
 			return
 		}
-		next, last := c.readRequest()
+		next, last := c.readRequest(previous)
 		if next == nil {
 			return
 		}
@@ -139,6 +149,7 @@
 		// earlier one, closes the connection.
 		last = last || c.stopping.Load()
 		if c.ctx.Err() != nil || !c.startExchange(next, group) {
+			next.release()
 			return
 		}
 		<-next.bodyDone
@@ -147,6 +158,7 @@
 			// The handler may have left a goroutine that still reads the body.
 			return
 		}
+		c.shrinkReader()
 		if last {
 			c.watchForClose()
 			return
@@ -221,43 +233,96 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readRequest reads the next request. last reports that the caller sends no further one on
-// this connection. next is nil if no request can be read; a malformed one, or one with too
-// large a header, then gets an error response.
-func (c *conn) readRequest() (next *exchange, last bool) {
+// readRequest reads the next request, after the previous one if there is one. last reports
+// that the caller sends no further one on this connection. next is nil if no request can be
+// read; one that is malformed, too large or too slow, or for which the budget has no room,
+// then gets an error response, which says that it has not run.
+func (c *conn) readRequest(previous *exchange) (next *exchange, last bool) {
+	now := time.Now()
+	c.beginHead(now)
 	timeout := time.Duration(c.server.limits.HeaderMillis) * time.Millisecond
-	c.source.setDeadline(time.Now().Add(timeout))
-	c.source.limit(int64(c.server.limits.HeaderBytes - c.reader.Buffered()))
-	request, err := http.ReadRequest(c.reader)
-	exceeded := c.source.exceeded
-	c.source.unlimit()
+	c.source.setDeadline(now.Add(timeout))
+	scan, status, err := c.awaitHead()
 	c.source.setDeadline(time.Time{})
+	held := int64(0)
+	if err == nil && status == 0 {
+		held = c.takeForHead(scan, previous)
+		if held == 0 {
+			status = http.StatusServiceUnavailable
+		}
+	}
+	// The head is complete, so nobody else may close the connection because it is slow.
+	c.endHead()
 	switch {
-	case exceeded:
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+	case status != 0:
+		c.refuse(status)
 		return nil, true
 	case isTimeout(err):
-		return nil, true
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-		c.cancel()
+		c.refuseSlow()
 		return nil, true
 	case err != nil:
-		c.refuse(http.StatusBadRequest)
+		c.cancel()
 		return nil, true
-	case request.ProtoAtLeast(1, 1) && request.Host == "":
-		c.refuse(http.StatusBadRequest)
+	}
+	request := c.parseHead()
+	if request == nil || !c.takeForBody(request, &held) {
+		c.server.budget.Return(held)
 		return nil, true
 	}
 	request.RemoteAddr = c.netConn.RemoteAddr().String()
 	next = newExchange(c, request)
+	next.held = held
 	return next, request.Close
 }
 
+// parseHead parses the head that has arrived. It refuses a malformed one and returns nil.
+func (c *conn) parseHead() *http.Request {
+	c.source.parsing = true
+	request, err := http.ReadRequest(c.reader)
+	c.source.parsing = false
+	if err != nil || request.ProtoAtLeast(1, 1) && request.Host == "" {
+		c.refuse(http.StatusBadRequest)
+		return nil
+	}
+	return request
+}
+
+// takeForBody adds to held what the body of a request costs, or refuses the request.
+func (c *conn) takeForBody(request *http.Request, held *int64) bool {
+	cost := bounder.BodyCost(request.ContentLength, c.server.limits.BufferedBodyBytes)
+	if !c.server.budget.Take(cost) {
+		c.refuse(http.StatusServiceUnavailable)
+		return false
+	}
+	*held += cost
+	return true
+}
+
+// refuseSlow refuses a request whose head has not arrived in time, unless the connection has
+// been stopped, which ends the read by a deadline too.
+func (c *conn) refuseSlow() {
+	if c.ctx.Err() == nil {
+		c.refuse(http.StatusRequestTimeout)
+	}
+}
+
+// refusedByStatus are the events of requests that are refused, by their status.
+var refusedByStatus = map[int]Event{
+	http.StatusBadRequest:                  RefusedMalformed,
+	http.StatusRequestHeaderFieldsTooLarge: RefusedHeader,
+	http.StatusRequestTimeout:              RefusedSlow,
+	http.StatusServiceUnavailable:          RefusedHeldBytes,
+}
+
 // refuse queues an error response that closes the connection, for a request that can't
 // be read.
 func (c *conn) refuse(status int) {
+	c.server.onEvent(refusedByStatus[status])
 	refused := newExchange(c, nil)
 	refused.header.Set("Content-Length", "0")
+	if status == http.StatusServiceUnavailable {
+		refused.header.Set("Retry-After", "1")
+	}
 	refused.status = status
 	refused.closesConn = true
 	refused.markHandlerDone()
@@ -312,9 +377,11 @@
 		}
 		ended = !next.writeResponse()
 		c.setCurrent(nil, time.Time{})
+		c.idleSince.Store(time.Now().UnixNano())
 		if remaining := c.openExchanges.Add(-1); remaining == 0 && !ended {
 			c.becomeIdle()
 		}
+		next.release()
 		close(next.written)
 		if ended {
 			c.cancel()
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 // maxBufferedBytes is how much of a response's body is buffered until its turn. The
@@ -32,12 +34,12 @@
 	safe bool
 	// closesConn reports that the connection closes after the response.
 	closesConn bool
+	// statusSet reports that the status can't change any more.
+	statusSet bool
 
 	header http.Header
 	// status is the response's HTTP status; 0 until it is set.
 	status int
-	// statusSet reports that the status can't change any more.
-	statusSet bool
 	// buffered is the response's body until it is written to the connection.
 	buffered bytes.Buffer
 	// streaming reports that the handler writes to the connection.
@@ -49,6 +51,10 @@
 	// without the end of the response, so that the caller doesn't take it for complete.
 	broken bool
 
+	// held is what the exchange has taken from the server's budget, in bytes. Only the
+	// handler changes it until it has returned.
+	held int64
+
 	body *watchedBody
 	// bodyDone is closed when the request's body is no longer read: it was read to its
 	// end, a read failed or the handler has returned.
@@ -140,7 +146,7 @@
 		return 0, http.ErrBodyNotAllowed
 	}
 	if !e.streaming {
-		if e.buffered.Len()+len(p) <= maxBufferedBytes {
+		if e.buffered.Len()+len(p) <= maxBufferedBytes && e.take(int64(len(p))) {
 			return e.buffered.Write(p)
 		}
 		if err := e.startStreaming(); err != nil {
@@ -204,6 +210,11 @@
 		return e.conn.ctx.Err()
 	}
 	e.streaming = true
+	if !e.take(bounder.StreamBytes) {
+		e.broken = true
+		e.conn.server.onEvent(BrokenOff)
+		return errNoRoom
+	}
 	if err := e.writeHead(); err != nil {
 		return err
 	}
@@ -261,9 +272,29 @@
 	e.conn.openExchanges.Add(-1)
 	close(e.turn)
 	<-e.handlerDone
+	e.release()
 	close(e.written)
 }
 
+// errNoRoom is the error of an answer for which the budget has no room.
+var errNoRoom = errors.New("the requests of all connections hold too many bytes")
+
+// take takes bytes from the server's budget, which release returns.
+func (e *exchange) take(bytes int64) bool {
+	if !e.conn.server.budget.Take(bytes) {
+		return false
+	}
+	e.held += bytes
+	return true
+}
+
+// release returns what the exchange has taken from the server's budget. The handler must
+// have returned.
+func (e *exchange) release() {
+	e.conn.server.budget.Return(e.held)
+	e.held = 0
+}
+
 // completeHeader sets the status, if none is set, and the length of a response that is
 // buffered completely.
 func (e *exchange) completeHeader() {
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -11,6 +11,7 @@
 package pipeliner
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -20,6 +21,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 // Limits bounds the resources of one connection.
@@ -33,6 +36,9 @@
 	IdleMillis int
 	// WriteMillis bounds the writing of a response, in milliseconds.
 	WriteMillis int
+	// BufferedBodyBytes is up to which size the handler reads a request's body completely
+	// before it uses it, in bytes. It decides what a body takes from the budget.
+	BufferedBodyBytes int64
 	// MaxPipelined is how many requests of one connection may run concurrently behind
 	// the one whose response is next; at least 1.
 	MaxPipelined int
@@ -43,6 +49,12 @@
 	handler http.Handler
 	limits  Limits
 	onPanic func(reason any)
+	// budget bounds what the requests of all connections hold; nil if nothing does.
+	budget *bounder.Budget
+	// onEvent is called for each event; never nil.
+	onEvent func(Event)
+	// largeBuffers holds readers whose buffer takes the largest head.
+	largeBuffers sync.Pool
 
 	// requestsCtx is the parent context of all requests; abort cancels it.
 	requestsCtx context.Context
@@ -61,17 +73,41 @@
 	listener   net.Listener
 }
 
+// Option changes a default of a server.
+type Option func(server *Server)
+
+// WithBudget bounds what the requests of all connections hold together. Without it, or with
+// nil, nothing does.
+func WithBudget(budget *bounder.Budget) Option {
+	return func(server *Server) {
+		server.budget = budget
+	}
+}
+
+// WithEvents calls a function for each event. It must not wait.
+func WithEvents(onEvent func(Event)) Option {
+	return func(server *Server) {
+		server.onEvent = onEvent
+	}
+}
+
 // New returns a server. It calls onPanic with the value of each panic of the handler,
 // except http.ErrAbortHandler, which only aborts the response.
-func New(handler http.Handler, limits Limits, onPanic func(reason any)) *Server {
+func New(handler http.Handler, limits Limits, onPanic func(reason any), opts ...Option) *Server {
 	requestsCtx, abort := context.WithCancelCause(context.Background())
-	return &Server{
+	server := &Server{
 		handler:     handler,
 		limits:      limits,
 		onPanic:     onPanic,
+		onEvent:     func(Event) {},
 		requestsCtx: requestsCtx,
 		abort:       abort,
 	}
+	server.largeBuffers.New = func() any { return bufio.NewReaderSize(nil, limits.HeaderBytes) }
+	for _, opt := range opts {
+		opt(server)
+	}
+	return server
 }
 
 // Serve accepts and serves connections until Shutdown closes the listener. Then it
--- a/internal/pipeliner/source.go
+++ b/internal/pipeliner/source.go
@@ -8,25 +8,25 @@
 	"time"
 )
 
-// source reads from a connection. While limited is set, it returns an error once the limit
-// has been read. While a request is read, only that request's own deadline ends a read:
-// conn.interruptRead and the idle timeout apply to the wait for a request.
+// source reads from a connection. While a head that has arrived is parsed, it returns an
+// error in place of reading further. While a request is read, only that request's own
+// deadline ends a read: conn.interruptRead and the idle timeout apply to the wait for a
+// request.
 type source struct {
 	conn net.Conn
 	// ctx ends when no further request can get a response. From then on any read deadline
 	// ends a read.
 	ctx context.Context
-	// remaining is the number of bytes that may still be read, while limited.
-	remaining int64
-	limited   bool
-	// exceeded reports that a read was attempted beyond the limit.
-	exceeded bool
+	// pending is what the next reads return before they read from the connection.
+	pending []byte
+	// parsing says that a head that has arrived is parsed.
+	parsing bool
 	// deadline is the read deadline of the request that is being read, whose zero time
 	// means none; nil between requests.
 	deadline atomic.Pointer[time.Time]
 }
 
-var errHeaderTooLarge = errors.New("request header is too large")
+var errHeadIncomplete = errors.New("the parser reads beyond the end of the request's head")
 
 func newSource(ctx context.Context, conn net.Conn) *source {
 	return &source{
@@ -35,16 +35,6 @@
 	}
 }
 
-func (s *source) limit(bytes int64) {
-	s.remaining = bytes
-	s.limited = true
-	s.exceeded = false
-}
-
-func (s *source) unlimit() {
-	s.limited = false
-}
-
 // endRequest says that the request has been read, or isn't read any further.
 func (s *source) endRequest() {
 	s.deadline.Store(nil)
@@ -67,19 +57,17 @@
 	}
 }
 
-// Read reads from the connection, up to the limit.
+// Read reads from the connection, after what is pending.
 func (s *source) Read(p []byte) (int, error) {
-	if !s.limited {
-		return s.read(p)
+	if len(s.pending) > 0 {
+		count := copy(p, s.pending)
+		s.pending = s.pending[count:]
+		return count, nil
 	}
-	if s.remaining <= 0 {
-		s.exceeded = true
-		return 0, errHeaderTooLarge
+	if s.parsing {
+		return 0, errHeadIncomplete
 	}
-	p = p[:min(int64(len(p)), s.remaining)]
-	count, err := s.read(p)
-	s.remaining -= int64(count)
-	return count, err
+	return s.read(p)
 }
 
 // read reads from the connection. A read that a deadline other than the request's has
