Bound what callers hold by the memory and descriptors of the machine

Callers whose heads, bodies or answers pile up made a process exceed its memory. The listeners for look-ups and readiness had the same fault: they were served by net/http, which parses each head as it arrives.

All three listeners that strangers reach are served by pipeliner now, with a bound on connections and a budget of bytes of their own, so that a crowd at one does not close the others. The process sets the memory limit of the runtime by the same setting, unless GOMEMLIMIT is set. Without the settings, or with 0, nothing is bounded. Counters hemlockport_bounds_total, hemlockport_held_bytes and hemlockport_connections and the log line BoundReached show what a bound does.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -52,6 +52,7 @@
 	defer signals.stop()
 	logWriter := newNonBlockingWriter(s.stdout)
 	defer logWriter.flush()
+	limitMemory(settings.Capacity)
 	instance, err := newInstance(s, settings, logWriter)
 	if err != nil {
 		return err
--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -43,6 +43,7 @@
 	slack := s.Teams.Slack
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkLog(s.Log)
+	v.checkCapacity(s.Capacity)
 	return v.faults
 }
 
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -38,6 +38,7 @@
 	Readiness Readiness
 	Placing   Placing
 	Teams     Teams
+	Capacity  Capacity
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -294,6 +295,7 @@
 			GraceMillis: 1000,
 			LimitMillis: 30_000,
 		},
+		Capacity: Capacity{},
 		Log: Log{
 			Level: "info",
 			Form:  "json",
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -110,6 +110,15 @@
 `,
 			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
 		},
+		{
+			name: "smallest machine",
+			text: validSettings + "[Capacity]\nMemoryMB = 64\nDescriptors = 300\n",
+		},
+		{
+			name:   "machine too small",
+			text:   validSettings + "[Capacity]\nMemoryMB = 63\nDescriptors = 299\n",
+			fields: []string{"Capacity.MemoryMB", "Capacity.Descriptors"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1328,6 +1328,10 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				MemoryMB:    69,
+				Descriptors: 70,
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1412,6 +1416,10 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				MemoryMB:    69,
+				Descriptors: 70,
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -8,40 +8,33 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/binder"
-	"github.com/hemlockport/hemlockport/internal/closer"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 )
 
-const (
-	// writeTimeoutMillis bounds the writing of a response whose request set no deadline
-	// of its own, in milliseconds.
-	writeTimeoutMillis = 60_000
-	// maxPipelined is how many requests of one connection are processed concurrently.
-	maxPipelined = 16
-)
-
 // metricsPath is the path at which collectors read the metrics.
 const metricsPath = "/metrics"
 
-// listeners are the open listeners of an instance.
+// listeners are the open listeners of an instance. Strangers reach all but those of peers
+// and operators.
 type listeners struct {
-	callers   *closer.Listener
+	callers   publicListener
+	lookups   publicListener
+	readiness publicListener
 	peers     net.Listener
 	operators net.Listener
-	lookups   net.Listener
-	readiness net.Listener
 }
 
 // openListeners opens the listeners at the addresses in the settings.
-func openListeners(settings configurer.Settings) (listeners, error) {
+func openListeners(settings configurer.Settings, registry metrics.Registry, log zerolog.Logger) (listeners, error) {
 	var opened listeners
-	var callers net.Listener
+	var callers, lookups, readiness net.Listener
 	err := binder.Open(
 		binder.Binding{
 			Setting:  "Callers.Listen",
@@ -61,30 +54,36 @@
 		binder.Binding{
 			Setting:  "Lookups.Listen",
 			Address:  settings.Lookups.Listen,
-			Listener: &opened.lookups,
+			Listener: &lookups,
 		},
 		binder.Binding{
 			Setting:  "Readiness.Listen",
 			Address:  settings.Readiness.Listen,
-			Listener: &opened.readiness,
+			Listener: &readiness,
 		},
 	)
-	opened.callers = closer.New(callers)
-	return opened, err
+	if err != nil {
+		return opened, err
+	}
+	bounds := boundsOf(settings)
+	opened.callers = newPublicListener("callers", callers, bounds.Callers, bounds.ReceiveBytes, registry, log)
+	opened.lookups = newPublicListener("lookups", lookups, bounds.Lookups, bounds.ReceiveBytes, registry, log)
+	opened.readiness = newPublicListener("readiness", readiness, bounds.Readiness, bounds.ReceiveBytes, registry, log)
+	return opened, nil
 }
 
 // startListeners serves all listeners. The function that it returns stops serving
 // callers, whose requests may finish until its context ends. The other listeners are
 // closed when work ends.
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	s.callerServer = pipeliner.New(s.receiver, pipeliner.Limits{
-		HeaderBytes:  s.settings.Callers.MaxHeaderBytes,
-		HeaderMillis: s.settings.Callers.HeaderMillis,
-		IdleMillis:   s.settings.Callers.IdleMillis,
-		WriteMillis:  writeTimeoutMillis,
-		MaxPipelined: maxPipelined,
-	}, func(reason any) { s.log.Error().Interface("Reason", reason).Msg("HandlerPanicked") })
-	group.Go(func() error { return s.callerServer.Serve(s.listeners.callers) })
+	s.callerServer = s.servePublic(group, s.listeners.callers, s.receiver)
+	lookupServer := s.servePublic(group, s.listeners.lookups, s.platform.NewLookupHandler(s.lookup))
+	readinessServer := s.servePublic(group, s.listeners.readiness, s.platform.NewReadinessHandler(s.ready))
+	context.AfterFunc(work, func() {
+		// The error says that work has ended, which is why the servers are closed.
+		_ = lookupServer.Shutdown(work)
+		_ = readinessServer.Shutdown(work)
+	})
 	linkMux := http.NewServeMux()
 	linkMux.Handle("GET "+linker.Path, s.hub)
 	metricsMux := http.NewServeMux()
@@ -101,14 +100,6 @@
 			handler:  metricsMux,
 			listener: s.listeners.operators,
 		},
-		{
-			handler:  s.platform.NewLookupHandler(s.lookup),
-			listener: s.listeners.lookups,
-		},
-		{
-			handler:  s.platform.NewReadinessHandler(s.ready),
-			listener: s.listeners.readiness,
-		},
 	}
 	for _, endpoint := range endpoints {
 		server := s.httpServer(endpoint.handler)
@@ -119,7 +110,7 @@
 		if err := s.callerServer.Shutdown(ctx); err != nil {
 			s.log.Warn().Err(err).Int("InFlight", s.inFlight.Count()).Msg("RequestsBrokenOff")
 		}
-		s.listeners.callers.Wait()
+		s.listeners.callers.lingering.Wait()
 	}
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -135,15 +135,17 @@
 // New opens the listeners of an instance and returns it. The settings must have passed
 // their validation.
 func New(settings configurer.Settings, platform Platform, log zerolog.Logger) (*Steerer, error) {
-	opened, err := openListeners(settings)
+	log = log.With().Str("Instance", settings.Name).Logger()
+	registry := metrics.NewRegistry()
+	opened, err := openListeners(settings, registry, log)
 	if err != nil {
 		return nil, err
 	}
 	s := &Steerer{
 		settings: settings,
 		platform: platform,
-		log:      log.With().Str("Instance", settings.Name).Logger(),
-		registry: metrics.NewRegistry(),
+		log:      log,
+		registry: registry,
 		self: registrar.Member{
 			Incarnation:   settings.Name + "-" + rand.Text(),
 			Name:          settings.Name,
