Divide the descriptors between callers, upstreams and the rest

Connections of callers alone got half of the descriptors. Each of their requests may need another one to an upstream, pipelined requests several, and connections to upstreams are kept for seconds without a request, up to 64 for each of hundreds of upstreams. Together they could exceed what the machine has.

The bounds now also cover the requests in flight (a quarter of the descriptors; Callers.MaxInFlight still holds if it is lower) and the connections to upstreams that are kept (an eighth).

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -49,7 +49,10 @@
 	dialMillis  int
 	connections int
 	idleMillis  int
-	translator  translator.Translator
+	// idleConnections bounds the connections to all upstreams that are kept without a
+	// request; 0 if nothing does.
+	idleConnections int
+	translator      translator.Translator
 }
 
 // WithDialMillis bounds the time to connect, in milliseconds.
@@ -74,6 +77,14 @@
 	}
 }
 
+// WithIdleConnections bounds the connections to all upstreams that are kept without a
+// request. 0, the default, sets no bound.
+func WithIdleConnections(limit int) Option {
+	return func(settings *options) {
+		settings.idleConnections = limit
+	}
+}
+
 // WithTranslator sets the translator of the headers that callers and upstreams use.
 func WithTranslator(replacement translator.Translator) Option {
 	return func(settings *options) {
@@ -115,6 +126,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        settings.connections,
 		MaxIdleConnsPerHost:    settings.connections,
+		MaxIdleConns:           settings.idleConnections,
 		IdleConnTimeout:        time.Duration(settings.idleMillis) * time.Millisecond,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
--- a/internal/steerer/public.go
+++ b/internal/steerer/public.go
@@ -46,6 +46,16 @@
 	return machine.Bounds()
 }
 
+// maxInFlight returns how many requests run at the same time: as many as the settings say,
+// and no more than the machine has descriptors for.
+func maxInFlight(settings configurer.Settings) int {
+	limit := settings.Callers.MaxInFlight
+	if bound := boundsOf(settings).InFlight; bound > 0 {
+		limit = min(limit, bound)
+	}
+	return limit
+}
+
 // publicListener is a listener that strangers reach. It bounds the connections, and the
 // bytes that their requests hold together.
 type publicListener struct {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -158,7 +158,7 @@
 		locators:  holder.New[locator.Locator](),
 		freshness: admitter.NewFreshness(time.Now()),
 		contact:   newContact(time.Now()),
-		inFlight:  tracker.New[receiver.InFlightRequest](settings.Callers.MaxInFlight),
+		inFlight:  tracker.New[receiver.InFlightRequest](maxInFlight(settings)),
 		inputs: planInputs{
 			places: placesOf(settings),
 		},
@@ -220,6 +220,7 @@
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
+		forwarder.WithIdleConnections(boundsOf(s.settings).IdleUpstream),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
 	s.receiver = receiver.New(receiver.Options{
--- a/pkg/command/bounder/bounder.go
+++ b/pkg/command/bounder/bounder.go
@@ -33,6 +33,11 @@
 	Callers   Share
 	Lookups   Share
 	Readiness Share
+	// InFlight is the number of callers' requests that run at the same time: each may need a
+	// connection to an upstream. IdleUpstream is the number of connections to upstreams that
+	// are kept without a request.
+	InFlight     int
+	IdleUpstream int
 	// ReceiveBytes is the size of the kernel's receive buffer of a connection, in bytes:
 	// bytes that wait there count as memory too.
 	ReceiveBytes int
@@ -52,25 +57,57 @@
 // heads, and with a round trip of 3 ms some 80 Mbit/s a connection.
 const receiveBytes = 32 << 10
 
-// Bounds returns the bounds for a machine. Connections of callers get half of the
-// descriptors, as each request may need one to an upstream, and at most a quarter of the
-// memory. Requests hold at most five sixteenths of it. The rest is for the instance itself,
-// its links, garbage that has not been collected, and the kernel's buffers.
+// part is a fraction of the descriptors that are not reserved for files.
+type part struct {
+	numerator   int
+	denominator int
+}
+
+// The parts of the descriptors. Together they are 0.86; the rest is for links to other
+// instances, calls to the platform and the listeners of peers and operators.
+var (
+	callersPart = part{
+		numerator:   3,
+		denominator: 8,
+	}
+	inFlightPart = part{
+		numerator:   1,
+		denominator: 4,
+	}
+	idleUpstreamPart = part{
+		numerator:   1,
+		denominator: 8,
+	}
+	lookupsPart = part{
+		numerator:   1,
+		denominator: 12,
+	}
+	readinessPart = part{
+		numerator:   1,
+		denominator: 48,
+	}
+)
+
+// Bounds returns the bounds for a machine. Connections of callers get at most a quarter of
+// the memory, and requests at most five sixteenths of it. The rest is for the instance
+// itself, its links, garbage that has not been collected, and the kernel's buffers.
 func (m Machine) Bounds() Bounds {
 	memory := int64(m.MemoryMB) * megabyte
 	bounds := Bounds{
 		Callers: Share{
-			Connections: m.connections(2, memory/4),
+			Connections: m.connections(callersPart, memory/4),
 			HeldBytes:   memory * 5 / 16,
 		},
 		Lookups: Share{
-			Connections: m.connections(8, memory/16),
+			Connections: m.connections(lookupsPart, memory/16),
 			HeldBytes:   memory / 32,
 		},
 		Readiness: Share{
-			Connections: m.connections(32, memory/64),
+			Connections: m.connections(readinessPart, memory/64),
 			HeldBytes:   memory / 32,
 		},
+		InFlight:     m.descriptors(inFlightPart),
+		IdleUpstream: m.descriptors(idleUpstreamPart),
 	}
 	if memory > 0 {
 		bounds.ReceiveBytes = receiveBytes
@@ -79,11 +116,19 @@
 	return bounds
 }
 
-// connections returns how many connections a listener may have that gets one part of the
+// descriptors returns a part of the descriptors, at least 1, or 0 if they are not known.
+func (m Machine) descriptors(part part) int {
+	if m.Descriptors == 0 {
+		return 0
+	}
+	return max(1, (m.Descriptors-reservedDescriptors)*part.numerator/part.denominator)
+}
+
+// connections returns how many connections a listener may have that gets a part of the
 // descriptors and some bytes for its connections.
-func (m Machine) connections(part int, bytes int64) int {
+func (m Machine) connections(part part, bytes int64) int {
 	byMemory := int(bytes / ConnectionBytes)
-	byDescriptors := max(m.Descriptors-reservedDescriptors, part) / part
+	byDescriptors := m.descriptors(part)
 	switch {
 	case m.Descriptors == 0:
 		return byMemory
--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -61,8 +61,9 @@
 			if limit := int64(c.machine.MemoryMB) * megabyte * 3 / 4; bytes > limit {
 				t.Errorf("got %d bytes for connections and requests, want at most %d", bytes, limit)
 			}
-			if limit := (c.machine.Descriptors - 200) * 3 / 4; connections > limit {
-				t.Errorf("got %d connections, want at most %d", connections, limit)
+			connections += bounds.InFlight + bounds.IdleUpstream
+			if limit := (c.machine.Descriptors - 200) * 9 / 10; connections > limit {
+				t.Errorf("got %d connections with those to upstreams, want at most %d", connections, limit)
 			}
 			if bounds.RuntimeBytes <= 0 || bounds.RuntimeBytes > int64(c.machine.MemoryMB)*megabyte*7/8 {
 				t.Errorf("got a memory limit of %d bytes, want one below the memory of the machine", bounds.RuntimeBytes)
