Move the bounded listener to a package of its own

The listener with its bounds, counters and log line was part of steerer. The instance on the project's own platform has the same front to callers and needs the same bounds, so the code moves to internal/fronter unchanged, with options in place of parameters.

go test -race ./internal/steerer passes.

--- /dev/null
+++ b/internal/fronter/events.go
@@ -0,0 +1,67 @@
+package fronter
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockport/hemlockport/internal/pipeliner"
+)
+
+// logMillis is the least time between two log lines about the bounds of one listener, in
+// milliseconds.
+const logMillis = 10_000
+
+// refusedConnection is the event of a connection that was refused because there were too
+// many, beside those of pipeliner.
+const refusedConnection pipeliner.Event = "RefusedConnection"
+
+// events counts what a listener does because a bound is reached, and logs it from time
+// to time. It is safe for concurrent use and takes no lock.
+type events struct {
+	listener string
+	log      zerolog.Logger
+	// counters holds a counter for each event.
+	counters map[pipeliner.Event]metrics.Counter
+	// loggedAt is when the last line was written, in nanoseconds since the Unix epoch.
+	loggedAt atomic.Int64
+}
+
+func newEvents(options Options) *events {
+	created := &events{
+		listener: options.Name,
+		log:      options.Log,
+		counters: map[pipeliner.Event]metrics.Counter{},
+	}
+	for _, event := range append(pipeliner.Events(), refusedConnection) {
+		name := fmt.Sprintf("hemlockport_bounds_total{listener=%q,event=%q}", options.Name, event)
+		created.counters[event] = metrics.GetOrRegisterCounter(name, options.Registry)
+	}
+	return created
+}
+
+// add counts an event. The first one, and then the first one after logMillis, writes
+// a line with the counts so far. A refusal of one request because of its own form counts
+// without a line.
+func (e *events) add(event pipeliner.Event) {
+	e.counters[event].Inc(1)
+	switch event {
+	case pipeliner.RefusedHeader, pipeliner.RefusedSlow, pipeliner.RefusedMalformed:
+		return
+	}
+	now := time.Now()
+	logged := e.loggedAt.Load()
+	if now.UnixNano()-logged < int64(logMillis*time.Millisecond) || !e.loggedAt.CompareAndSwap(logged, now.UnixNano()) {
+		return
+	}
+	line := e.log.Warn().Str("Listener", e.listener).Str("Event", string(event))
+	for event, counter := range e.counters {
+		if count := counter.Count(); count > 0 {
+			line = line.Int64(string(event), count)
+		}
+	}
+	line.Msg("BoundReached")
+}
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -22,7 +22,7 @@
 		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
 	if !schedule.CloseBy.IsZero() {
-		s.listeners.callers.lingering.LimitLinger(schedule.CloseBy)
+		s.listeners.callers.Lingering.LimitLinger(schedule.CloseBy)
 	}
 	s.leaving.Store(true)
 	s.callerServer.AnnounceClose()
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -14,8 +14,10 @@
 
 	"github.com/hemlockport/hemlockport/internal/binder"
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 // metricsPath is the path at which collectors read the metrics.
@@ -24,9 +26,9 @@
 // listeners are the open listeners of an instance. Strangers reach all but those of peers
 // and operators.
 type listeners struct {
-	callers   publicListener
-	lookups   publicListener
-	readiness publicListener
+	callers   *fronter.Listener
+	lookups   *fronter.Listener
+	readiness *fronter.Listener
 	peers     net.Listener
 	operators net.Listener
 }
@@ -65,10 +67,19 @@
 	if err != nil {
 		return opened, err
 	}
-	bounds := boundsOf(settings)
-	opened.callers = newPublicListener("callers", callers, bounds.Callers, bounds.ReceiveBytes, registry, log)
-	opened.lookups = newPublicListener("lookups", lookups, bounds.Lookups, bounds.ReceiveBytes, registry, log)
-	opened.readiness = newPublicListener("readiness", readiness, bounds.Readiness, bounds.ReceiveBytes, registry, log)
+	bounds := fronter.BoundsOf(settings)
+	front := func(name string, listener net.Listener, share bounder.Share) *fronter.Listener {
+		return fronter.New(listener, fronter.Options{
+			Name:         name,
+			Share:        share,
+			ReceiveBytes: bounds.ReceiveBytes,
+			Registry:     registry,
+			Log:          log,
+		})
+	}
+	opened.callers = front("callers", callers, bounds.Callers)
+	opened.lookups = front("lookups", lookups, bounds.Lookups)
+	opened.readiness = front("readiness", readiness, bounds.Readiness)
 	return opened, nil
 }
 
@@ -76,9 +87,11 @@
 // callers, whose requests may finish until its context ends. The other listeners are
 // closed when work ends.
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	s.callerServer = s.servePublic(group, s.listeners.callers, s.receiver)
-	lookupServer := s.servePublic(group, s.listeners.lookups, s.platform.NewLookupHandler(s.lookup))
-	readinessServer := s.servePublic(group, s.listeners.readiness, s.platform.NewReadinessHandler(s.ready))
+	s.callerServer = s.listeners.callers.Serve(group, s.receiver, s.settings.Callers, s.logPanic)
+	lookups := s.platform.NewLookupHandler(s.lookup)
+	lookupServer := s.listeners.lookups.Serve(group, lookups, s.settings.Callers, s.logPanic)
+	readiness := s.platform.NewReadinessHandler(s.ready)
+	readinessServer := s.listeners.readiness.Serve(group, readiness, s.settings.Callers, s.logPanic)
 	context.AfterFunc(work, func() {
 		// The error says that work has ended, which is why the servers are closed.
 		_ = lookupServer.Shutdown(work)
@@ -110,10 +123,15 @@
 		if err := s.callerServer.Shutdown(ctx); err != nil {
 			s.log.Warn().Err(err).Int("InFlight", s.inFlight.Count()).Msg("RequestsBrokenOff")
 		}
-		s.listeners.callers.lingering.Wait()
+		s.listeners.callers.Lingering.Wait()
 	}
 }
 
+// logPanic logs a panic of a handler.
+func (s *Steerer) logPanic(reason any) {
+	s.log.Error().Interface("Reason", reason).Msg("HandlerPanicked")
+}
+
 func (s *Steerer) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if err := exporter.Write(w, s.registry); err != nil {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
@@ -158,7 +159,7 @@
 		locators:  holder.New[locator.Locator](),
 		freshness: admitter.NewFreshness(time.Now()),
 		contact:   newContact(time.Now()),
-		inFlight:  tracker.New[receiver.InFlightRequest](maxInFlight(settings)),
+		inFlight:  tracker.New[receiver.InFlightRequest](fronter.MaxInFlight(settings)),
 		inputs: planInputs{
 			places: placesOf(settings),
 		},
@@ -220,7 +221,7 @@
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
-		forwarder.WithIdleConnections(boundsOf(s.settings).IdleUpstream),
+		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings).IdleUpstream),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
 	s.receiver = receiver.New(receiver.Options{
