Serve callers by the same front on the project's own platform

The callers' listener is served by internal/fronter now, also over TLS, with the bounds of Capacity where they are set. Connections over TLS are closed at once when they give way.

--- a/internal/pipeliner/evict.go
+++ b/internal/pipeliner/evict.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"net"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/bounder"
@@ -119,10 +120,23 @@
 	}
 	c.cancel()
 	c.returnLarge()
-	if connection, ok := c.netConn.(aborter); ok {
-		_ = connection.Abort()
-		return true
-	}
-	c.netConn.Close()
+	abort(c.netConn)
 	return true
 }
+
+// wrapper is a connection over another one, such as one with TLS.
+type wrapper interface {
+	NetConn() net.Conn
+}
+
+// abort closes a connection without the wait for its peer, also if it is over another one.
+func abort(connection net.Conn) {
+	if wrapped, ok := connection.(wrapper); ok {
+		connection = wrapped.NetConn()
+	}
+	if lingering, ok := connection.(aborter); ok {
+		_ = lingering.Abort()
+		return
+	}
+	connection.Close()
+}
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -276,25 +276,6 @@
 	close(e.written)
 }
 
-// errNoRoom is the error of an answer for which the budget has no room.
-var errNoRoom = errors.New("the requests of all connections hold too many bytes")
-
-// take takes bytes from the server's budget, which release returns.
-func (e *exchange) take(bytes int64) bool {
-	if !e.conn.server.budget.Take(bytes) {
-		return false
-	}
-	e.held += bytes
-	return true
-}
-
-// release returns what the exchange has taken from the server's budget. The handler must
-// have returned.
-func (e *exchange) release() {
-	e.conn.server.budget.Return(e.held)
-	e.held = 0
-}
-
 // completeHeader sets the status, if none is set, and the length of a response that is
 // buffered completely.
 func (e *exchange) completeHeader() {
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -25,7 +25,7 @@
 		WithKill(begun, s.settings.Drain.KillSeconds)
 	s.drainer.Begin(schedule)
 	if !schedule.CloseBy.IsZero() {
-		s.listeners.lingering.LimitLinger(schedule.CloseBy)
+		s.listeners.callers.Lingering.LimitLinger(schedule.CloseBy)
 	}
 	if !stopper.ServeThenStop(work, schedule, stopServing) {
 		// The work has ended early and the requests are aborted; the platform is not
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -13,12 +12,14 @@
 	"os"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/binder"
-	"github.com/hemlockport/hemlockport/internal/closer"
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -31,11 +32,9 @@
 // servedListeners are the listeners that the instance serves: those of Listeners, with
 // TLS where the settings name certificates.
 type servedListeners struct {
-	callers   net.Listener
+	callers   *fronter.Listener
 	peers     net.Listener
 	operators net.Listener
-	// lingering is the listener that callers wraps.
-	lingering *closer.Listener
 	// peerTLS is the configuration for dialing peers, or nil to dial without TLS.
 	peerTLS *tls.Config
 }
@@ -72,9 +71,21 @@
 }
 
 // addTLS adds TLS to the listeners for which the settings name a certificate.
-func addTLS(settings configurer.Settings, opened Listeners) (servedListeners, error) {
+func addTLS(
+	settings configurer.Settings,
+	opened Listeners,
+	registry metrics.Registry,
+	log zerolog.Logger,
+) (servedListeners, error) {
+	bounds := fronter.BoundsOf(settings)
 	secured := servedListeners{
-		lingering: closer.New(opened.Callers),
+		callers: fronter.New(opened.Callers, fronter.Options{
+			Name:         "callers",
+			Share:        bounds.Callers,
+			ReceiveBytes: bounds.ReceiveBytes,
+			Registry:     registry,
+			Log:          log,
+		}),
 		peers:     opened.Peers,
 		operators: opened.Operators,
 	}
@@ -90,7 +101,7 @@
 	if err != nil {
 		return secured, eris.Wrap(err, "Peers.CertificateFile")
 	}
-	secured.callers = withTLS(secured.lingering, callers)
+	secured.callers = secured.callers.WithTLS(callers)
 	secured.operators = withTLS(opened.Operators, operators)
 	secured.peers = withTLS(opened.Peers, peers)
 	secured.peerTLS, err = peerClientTLS(settings.Peers.AuthorityFile)
@@ -145,14 +156,10 @@
 // serving callers, whose requests may finish until its context ends; the peers' and
 // operators' servers are closed when work ends.
 func (s *Server) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	callers := s.httpServer(s.callerHandler())
-	callers.MaxHeaderBytes = s.settings.Callers.MaxHeaderBytes
-	requests, abort := context.WithCancelCause(context.Background())
-	callers.BaseContext = func(net.Listener) context.Context { return requests }
+	callers := s.listeners.callers.Serve(group, s.callerHandler(), s.settings.Callers, s.logPanic)
 	peers := s.httpServer(s.peerHandler())
 	peers.WriteTimeout = 0
 	operators := s.httpServer(s.operatorHandler())
-	binder.Serve(group, callers, s.listeners.callers)
 	binder.Serve(group, peers, s.listeners.peers)
 	binder.Serve(group, operators, s.listeners.operators)
 	context.AfterFunc(work, func() {
@@ -160,29 +167,15 @@
 		operators.Close()
 	})
 	return func(ctx context.Context) {
-		if callers.Shutdown(ctx) != nil {
-			abort(context.Cause(ctx))
-			awaitFinalAnswers(ctx, callers)
-			callers.Close()
-		}
-		s.listeners.lingering.Wait()
+		// An error says that requests were aborted, which callers and the log have been told.
+		_ = callers.Shutdown(ctx)
+		s.listeners.callers.Lingering.Wait()
 	}
 }
 
-// finalAnswersTimeout is how long the connections of aborted requests stay open for their
-// answers.
-const finalAnswersTimeout = 200 * time.Millisecond
-
-// awaitFinalAnswers waits for the answers to requests that were aborted because ctx has
-// reached its deadline. If ctx was cancelled, it returns at once.
-func awaitFinalAnswers(ctx context.Context, callers *http.Server) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
-	}
-	answered, cancel := context.WithTimeout(context.Background(), finalAnswersTimeout)
-	defer cancel()
-	// An error means that some requests have no answer yet.
-	_ = callers.Shutdown(answered)
+// logPanic logs a panic of a handler.
+func (s *Server) logPanic(reason any) {
+	s.log.Error().Interface("reason", reason).Msg("HandlerPanicked")
 }
 
 func (s *Server) httpServer(handler http.Handler) *http.Server {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/replicator"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 	"github.com/hemlockport/hemlockport/internal/query/prober"
@@ -133,7 +134,8 @@
 // NewWithListeners returns an instance on listeners that are already open. It closes
 // them if it fails.
 func NewWithListeners(settings configurer.Settings, log zerolog.Logger, opened Listeners) (*Server, error) {
-	secured, err := addTLS(settings, opened)
+	registry := metrics.NewRegistry()
+	secured, err := addTLS(settings, opened, registry, log.With().Str("instance", settings.Name).Logger())
 	if err != nil {
 		opened.close()
 		return nil, err
@@ -151,7 +153,6 @@
 		PeerAddress:   opened.Peers.Addr().String(),
 	}
 	clock := timestamper.New(time.Now)
-	registry := metrics.NewRegistry()
 	budgeted := budgeter.New(platform, budgeter.Budget{
 		ReadsPerSecond:  settings.Platform.ReadsPerSecond,
 		WritesPerSecond: settings.Platform.WritesPerSecond,
@@ -170,7 +171,7 @@
 		locators:  holder.New[locator.Locator](),
 		publisher: publisher.New(budgeted, encoder.CBOR[publisher.Head]{}, encoder.CBOR[declarer.Document]{}),
 		prober:    prober.New(),
-		inFlight:  tracker.New[receiver.InFlightRequest](settings.Callers.MaxInFlight),
+		inFlight:  tracker.New[receiver.InFlightRequest](fronter.MaxInFlight(settings)),
 		lifecycle: stopper.New(),
 		drainer:   drainer.New(time.Now()),
 	}
@@ -202,6 +203,7 @@
 	s.forwarder = forwarder.New(
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
+		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings).IdleUpstream),
 	)
 	s.receiver = receiver.New(receiver.Options{
 		Admitter:          admitter.New(s.plans, s.freshness),
