Follow the limits that a declaration states for callers

A declaration states up to which size and in which time callers send heads, and how long they keep connections. It may raise these limits while instances run. The limits of the settings were fixed, so that a caller within a raised limit would have been refused or closed.

The limits of callers' connections are now the higher ones of settings and declaration, replaced as a whole. A declaration without limits changes nothing.

A test of the order in which connections are closed waited for the response only and failed once; it waits now until the server counts both connections by their phase, and checks the same.

--- a/internal/pipeliner/bound_test.go
+++ b/internal/pipeliner/bound_test.go
@@ -99,6 +99,24 @@
 	}
 }
 
+// TestRaisedLimits guards against a caller that keeps to limits that were raised while the
+// server runs, and is refused by the earlier ones.
+func TestRaisedLimits(t *testing.T) {
+	server := startBoundServer(t, bounder.NewBudget(4<<20), answerPath)
+	text := "GET /raised HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 2*limits.HeaderBytes) + "\r\n\r\n"
+	_, reader := server.dial(text)
+	if got := receive(t, reader, http.MethodGet); got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("got %+v, want status 431 by the first limits", got)
+	}
+	raised := server.Limits()
+	raised.HeaderBytes = 3 * limits.HeaderBytes
+	server.SetLimits(raised)
+	_, reader = server.dial(text)
+	if got := receive(t, reader, http.MethodGet); got.status != http.StatusOK {
+		t.Fatalf("got %+v, want status 200 by the raised limits", got)
+	}
+}
+
 // TestRefusedHeads guards against heads that are kept although they are over a bound, and
 // against connections that end without saying that the request has not run.
 func TestRefusedHeads(t *testing.T) {
@@ -203,8 +221,13 @@
 			reader: slowReader,
 		},
 	}
+	// The response may arrive before its connection counts as idle, and the slow head is read
+	// some time after it was sent.
+	await(t, func() bool { return server.Waiting(bounder.Idle) == 1 && server.Waiting(bounder.Reading) == 1 })
 	for _, closed := range closedReaders {
-		await(t, server.CloseWaiting)
+		if !server.CloseWaiting() {
+			t.Fatalf("no connection was closed, want %s", closed.event)
+		}
 		server.checkEvent(closed.event)
 		if _, err := closed.reader.ReadByte(); err == nil {
 			t.Errorf("%s: got a byte, want a closed connection", closed.event)
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -78,7 +78,7 @@
 	created := &conn{
 		server:  server,
 		netConn: accepted,
-		queue:   make(chan *exchange, server.limits.MaxPipelined),
+		queue:   make(chan *exchange, server.limits.Load().MaxPipelined),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -212,7 +212,7 @@
 
 // setIdleDeadline limits the wait for the next request.
 func (c *conn) setIdleDeadline() {
-	timeout := time.Duration(c.server.limits.IdleMillis) * time.Millisecond
+	timeout := time.Duration(c.server.limits.Load().IdleMillis) * time.Millisecond
 	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
 }
 
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -244,7 +244,7 @@
 // writeResponse waits for the handler to return, writes the response as far as the
 // handler hasn't, and reports whether the connection stays open.
 func (e *exchange) writeResponse() bool {
-	timeout := time.Duration(e.conn.server.limits.WriteMillis) * time.Millisecond
+	timeout := time.Duration(e.conn.server.limits.Load().WriteMillis) * time.Millisecond
 	e.conn.setCurrent(e, time.Now().Add(timeout))
 	close(e.turn)
 	<-e.handlerDone
--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -44,7 +44,7 @@
 // It allocates nothing for a head that fits into the small buffer. status is the status with
 // which the request is refused, if it is not 0.
 func (c *conn) awaitHead() (scan headScan, status int, err error) {
-	limit := c.server.limits.HeaderBytes
+	limit := c.server.limits.Load().HeaderBytes
 	for {
 		buffered := c.reader.Buffered()
 		// The bytes are in the buffer, so this neither reads nor fails.
@@ -55,7 +55,7 @@
 			return scan, 0, nil
 		case complete || buffered >= limit:
 			return scan, http.StatusRequestHeaderFieldsTooLarge, nil
-		case buffered == c.reader.Size() && !c.growReader():
+		case buffered == c.reader.Size() && !c.growReader(limit):
 			return scan, http.StatusServiceUnavailable, nil
 		}
 		if _, err = c.reader.Peek(buffered + 1); err != nil {
@@ -64,16 +64,15 @@
 	}
 }
 
-// growReader replaces the reader by one whose buffer holds the largest head, and returns
-// false if the budget does not allow it. A head that another caller sends slowly gives way.
-func (c *conn) growReader() bool {
-	size := int64(c.server.limits.HeaderBytes)
+// growReader replaces the reader by one whose buffer holds the largest head, whose size in
+// bytes is the limit, and returns false if the budget does not allow it. A head that another caller sends slowly gives way.
+func (c *conn) growReader(limit int) bool {
+	size := int64(limit)
 	if !c.server.budget.Take(size) && !(c.server.closeSlowestHead(c) && c.server.budget.Take(size)) {
 		return false
 	}
 	c.largeBytes.Store(size)
-	large := c.server.largeBuffers.Get().(*bufio.Reader)
-	c.moveReader(large)
+	c.moveReader(c.server.largeBuffer(limit))
 	return true
 }
 
--- a/internal/pipeliner/request.go
+++ b/internal/pipeliner/request.go
@@ -14,7 +14,7 @@
 func (c *conn) readRequest(previous *exchange) (next *exchange, last bool) {
 	now := time.Now()
 	c.beginHead(now)
-	timeout := time.Duration(c.server.limits.HeaderMillis) * time.Millisecond
+	timeout := time.Duration(c.server.limits.Load().HeaderMillis) * time.Millisecond
 	c.source.setDeadline(now.Add(timeout))
 	scan, status, err := c.awaitHead()
 	c.source.setDeadline(time.Time{})
@@ -63,7 +63,7 @@
 
 // takeForBody adds to held what the body of a request costs, or refuses the request.
 func (c *conn) takeForBody(request *http.Request, held *int64) bool {
-	cost := bounder.BodyCost(request.ContentLength, c.server.limits.BufferedBodyBytes)
+	cost := bounder.BodyCost(request.ContentLength, c.server.limits.Load().BufferedBodyBytes)
 	if !c.server.budget.Take(cost) {
 		c.refuse(http.StatusServiceUnavailable)
 		return false
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -47,7 +47,8 @@
 // Server serves HTTP/1.1 connections. It is safe for concurrent use.
 type Server struct {
 	handler http.Handler
-	limits  Limits
+	// limits are replaced while connections are served; never nil.
+	limits  atomic.Pointer[Limits]
 	onPanic func(reason any)
 	// budget bounds what the requests of all connections hold; nil if nothing does.
 	budget *bounder.Budget
@@ -97,19 +98,38 @@
 	requestsCtx, abort := context.WithCancelCause(context.Background())
 	server := &Server{
 		handler:     handler,
-		limits:      limits,
 		onPanic:     onPanic,
 		onEvent:     func(Event) {},
 		requestsCtx: requestsCtx,
 		abort:       abort,
 	}
-	server.largeBuffers.New = func() any { return bufio.NewReaderSize(nil, limits.HeaderBytes) }
+	server.limits.Store(&limits)
 	for _, opt := range opts {
 		opt(server)
 	}
 	return server
 }
 
+// Limits returns the limits of each connection.
+func (s *Server) Limits() Limits {
+	return *s.limits.Load()
+}
+
+// SetLimits replaces the limits of each connection, but for MaxPipelined, which applies to
+// connections that are accepted from now on. A head that is being read and a wait that has
+// begun may keep to the earlier ones.
+func (s *Server) SetLimits(limits Limits) {
+	s.limits.Store(&limits)
+}
+
+// largeBuffer returns a reader whose buffer holds a head of the given size, in bytes.
+func (s *Server) largeBuffer(size int) *bufio.Reader {
+	if large, ok := s.largeBuffers.Get().(*bufio.Reader); ok && large.Size() >= size {
+		return large
+	}
+	return bufio.NewReaderSize(nil, size)
+}
+
 // Serve accepts and serves connections until Shutdown closes the listener. Then it
 // returns nil.
 func (s *Server) Serve(listener net.Listener) error {
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 	"github.com/hemlockport/hemlockport/pkg/command/bounder"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
 // metricsPath is the path at which collectors read the metrics.
@@ -127,6 +128,27 @@
 	}
 }
 
+// The largest limits that raiseLimits takes over from a declaration.
+const (
+	maxDeclaredHeaderBytes = 1_000_000
+	maxDeclaredMillis      = 3_600_000
+)
+
+// raiseLimits raises the limits of callers' connections to those of a declaration, so that
+// none of a caller that keeps to them is refused or closed. Limits of the settings that are
+// higher stay.
+func (s *Steerer) raiseLimits(declared declarer.Limits) {
+	if s.callerServer == nil {
+		// The listeners are not served yet, which happens only in tests.
+		return
+	}
+	limits := s.callerServer.Limits()
+	limits.HeaderBytes = max(s.settings.Callers.MaxHeaderBytes, min(declared.HeaderBytes, maxDeclaredHeaderBytes))
+	limits.HeaderMillis = max(s.settings.Callers.HeaderMillis, min(declared.HeaderMillis, maxDeclaredMillis))
+	limits.IdleMillis = max(s.settings.Callers.IdleMillis, min(declared.IdleMillis, maxDeclaredMillis))
+	s.callerServer.SetLimits(limits)
+}
+
 // logPanic logs a panic of a handler.
 func (s *Steerer) logPanic(reason any) {
 	s.log.Error().Interface("Reason", reason).Msg("HandlerPanicked")
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -26,6 +26,7 @@
 	// Teams are added and removed only by declarations.
 	s.setLenders(s.plans.Load())
 	s.receiver.CancelInvalid()
+	s.raiseLimits(declaration.Limits)
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
 		Uint64("Before", previous).
