Make room until a slot is free

When a listener was full, the accept loop closed one waiting connection and then waited for its slot. A connection whose descriptor had just been closed had returned its slot before, so that the loop could have waited for as long as no other connection closed. It now makes room until a slot is free, which ends as each connection gives way once. The bytes of a large buffer that is replaced by a larger one are returned too.

Found by reading; the test of gatekeeper now names such a connection first. go test -race ./internal/gatekeeper ./internal/pipeliner passes.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -24,7 +24,7 @@
 }
 
 // MakeRoom closes one connection without the wait for its peer and returns true, or returns
-// false if none may be closed.
+// false if none may be closed. It closes each connection at most once.
 type MakeRoom func() bool
 
 // New returns a listener that wraps another one. It allows at most the given number of
@@ -78,20 +78,20 @@
 }
 
 // takeSlot takes a slot and returns true, or returns false if no connection can be closed in
-// favour of the next one.
+// favour of the next one. A connection that makes room may have returned its slot before, so
+// that it takes another one.
 func (l *Listener) takeSlot() bool {
-	select {
-	case l.slots <- struct{}{}:
-		return true
-	default:
-	}
-	makeRoom := l.makeRoom.Load()
-	if makeRoom == nil || !(*makeRoom)() {
-		return false
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		default:
+		}
+		makeRoom := l.makeRoom.Load()
+		if makeRoom == nil || !(*makeRoom)() {
+			return false
+		}
 	}
-	// The connection that was closed returns its slot at once.
-	l.slots <- struct{}{}
-	return true
 }
 
 // refusal tells a caller that its request has not run, and to try again.
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -54,8 +54,13 @@
 	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 503 ") || refused.Load() != 1 {
 		t.Fatalf("got the answer %q, error %v and %d refusals, want status 503 and 1 refusal", answer, err, refused.Load())
 	}
-	// A connection that may be closed makes room.
-	listener.OnFull(func() bool { return first.Close() == nil })
+	// A connection that may be closed makes room, also if one that has returned its slot
+	// before is named first.
+	calls := 0
+	listener.OnFull(func() bool {
+		calls++
+		return calls == 1 || first.Close() == nil
+	})
 	dial()
 	<-accepted
 	if got := listener.Open(); got != 2 {
--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -71,7 +71,8 @@
 	if !c.server.budget.Take(size) && !(c.server.closeSlowestHead(c) && c.server.budget.Take(size)) {
 		return false
 	}
-	c.largeBytes.Store(size)
+	// The previous buffer is a large one too if the limit has been raised meanwhile.
+	c.server.budget.Return(c.largeBytes.Swap(size))
 	c.moveReader(c.server.largeBuffer(limit))
 	return true
 }
