--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -130,6 +130,15 @@
 			text:   strings.Replace(thimblegateSettings, "Cores = 0.112", "Cores = nan", 1) + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
 			fields: []string{"Capacity.Cores"},
 		},
+		{
+			name: "smallest machine",
+			text: validSettings + "[Capacity]\nMemoryMB = 64\nDescriptors = 300\n",
+		},
+		{
+			name:   "machine too small",
+			text:   validSettings + "[Capacity]\nMemoryMB = 63\nDescriptors = 299\n",
+			fields: []string{"Capacity.MemoryMB", "Capacity.Descriptors"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,8 +38,8 @@
 type conn struct {
 	server  *Server
 	netConn net.Conn
-	// source is what reader reads from. It limits the size of headers and keeps the read
-	// deadline of a request that is being read.
+	// source is what reader reads from. It keeps the read deadline of a request that is
+	// being read.
 	source *source
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -63,6 +61,16 @@
 	// stopping reports that the connection closes: after the responses to the requests that
 	// have started or, if there are none, after one last attempt to read a request.
 	stopping atomic.Bool
+	// largeBytes is what reader's buffer has taken from the budget, in bytes; 0 if it is a
+	// small one.
+	largeBytes atomic.Int64
+	// headSince is when the first byte of the head arrived that is being read, and idleSince
+	// when the last request ended or the connection was accepted, both in nanoseconds since
+	// the Unix epoch. headSince is 0 while no head is read.
+	headSince atomic.Int64
+	idleSince atomic.Int64
+	// used reports that the first byte of a request has arrived.
+	used atomic.Bool
 	// ctx is the parent context of the connection's requests; cancel cancels it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -70,13 +78,15 @@
 
 func newConn(server *Server, accepted net.Conn) *conn {
 	ctx, cancel := context.WithCancel(server.requestsCtx)
-	return &conn{
+	created := &conn{
 		server:  server,
 		netConn: accepted,
-		queue:   make(chan *exchange, server.limits.MaxPipelined),
+		queue:   make(chan *exchange, server.limits.Load().MaxPipelined),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
+	created.idleSince.Store(time.Now().UnixNano())
+	return created
 }
 
 // serve serves the connection and closes it at the end.
@@ -97,10 +107,7 @@
 	_ = group.Wait()
 	c.cancel()
 	c.netConn.Close()
-	if !c.readerInUse.Load() {
-		c.reader.Reset(nil)
-		readBuffers.Put(c.reader)
-	}
+	c.putReader()
 	c.writer.Reset(nil)
 	writeBuffers.Put(c.writer)
 }
@@ -129,7 +136,7 @@
 			c.handleReadError(err)
 			return
 		}
-		next, last := c.readRequest()
+		next, last := c.readRequest(previous)
 		if next == nil {
 			return
 		}
@@ -142,6 +149,7 @@
 		// earlier one, closes the connection.
 		last = last || c.stopping.Load()
 		if c.ctx.Err() != nil || !c.startExchange(next, group) {
+			next.release()
 			return
 		}
 		<-next.bodyDone
@@ -150,6 +158,7 @@
 			// The handler may have left a goroutine that still reads the body.
 			return
 		}
+		c.shrinkReader()
 		if last {
 			c.watchForClose()
 			return
@@ -206,7 +215,7 @@
 
 // setIdleDeadline limits the wait for the next request.
 func (c *conn) setIdleDeadline() {
-	timeout := time.Duration(c.server.limits.IdleMillis) * time.Millisecond
+	timeout := time.Duration(c.server.limits.Load().IdleMillis) * time.Millisecond
 	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
 }
 
@@ -214,6 +223,7 @@
 // connection. An error by a deadline cancels nothing: the connection was idle or has
 // been stopped.
 func (c *conn) handleReadError(err error) {
+	answerPlain(err)
 	if !isTimeout(err) {
 		c.cancel()
 	}
@@ -224,51 +234,6 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// readRequest reads the next request. last reports that the caller sends no further one on
-// this connection. next is nil if no request can be read; a malformed one, or one with too
-// large a header, then gets an error response.
-func (c *conn) readRequest() (next *exchange, last bool) {
-	timeout := time.Duration(c.server.limits.HeaderMillis) * time.Millisecond
-	c.source.setDeadline(time.Now().Add(timeout))
-	c.source.limit(int64(c.server.limits.HeaderBytes - c.reader.Buffered()))
-	request, err := http.ReadRequest(c.reader)
-	exceeded := c.source.exceeded
-	c.source.unlimit()
-	c.source.setDeadline(time.Time{})
-	switch {
-	case exceeded:
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-		return nil, true
-	case isTimeout(err):
-		return nil, true
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-		c.cancel()
-		return nil, true
-	case err != nil:
-		c.refuse(http.StatusBadRequest)
-		return nil, true
-	case request.ProtoAtLeast(1, 1) && request.Host == "":
-		c.refuse(http.StatusBadRequest)
-		return nil, true
-	}
-	request.RemoteAddr = c.netConn.RemoteAddr().String()
-	next = newExchange(c, request)
-	return next, request.Close
-}
-
-// refuse queues an error response that closes the connection, for a request that can't
-// be read.
-func (c *conn) refuse(status int) {
-	refused := newExchange(c, nil)
-	refused.header.Set("Content-Length", "0")
-	refused.status = status
-	refused.closesConn = true
-	refused.markHandlerDone()
-	if c.open() {
-		c.queue <- refused
-	}
-}
-
 // startExchange queues an exchange, so that its response is written in turn, runs its
 // handler in a goroutine and returns true. If no further exchange may start, it does
 // nothing and returns false.
@@ -320,10 +285,12 @@
 		}
 		ended = !next.writeResponse()
 		c.setCurrent(nil, time.Time{})
+		c.idleSince.Store(time.Now().UnixNano())
 		if remaining := c.openExchanges.Add(next.closingCount(ended)); remaining == 0 {
 			c.becomeIdle()
 		}
 		next.releaseHeld()
+		next.release()
 		close(next.written)
 		if ended {
 			c.cancel()
--- a/internal/pipeliner/hold.go
+++ b/internal/pipeliner/hold.go
@@ -45,15 +45,12 @@
 	if size > maxHeldBytes {
 		return false
 	}
-	missing := int64(size-maxBufferedBytes) - e.reservedBytes
-	if missing <= 0 {
-		return true
-	}
+	missing := max(int64(size-maxBufferedBytes)-e.reservedBytes, 0)
 	if !reserve(&e.conn.server.heldBytes, missing) {
 		return false
 	}
 	e.reservedBytes += missing
-	return true
+	return e.take(int64(more))
 }
 
 // reserve adds a number of bytes to those that are held, unless they would exceed
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
 	"github.com/hemlockport/hemlockport/internal/configurer"
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
@@ -160,34 +161,31 @@
 // New opens the listeners of an instance and returns it. The settings must have passed
 // their validation.
 func New(settings configurer.Settings, platform Platform, log zerolog.Logger) (*Steerer, error) {
-	opened, err := openListeners(settings)
+	log = log.With().Str("Instance", settings.Name).Logger()
+	registry := metrics.NewRegistry()
+	opened, err := openListeners(settings, registry, log)
 	if err != nil {
 		return nil, err
 	}
 	s := &Steerer{
 		settings: settings,
 		platform: platform,
-		log:      log.With().Str("Instance", settings.Name).Logger(),
-		registry: metrics.NewRegistry(),
+		log:      log,
+		registry: registry,
 		self: registrar.Member{
 			Incarnation:   settings.Name + "-" + rand.Text(),
 			Name:          settings.Name,
 			Place:         settings.Place,
 			CallerAddress: settings.Callers.Listen,
 			PeerAddress:   settings.Peers.Listen,
-			Capacity: registrar.Capacity{
-				Cores:       settings.Capacity.Cores,
-				LinkMbits:   settings.Capacity.LinkMbits,
-				MemoryMB:    settings.Capacity.MemoryMB,
-				Descriptors: settings.Capacity.Descriptors,
-			},
+			Capacity:      statedCapacity(settings.Capacity),
 		},
 		listeners: opened,
 		plans:     holder.New[admitter.Plan](),
 		locators:  holder.New[locator.Locator](),
 		freshness: admitter.NewFreshness(time.Now()),
 		contact:   newContact(time.Now()),
-		inFlight:  tracker.New[receiver.InFlightRequest](settings.Callers.MaxInFlight),
+		inFlight:  tracker.New[receiver.InFlightRequest](fronter.MaxInFlight(settings)),
 		inputs: planInputs{
 			places: placesOf(settings),
 		},
@@ -226,6 +224,20 @@
 	return s, nil
 }
 
+// statedCapacity returns the capacity that the instance states to the others, which is unknown
+// unless the settings ask for it.
+func statedCapacity(capacity configurer.Capacity) registrar.Capacity {
+	if !capacity.StatesCapacity() {
+		return registrar.Capacity{}
+	}
+	return registrar.Capacity{
+		Cores:       capacity.Cores,
+		LinkMbits:   capacity.LinkMbits,
+		MemoryMB:    capacity.MemoryMB,
+		Descriptors: capacity.Descriptors,
+	}
+}
+
 // placesOf returns the failure domains in the settings.
 func placesOf(settings configurer.Settings) []declarer.Place {
 	places := make([]declarer.Place, 0, len(settings.Places))
@@ -260,6 +272,7 @@
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
+		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings.Capacity).IdleUpstream),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
 	s.receiver = receiver.New(receiver.Options{
