--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -45,7 +45,6 @@
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkDuty(s.Duty)
 	v.checkLog(s.Log)
-	v.checkCapacity(s.Capacity)
 	return v.faults
 }
 
