Let connections that have just begun to wait not give way

At the bound, a connection that had just been accepted was the first to give way, as it had sent nothing that had been read.

A connection now gives way only after 250 ms in its phase.

go test -race ./internal/pipeliner ./pkg/command/bounder passes.

--- a/internal/pipeliner/bound_test.go
+++ b/internal/pipeliner/bound_test.go
@@ -224,6 +224,10 @@
 	// The response may arrive before its connection counts as idle, and the slow head is read
 	// some time after it was sent.
 	await(t, func() bool { return server.Waiting(bounder.Idle) == 1 && server.Waiting(bounder.Reading) == 1 })
+	if server.CloseWaiting() {
+		t.Error("a connection was closed although both have only begun to wait")
+	}
+	time.Sleep(bounder.FreshMillis * time.Millisecond)
 	for _, closed := range closedReaders {
 		if !server.CloseWaiting() {
 			t.Fatalf("no connection was closed, want %s", closed.event)
--- a/internal/pipeliner/evict.go
+++ b/internal/pipeliner/evict.go
@@ -68,9 +68,10 @@
 	for {
 		var first *conn
 		var firstWaiting bounder.Waiting
+		now := time.Now()
 		s.conns.Range(func(key, _ any) bool {
 			candidate := key.(*conn)
-			if waiting, ok := candidate.waiting(); ok && allowed(candidate) &&
+			if waiting, ok := candidate.waiting(); ok && waiting.MayClose(now) && allowed(candidate) &&
 				(first == nil || waiting.ClosesBefore(firstWaiting)) {
 				first = candidate
 				firstWaiting = waiting
--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -153,6 +153,9 @@
 			Since: now,
 		},
 	}
+	if order[0].MayClose(now.Add((bounder.FreshMillis-1)*time.Millisecond)) || !order[0].MayClose(now.Add(bounder.FreshMillis*time.Millisecond)) {
+		t.Errorf("a connection must give way once it has waited for %d ms", bounder.FreshMillis)
+	}
 	for i, first := range order {
 		for j, second := range order {
 			if got := first.ClosesBefore(second); got != (i < j) {
--- a/pkg/command/bounder/order.go
+++ b/pkg/command/bounder/order.go
@@ -31,3 +31,13 @@
 	}
 	return w.Since.Before(other.Since)
 }
+
+// FreshMillis is how long a connection does not give way after its phase has begun, in
+// milliseconds. A caller that keeps to the limits sends its request with the first packet,
+// which may not have been read yet.
+const FreshMillis = 250
+
+// MayClose reports whether a connection may be closed in favour of another one.
+func (w Waiting) MayClose(now time.Time) bool {
+	return now.Sub(w.Since) >= FreshMillis*time.Millisecond
+}
