End Serve if the server was stopped before it began

A process hung: an instance that was stopped right after its start waited for its listener for ever. Two engineers saw tests hang with restart or Halt right after a start; the dumps show Serve in Accept.

Cause: Shutdown closes the listener that Serve has stored. If it runs first, there is none yet, and Serve accepts connections from then on.

Change: Serve closes the listener itself if Shutdown was called before. TestServeAfterShutdownEnds waits 5 s in vain without the change, and passes with it.

--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -138,6 +138,10 @@
 	s.listenerMu.Lock()
 	s.listener = listener
 	s.listenerMu.Unlock()
+	if s.stopped.Load() {
+		// Shutdown may have looked for the listener before it was stored.
+		s.closeListener()
+	}
 	for {
 		accepted, err := listener.Accept()
 		switch {
--- a/internal/pipeliner/stop_test.go
+++ b/internal/pipeliner/stop_test.go
@@ -261,3 +261,32 @@
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
+
+// TestServeAfterShutdownEnds guards against a server that accepts connections for ever because
+// it was stopped right after its start, before it had taken over the listener. The process
+// then hangs.
+func TestServeAfterShutdownEnds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	server := pipeliner.New(http.NotFoundHandler(), limits, func(any) {})
+	if err = server.Shutdown(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		ended <- server.Serve(listener)
+		return nil
+	})
+	select {
+	case err = <-ended:
+		if err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Serve still accepts connections after Shutdown")
+	}
+}
