--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -135,6 +135,15 @@
 			text:   validSettings + "[Queue]\nLongest = 0\nWaitShare = 1.5\n",
 			fields: []string{"Queue.Longest", "Queue.WaitShare"},
 		},
+		{
+			name: "smallest machine",
+			text: validSettings + "[Capacity]\nMemoryMB = 64\nDescriptors = 300\n",
+		},
+		{
+			name:   "machine too small",
+			text:   validSettings + "[Capacity]\nMemoryMB = 63\nDescriptors = 299\n",
+			fields: []string{"Capacity.MemoryMB", "Capacity.Descriptors"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 // maxBufferedBytes is how much of a response's body is buffered until its turn. The
@@ -22,8 +24,9 @@
 //
 // The response is buffered until the handler returns and written by the connection's
 // writer goroutine. If it is flushed or exceeds maxBufferedBytes, it is buffered only
-// until its turn; from then on the handler writes to the connection. Either way just
-// one goroutine writes to the connection at a time.
+// until its turn; from then on the handler writes to the connection, unless requests behind
+// it have started (see mayStream). Either way just one goroutine writes to the connection at
+// a time.
 type exchange struct {
 	conn    *conn
 	request *http.Request
@@ -32,16 +35,21 @@
 	safe bool
 	// closesConn reports that the connection closes after the response.
 	closesConn bool
+	// statusSet reports that the status can't change any more.
+	statusSet bool
 
 	header http.Header
 	// status is the response's HTTP status; 0 until it is set.
 	status int
-	// statusSet reports that the status can't change any more.
-	statusSet bool
 	// buffered is the response's body until it is written to the connection.
 	buffered bytes.Buffer
 	// streaming reports that the handler writes to the connection.
 	streaming bool
+	// marked reports that the connection's count of open exchanges has the streamingMark of
+	// this one.
+	marked bool
+	// reservedBytes is what buffered has reserved of the server's held bytes.
+	reservedBytes int64
 	// chunkWriter, if not nil, encodes the body as chunks.
 	chunkWriter io.WriteCloser
 	// broken reports that the response can't be completed, because its handler panicked, a
@@ -49,6 +57,10 @@
 	// without the end of the response, so that the caller doesn't take it for complete.
 	broken bool
 
+	// held is what the exchange has taken from the server's budget, in bytes. Only the
+	// handler changes it until it has returned.
+	held int64
+
 	body *watchedBody
 	// bodyDone is closed when the request's body is no longer read: it was read to its
 	// end, a read failed or the handler has returned.
@@ -133,30 +145,38 @@
 }
 
 // Write buffers a part of the response's body. Once the buffer would exceed
-// maxBufferedBytes, it waits for the response's turn and writes to the connection.
+// maxBufferedBytes, it waits for the response's turn and writes to the connection, if the
+// response may stream.
 func (e *exchange) Write(p []byte) (int, error) {
 	e.WriteHeader(http.StatusOK)
 	if !e.hasBody() {
 		return 0, http.ErrBodyNotAllowed
 	}
 	if !e.streaming {
-		if e.buffered.Len()+len(p) <= maxBufferedBytes {
+		if e.buffered.Len()+len(p) <= maxBufferedBytes && e.take(int64(len(p))) {
 			return e.buffered.Write(p)
 		}
-		if err := e.startStreaming(); err != nil {
+		if err := e.startStreaming(len(p)); err != nil {
 			return 0, err
 		}
+		if !e.streaming {
+			return e.buffered.Write(p)
+		}
 	}
 	return e.writeBody(p)
 }
 
-// FlushError waits for the response's turn and sends the buffered part of it.
+// FlushError waits for the response's turn and sends the buffered part of it, if the response
+// may stream.
 func (e *exchange) FlushError() error {
 	e.WriteHeader(http.StatusOK)
 	if !e.streaming {
-		if err := e.startStreaming(); err != nil {
+		if err := e.startStreaming(0); err != nil {
 			return err
 		}
+		if !e.streaming {
+			return nil
+		}
 	}
 	return e.conn.writer.Flush()
 }
@@ -194,16 +214,29 @@
 	return e.conn.setWriteDeadline(e, deadline)
 }
 
-// startStreaming waits for the response's turn and writes the buffered part of it. Later
-// parts go directly to the connection's writer.
-func (e *exchange) startStreaming() error {
+// startStreaming waits for the response's turn and writes the buffered part of it, if it may
+// stream. Later parts go directly to the connection's writer then. Otherwise the given number
+// of bytes may be buffered in addition.
+func (e *exchange) startStreaming(more int) error {
 	select {
 	case <-e.turn:
 	case <-e.conn.ctx.Done():
+	}
+	// The turn of a response that is discarded comes after ctx has ended. Written then, it
+	// could pass for the rest of the response before it.
+	if err := e.conn.ctx.Err(); err != nil {
 		e.broken = true
-		return e.conn.ctx.Err()
+		return err
+	}
+	if !e.mayStream(more) {
+		return nil
 	}
 	e.streaming = true
+	if !e.take(bounder.StreamBytes) {
+		e.broken = true
+		e.conn.server.onEvent(BrokenOff)
+		return errNoRoom
+	}
 	if err := e.writeHead(); err != nil {
 		return err
 	}
@@ -233,7 +266,7 @@
 // writeResponse waits for the handler to return, writes the response as far as the
 // handler hasn't, and reports whether the connection stays open.
 func (e *exchange) writeResponse() bool {
-	timeout := time.Duration(e.conn.server.limits.WriteMillis) * time.Millisecond
+	timeout := time.Duration(e.conn.server.limits.Load().WriteMillis) * time.Millisecond
 	e.conn.setCurrent(e, time.Now().Add(timeout))
 	close(e.turn)
 	<-e.handlerDone
@@ -245,7 +278,7 @@
 		if e.writeHead() != nil {
 			return false
 		}
-		if _, err := e.conn.writer.Write(e.buffered.Bytes()); err != nil {
+		if _, err := e.writeBody(e.buffered.Bytes()); err != nil {
 			return false
 		}
 	}
@@ -261,6 +294,8 @@
 	e.conn.openExchanges.Add(-1)
 	close(e.turn)
 	<-e.handlerDone
+	e.releaseHeld()
+	e.release()
 	close(e.written)
 }
 
--- a/internal/steerer/drain.go
+++ b/internal/steerer/drain.go
@@ -23,7 +23,7 @@
 	s.drainer.Begin(schedule)
 	s.wakeQueues()
 	if !schedule.CloseBy.IsZero() {
-		s.listeners.callers.LimitLinger(schedule.CloseBy)
+		s.listeners.callers.Lingering.LimitLinger(schedule.CloseBy)
 	}
 	s.leaving.Store(true)
 	s.callerServer.AnnounceClose()
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -84,14 +84,9 @@
 		random = a.objectHash
 	}
 	plan := a.currentPlan()
-	return random, plan.pools[a.Service], criteria{
-		now:          now,
-		avoid:        avoid,
-		routeRegions: a.Route.Declared.Homes,
-		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].includes(random),
-		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
-	}
+	wanted := a.criteriaAt(plan, now, random)
+	wanted.avoid = avoid
+	return random, plan.pools[a.Service], wanted
 }
 
 // roomProbe collects the upstreams that a policy would choose from.
--- a/pkg/command/leaser/leaser_test.go
+++ b/pkg/command/leaser/leaser_test.go
@@ -149,3 +149,67 @@
 		t.Fatal("got a holder, want none")
 	}
 }
+
+// TestLateWriteOfAnEarlierEra checks that a holder sends nothing that a late write of its own has
+// put into a store that has returned from an older copy: its lease goes on without that record.
+func TestLateWriteOfAnEarlierEra(t *testing.T) {
+	state, _ := acquire(t, otherHolder(1, 1, 5, true), 1)
+	late := state.View()
+	late.Position.Era = 2
+	late.Record.Sequence++
+	late.Record.Value = 7
+	now := state.CallFrom()
+	state = state.Read(late, now)
+	if state.MayCall(now) {
+		t.Fatal("got a call before the lease was written in the new era")
+	}
+	action := state.Decide(wants, now)
+	if action.Step != leaser.Write || action.Record.Value == late.Record.Value || action.Record.Era != 2 {
+		t.Fatalf("got step %v with the record %+v, want the earlier value in era 2", action.Step, action.Record)
+	}
+	state = state.Written(action.Record, storer.Position{
+		Era:      2,
+		Revision: late.Position.Revision + 1,
+	}, now, now)
+	if !state.MayCall(now) {
+		t.Fatal("got no call after the write, want one at once: the lease has no gap")
+	}
+}
+
+// TestCallsWhileTheStoreIsDown checks that instances that are far back in the order of precedence
+// do not all call a store that is down again and again.
+func TestCallsWhileTheStoreIsDown(t *testing.T) {
+	const outage = time.Minute
+	cases := []struct {
+		rank int
+		want int
+	}{
+		{
+			rank: 0,
+			want: int(outage / terms.Retry),
+		},
+		{
+			rank: 10,
+			want: int(outage / (terms.Retry + 10*terms.Turn)),
+		},
+		{
+			rank: 100,
+			want: 0,
+		},
+	}
+	for _, c := range cases {
+		behind := wants
+		behind.Rank = c.rank
+		state := leaser.New[int](terms, leaser.Holder{}, 0)
+		calls := 0
+		for now := time.Duration(0); now < outage; now += 50 * time.Millisecond {
+			if state.Decide(behind, now).Step != leaser.Wait {
+				calls++
+				state = state.Failed(false, now)
+			}
+		}
+		if calls > c.want+1 {
+			t.Errorf("rank %d: got %d calls in %v, want at most %d", c.rank, calls, outage, c.want+1)
+		}
+	}
+}
