--- a/internal/configurer/queue.go
+++ b/internal/configurer/queue.go
@@ -14,7 +14,7 @@
 	// Longest is how many requests of one service wait at most. 1 to 10000; 64 by default.
 	Longest int
 	// WaitShare is how long a request waits at most, as a fraction of the time from its arrival
-	// to its objective, or to its deadline if its route has no objective. 0.01 to 1; 0.5 by
+	// to its objective, or to its deadline if its route has no objective. 0.01 to 1; 0.1 by
 	// default.
 	WaitShare float64
 	// Level lets the instances agree on an admission level for each service, below which
@@ -29,7 +29,7 @@
 func defaultQueue() Queue {
 	return Queue{
 		Longest:   64,
-		WaitShare: 0.5,
+		WaitShare: 0.1,
 	}
 }
 
--- a/internal/simulator/queue_test.go
+++ b/internal/simulator/queue_test.go
@@ -201,7 +201,7 @@
 				without := playQueue(instances, load.factor, nil)
 				with := playQueue(instances, load.factor, &scheduler.Limits{
 					Longest:   64,
-					WaitShare: 0.5,
+					WaitShare: 0.1,
 				})
 				for _, name := range append([]string{"all", "orders", "reads"}, queueTeams...) {
 					t.Logf("%-8s in time %.3f, with the queue %.3f; answered %.3f, with the queue %.3f", name,
