Choose the upstream in the test of the expected room

The test took the first upstream of the plan, whose order is random, and failed when that was one of another service. It now takes the one that Acquire returns; the bounds are the same. 30 runs with the race detector pass.

--- a/pkg/command/admitter/room_test.go
+++ b/pkg/command/admitter/room_test.go
@@ -60,7 +60,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			plans, admit := newAdmitter(declaredSet(), now)
+			_, admit := newAdmitter(declaredSet(), now)
 			admission, refusal := admit.Admit(admitter.Request{
 				Host:   "shopfront",
 				Path:   "/patterns/1",
@@ -70,6 +70,11 @@
 			if refusal != nil {
 				t.Fatal(refusal)
 			}
+			only, refusal := admission.Acquire(now, 1, nil)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			only.Release()
 			var upstreams []*admitter.Upstream
 			for range c.taken {
 				upstream, refusal := admission.Acquire(now, 1, nil)
@@ -79,7 +84,7 @@
 				upstreams = append(upstreams, upstream)
 			}
 			if c.told.Total() > 0 {
-				plans.Load().Upstreams()[0].RecordLoad(registrar.Report{}.WithLoad(c.told), now.Add(-c.age))
+				only.RecordLoad(registrar.Report{}.WithLoad(c.told), now.Add(-c.age))
 			}
 			room := admission.Room(now, 1, answer).Expected(now)
 			if wait := room.At.Sub(now); wait < c.earliest || wait > c.latest {
