--- a/pkg/command/admitter/room_test.go
+++ b/pkg/command/admitter/room_test.go
@@ -70,6 +70,11 @@
 			if refusal != nil {
 				t.Fatal(refusal)
 			}
+			only, refusal := admission.Acquire(now, 1, nil)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			only.Release()
 			var upstreams []*admitter.Upstream
 			for range c.taken {
 				upstream, refusal := admission.Acquire(now, 1, nil)
@@ -79,12 +84,7 @@
 				upstreams = append(upstreams, upstream)
 			}
 			if c.told.Total() > 0 {
-				upstream, refusal := admission.Acquire(now, 1, nil)
-				if refusal != nil {
-					t.Fatal(refusal)
-				}
-				upstream.Release()
-				upstream.RecordLoad(registrar.Report{}.WithLoad(c.told), now.Add(-c.age))
+				only.RecordLoad(registrar.Report{}.WithLoad(c.told), now.Add(-c.age))
 			}
 			room := admission.Room(now, 1, answer).Expected(now)
 			if wait := room.At.Sub(now); wait < c.earliest || wait > c.latest {
