Give the duty up sooner if the platform does not answer

A silent platform was noticed 3 s after the end of the first call, which itself takes 1.5 s, so that the successor's first call came after the report was late. The time counts from the start of that call now and is 2 s. TestSilentPlatform checks the release within 6 s of the window's end, 3 s and a call before the report is late.

--- a/internal/command/usagereporter/duty.go
+++ b/internal/command/usagereporter/duty.go
@@ -16,10 +16,11 @@
 	storeTimeout = 2 * time.Second
 	callTimeout  = 1500 * time.Millisecond
 	// patience is how long a holder goes on if none of its calls is accepted, before it gives
-	// the duty up to one that may reach the platform. It doubles with each holder in sequence
-	// that has failed, up to maxPatienceDoublings times, because then the fault is the
-	// platform's.
-	patience             = 3 * time.Second
+	// the duty up to one that may reach the platform. With a first call 2 s after a window's
+	// end and calls that take callTimeout, the successor's first call comes 8 to 9 s after it,
+	// before the report is late. It doubles with each holder in sequence that has failed, up
+	// to maxPatienceDoublings times, because then the fault is the platform's.
+	patience             = 2 * time.Second
 	maxPatienceDoublings = 3
 	// partedPatience is how long a holder goes on while too few of the others are linked.
 	partedPatience = 2 * time.Second
@@ -115,7 +116,7 @@
 	switch {
 	case r.fleet.Leaving:
 		return releasedStopping
-	case r.term.failedFrom != 0 && now-r.term.failedFrom > patience<<doublings:
+	case r.term.failedFrom != 0 && now-r.term.failedFrom >= patience<<doublings:
 		return releasedUnreached
 	case r.partedFrom != 0 && now-r.partedFrom > partedPatience:
 		return releasedParted
@@ -220,6 +221,7 @@
 	r.mu.Lock()
 	token := r.state.Token()
 	now := r.now()
+	startedAt := now
 	r.term.nextCallAt = now + seconds(rateMargin/r.options.Settings.CallsPerSecond)
 	r.term.attempts++
 	r.mu.Unlock()
@@ -250,7 +252,7 @@
 		r.term.lastErr = err
 		r.term.nextCallAt = now + retryInterval
 		if r.term.failedFrom == 0 {
-			r.term.failedFrom = now
+			r.term.failedFrom = startedAt
 		}
 		r.status.callFailed(report.Window, token, err)
 		return
--- a/internal/command/usagereporter/reporter_test.go
+++ b/internal/command/usagereporter/reporter_test.go
@@ -243,3 +243,28 @@
 		t.Fatal("got no calls after the store has returned")
 	}
 }
+
+// TestSilentPlatform checks that a holder whose calls get no answer at all gives the duty up early
+// enough for the successor to report the window in time.
+func TestSilentPlatform(t *testing.T) {
+	const latest = 6 * time.Second
+	h := newHarness(t)
+	h.run(20 * time.Second)
+	h.callErr = ErrUnanswered
+	var begun leaser.Instant
+	h.onCall = func() {
+		if begun == 0 {
+			begun = h.now
+		}
+		h.now += callTimeout
+	}
+	for h.run(tickInterval); !h.record().Released; h.run(tickInterval) {
+		if begun != 0 && h.now-begun > time.Minute {
+			t.Fatal("the duty was not released")
+		}
+	}
+	// The first call follows the window's end by the time after which a window is recorded.
+	if age := h.reporter.schedule.Settle + h.now - begun; age > latest {
+		t.Fatalf("the duty was released %v after the window's end, want at most %v", age, latest)
+	}
+}
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -160,8 +160,8 @@
 	// them failed.
 	attempts int
 	lastErr  error
-	// failedFrom is the instant of the first call since which none was accepted; 0 if the last
-	// one was.
+	// failedFrom is when the first call began since which none was accepted; 0 if the last one
+	// was.
 	failedFrom leaser.Instant
 	// nextCallAt is the instant before which no call is made.
 	nextCallAt leaser.Instant
