Leave a part of the budget to answers of requests that have run

When the held bytes were used up, an answer that had to be passed on in parts was broken off, although its request had run, while new requests took the bytes that became free. An eighth of the budget is now left to such answers, so that new requests are refused first, which costs nothing.

go test -race ./pkg/command/bounder ./internal/pipeliner ./internal/receiver passes.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -210,7 +210,7 @@
 		return e.conn.ctx.Err()
 	}
 	e.streaming = true
-	if !e.take(bounder.StreamBytes) {
+	if !e.takeForAnswer(bounder.StreamBytes) {
 		e.broken = true
 		e.conn.server.onEvent(BrokenOff)
 		return errNoRoom
--- a/internal/pipeliner/held.go
+++ b/internal/pipeliner/held.go
@@ -14,6 +14,15 @@
 	return true
 }
 
+// takeForAnswer takes bytes from the server's budget for an answer that has to be passed on.
+func (e *exchange) takeForAnswer(bytes int64) bool {
+	if !e.conn.server.budget.TakeForAnswer(bytes) {
+		return false
+	}
+	e.held += bytes
+	return true
+}
+
 // release returns what the exchange has taken from the server's budget. The handler must
 // have returned.
 func (e *exchange) release() {
--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -97,6 +97,11 @@
 	if !budget.Take(bounder.HeadCost(300, 10)) {
 		t.Fatal("an ordinary request finds no room beside large ones")
 	}
+	for budget.Take(bounder.HeadCost(300, 10)) {
+	}
+	if !budget.TakeForAnswer(bounder.StreamBytes) {
+		t.Fatal("an answer to a request that has run finds no room beside requests")
+	}
 }
 
 // TestBudgetIsNeverExceeded guards against takers that race for the last bytes, and against
--- a/pkg/command/bounder/budget.go
+++ b/pkg/command/bounder/budget.go
@@ -21,17 +21,27 @@
 	}
 }
 
-// Take takes bytes from the budget and reports whether they were free. A size above
-// ordinaryBytes must leave half of the budget free, so that a few large requests do not
-// keep out all ordinary ones.
+// Take takes bytes from the budget and reports whether they were free. It leaves a part of
+// the budget to TakeForAnswer. A size above ordinaryBytes must leave half of the budget
+// free, so that a few large requests do not keep out all ordinary ones.
 func (b *Budget) Take(bytes int64) bool {
-	if b == nil {
+	switch {
+	case b == nil:
 		return true
+	case bytes > ordinaryBytes:
+		return b.takeUpTo(b.limit/2, bytes)
+	default:
+		return b.takeUpTo(b.limit-b.limit/answersPart, bytes)
 	}
-	limit := b.limit
-	if bytes > ordinaryBytes {
-		limit /= 2
-	}
+}
+
+// TakeForAnswer takes bytes for an answer to a request that has run, also from the part of
+// the budget that Take leaves free: a new request is refused before such an answer is lost.
+func (b *Budget) TakeForAnswer(bytes int64) bool {
+	return b == nil || b.takeUpTo(b.limit, bytes)
+}
+
+func (b *Budget) takeUpTo(limit, bytes int64) bool {
 	for {
 		held := b.held.Load()
 		if held+bytes > limit {
@@ -71,6 +81,8 @@
 	// ordinaryBytes is the largest cost of an ordinary request, in bytes: one with a head of
 	// up to 4 KB and 80 lines, or a part of its answer or body of as much.
 	ordinaryBytes = 48 << 10
+	// answersPart is the part of the budget that is left to answers: one in answersPart.
+	answersPart = 8
 	// StreamBytes is what an answer or a body that is passed on in parts costs, in bytes.
 	StreamBytes = 40 << 10
 )
