--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -232,7 +232,7 @@
 		return nil
 	}
 	e.streaming = true
-	if !e.take(bounder.StreamBytes) {
+	if !e.takeForAnswer(bounder.StreamBytes) {
 		e.broken = true
 		e.conn.server.onEvent(BrokenOff)
 		return errNoRoom
