Keep an unjudged version serving if nothing else but a version on trial is left

If all upstreams but those of withheld versions and of the target of a move were gone, the target got all requests at once. A version that is withheld only because its order was replaced has not been found bad, and the target has not been judged either: such a version now serves then, and the target keeps its share. After a version that was rolled back, the target is still preferred.

--- a/internal/steerer/inputs.go
+++ b/internal/steerer/inputs.go
@@ -60,9 +60,19 @@
 
 // withheldVersions returns the names of the versions that must get no requests.
 func (i planInputs) withheldVersions() []string {
+	return i.versionsByVerdict(mover.Verdict.Withheld)
+}
+
+// unjudgedVersions returns the names of the withheld versions that were not rolled back.
+func (i planInputs) unjudgedVersions() []string {
+	return i.versionsByVerdict(func(verdict mover.Verdict) bool { return verdict.State == mover.Running })
+}
+
+// versionsByVerdict returns the names of the versions whose verdicts are selected.
+func (i planInputs) versionsByVerdict(selects func(mover.Verdict) bool) []string {
 	var names []string
 	for _, verdict := range i.verdicts.All() {
-		if verdict.Withheld() {
+		if selects(verdict) {
 			names = append(names, versionName(verdict.Service, verdict.Version))
 		}
 	}
@@ -115,7 +125,8 @@
 		WithPlaces(declarer.NewTable(places...)).
 		WithMoves(declarer.NewTable(moves...)).
 		WithVersions(i.registeredVersions()).
-		WithWithheld(i.withheldVersions()...)
+		WithWithheld(i.withheldVersions()...).
+		WithUnjudged(i.unjudgedVersions()...)
 }
 
 // registeredVersions returns the versions of all declared services for which upstreams
--- a/pkg/command/admitter/rollout.go
+++ b/pkg/command/admitter/rollout.go
@@ -82,25 +82,19 @@
 // the upstreams of the new version get no requests. Upstreams of withheld versions get none
 // either, unless the service has no others.
 func (p *Plan) poolsFor(service declarer.Service) versionPools {
-	set := p.table.Set()
-	move, moving := findMove(set, service)
-	var stable, withheld, next []*Upstream
-	for version := range set.Versions.All() {
-		switch {
-		case moving && version.Name == move.To:
-			next = append(next, p.upstreamsOf(version)...)
-		case serves(service, version) && set.IsWithheld(version.Name):
-			withheld = append(withheld, p.upstreamsOf(version)...)
-		case serves(service, version):
-			stable = append(stable, p.upstreamsOf(version)...)
-		}
-	}
-	onlyNext := len(stable) == 0 && len(withheld) > 0 && moving && move.Share > 0 && len(next) > 0
+	move, moving := findMove(p.table.Set(), service)
+	groups := p.groupsOf(service, move, moving)
+	next := groups.next
+	stable := groups.stable
 	switch {
-	case onlyNext:
+	case len(stable) > 0:
+	case len(groups.unjudged) > 0:
+		stable = groups.unjudged
+	case len(groups.rolledBack) > 0 && len(next) > 0 && move.Share > 0:
+		// A version that is on trial is better than one that was rolled back.
 		move = move.WithShare(1)
-	case len(stable) == 0:
-		stable = withheld
+	default:
+		stable = groups.rolledBack
 	}
 	if !moving || move.Share == 0 {
 		return versionPools{
@@ -117,6 +111,38 @@
 	}
 }
 
+// versionGroups holds the upstreams of a service by what is known of their versions.
+type versionGroups struct {
+	// next are those of the target of the service's move.
+	next []*Upstream
+	// stable are those of the versions that serve without a move. rolledBack and unjudged are
+	// those of withheld versions (see declarer.Set).
+	stable     []*Upstream
+	rolledBack []*Upstream
+	unjudged   []*Upstream
+}
+
+// groupsOf returns the upstreams of a service. The move is that of the service, if it has one.
+func (p *Plan) groupsOf(service declarer.Service, move declarer.Move, moving bool) versionGroups {
+	set := p.table.Set()
+	var groups versionGroups
+	for version := range set.Versions.All() {
+		upstreams := p.upstreamsOf(version)
+		switch {
+		case moving && version.Name == move.To:
+			groups.next = append(groups.next, upstreams...)
+		case !serves(service, version):
+		case set.IsUnjudged(version.Name):
+			groups.unjudged = append(groups.unjudged, upstreams...)
+		case set.IsWithheld(version.Name):
+			groups.rolledBack = append(groups.rolledBack, upstreams...)
+		default:
+			groups.stable = append(groups.stable, upstreams...)
+		}
+	}
+	return groups
+}
+
 // findMove returns the move of a service, or false if it has none. A move of a service
 // that names its version has no effect, so it is not returned.
 func findMove(set declarer.Set, service declarer.Service) (declarer.Move, bool) {
--- a/pkg/command/admitter/withheld_test.go
+++ b/pkg/command/admitter/withheld_test.go
@@ -21,7 +21,9 @@
 		// to and share are the target and the share of the move, if to is not empty.
 		to    string
 		share float64
-		want  []string
+		// unjudged reports that v2 was not rolled back.
+		unjudged bool
+		want     []string
 	}{
 		{
 			name:   "beside a stable version",
@@ -55,6 +57,23 @@
 			share:  0.05,
 			want:   []string{"v3"},
 		},
+		{
+			name:     "unjudged, beside a stable version during the next move",
+			others:   []string{"v1", "v3"},
+			to:       "v3",
+			share:    0.5,
+			unjudged: true,
+			want:     []string{"v1", "v3"},
+		},
+		{
+			// The target has not been judged either, and must not get all requests at once.
+			name:     "unjudged, beside nothing but the target of a move",
+			others:   []string{"v3"},
+			to:       "v3",
+			share:    0.5,
+			unjudged: true,
+			want:     []string{"v2", "v3"},
+		},
 		{
 			name: "alone",
 			want: []string{"v2"},
@@ -66,6 +85,9 @@
 			set := openSet(true, false)
 			set, _ = set.Without(declarer.KindVersion, "shopfront-v1")
 			set = set.WithWithheld("v2")
+			if c.unjudged {
+				set = set.WithUnjudged("v2")
+			}
 			for i, name := range append([]string{"v2"}, c.others...) {
 				running := version("shopfront", 1)
 				running.Name = name
--- a/pkg/declarer/set.go
+++ b/pkg/declarer/set.go
@@ -56,14 +56,29 @@
 	// withheld holds the names of the versions that get no requests, except as the targets of
 	// moves, because earlier moves to them were rolled back. They are never declared by hand.
 	withheld []string
+	// unjudged holds the names of the withheld versions of which nothing bad is known: the orders of
+	// the moves to them were replaced before these had ended.
+	unjudged []string
 }
 
-// WithWithheld returns a set in which exactly the named versions are withheld.
+// WithWithheld returns a set in which exactly the named versions are withheld, and none is unjudged.
 func (s Set) WithWithheld(versions ...string) Set {
 	s.withheld = versions
+	s.unjudged = nil
 	return s
 }
 
+// WithUnjudged returns a set in which exactly the named withheld versions are unjudged.
+func (s Set) WithUnjudged(versions ...string) Set {
+	s.unjudged = versions
+	return s
+}
+
+// IsUnjudged reports whether the named version is withheld, but was not rolled back.
+func (s Set) IsUnjudged(version string) bool {
+	return slices.Contains(s.unjudged, version)
+}
+
 // IsWithheld reports whether the named version is withheld.
 func (s Set) IsWithheld(version string) bool {
 	return slices.Contains(s.withheld, version)
