--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -41,6 +41,7 @@
 	v.checkPlaces(s)
 	v.checkPlacing(s.Placing)
 	v.checkCapacity(s.Capacity)
+	v.checkMoves(s.Moves)
 	slack := s.Teams.Slack
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkDuty(s.Duty)
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -81,6 +81,8 @@
 ProbeMillis = 1
 [Retries]
 Ratio = 2.0
+[Moves]
+SlowExcess = 0.6
 [Drain]
 LimitMillis = 0
 KillSeconds = -1
@@ -95,7 +97,7 @@
 Form = "xml"
 `,
 			fields: []string{
-				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds",
+				"Platform.Address", "Upstreams.ProbeMillis", "Retries.Ratio", "Drain.LimitMillis", "Drain.KillSeconds", "Moves.SlowExcess",
 				"Duty.Address", "Duty.WindowSeconds", "Duty.LateSeconds", "Duty.LeaseMillis", "Duty.CallsPerSecond",
 				"Log.Level", "Log.Form",
 			},
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1360,6 +1360,9 @@
 				IdleMillis:     43,
 				LapseMillis:    44,
 			},
+			Moves: configurer.Moves{
+				SlowExcess: 45.5,
+			},
 			Retries: configurer.Retries{
 				Attempts: 46,
 				Ratio:    47.5,
@@ -1466,6 +1469,9 @@
 				IdleMillis:     43,
 				LapseMillis:    44,
 			},
+			Moves: configurer.Moves{
+				SlowExcess: 45.5,
+			},
 			Retries: configurer.Retries{
 				Attempts: 46,
 				Ratio:    47.5,
