Pass settings that depend on the platform through the deploy file

The deploy file passes the rest in the variable HEMLOCKPORT_SETTINGS, which serve applies after the settings file.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -23,6 +23,7 @@
 type serveCommand struct {
 	Output
 	Settings      string `type:"existingfile" env:"HEMLOCKPORT_NODE_FILE" placeholder:"FILE" help:"Settings file in TOML."`
+	MoreSettings  string `env:"HEMLOCKPORT_SETTINGS" placeholder:"TOML" help:"Settings in TOML that replace or add to those of the file."`
 	PrintSettings bool   `help:"Print the settings that would be in force, defaults included, and exit."`
 }
 
@@ -36,7 +37,7 @@
 			message: "--settings FILE is missing; --print-settings prints all settings with their defaults",
 		}
 	}
-	settings, err := configurer.ReadFile(c.Settings)
+	settings, err := configurer.ReadFile(c.Settings, c.MoreSettings)
 	var invalid *configurer.InvalidError
 	if errors.As(err, &invalid) {
 		return reportFaults(s, c.Output, invalid.Faults)
@@ -89,7 +90,7 @@
 // function returns an error.
 func (c *serveCommand) reloader(target entryInstance) func() error {
 	return func() error {
-		settings, err := configurer.ReadFile(c.Settings)
+		settings, err := configurer.ReadFile(c.Settings, c.MoreSettings)
 		if err != nil {
 			return err
 		}
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -352,31 +352,33 @@
 	return strings.Join(lines, "\n")
 }
 
-// ReadFile reads settings in TOML from a file, as Read does. Its error is an
+// ReadFile reads settings in TOML from a file and from further texts, as Read does. Its error is an
 // *InvalidError that lists every fault, or describes why the file cannot be read or
 // parsed.
-func ReadFile(name string) (Settings, error) {
+func ReadFile(name string, more ...string) (Settings, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return Settings{}, err
 	}
-	return Read(data)
+	return Read(data, more...)
 }
 
-// Read reads settings in TOML. Fields that are not set keep their defaults. Read
-// validates all fields before it returns, so that its error lists every fault.
-func Read(data []byte) (Settings, error) {
-	settings, err := encoder.TOML[Settings]{}.DecodeOver(data, Defaults())
-	var unknown *encoder.UnknownFieldsError
-	var faults []checker.Fault
-	switch {
-	case errors.As(err, &unknown):
-		for _, field := range unknown.Fields {
-			faults = append(faults, newFault(field, "", "a field of the settings; --print-settings lists them"))
-		}
-	case err != nil:
+// Read reads settings in TOML, and then those of each further text, which replace what the
+// texts before have set. Fields that are not set keep their defaults. Read validates all
+// fields before it returns, so that its error lists every fault.
+func Read(data []byte, more ...string) (Settings, error) {
+	settings, faults, err := decodeOver(data, Defaults())
+	if err != nil {
 		return Settings{}, err
 	}
+	for _, text := range more {
+		next, nextFaults, err := decodeOver([]byte(text), settings)
+		if err != nil {
+			return Settings{}, err
+		}
+		settings = next
+		faults = append(faults, nextFaults...)
+	}
 	settings, fileFaults := settings.withSecretsFromFiles()
 	faults = append(faults, fileFaults...)
 	faults = append(faults, settings.validate()...)
@@ -388,6 +390,21 @@
 	return settings, nil
 }
 
+// decodeOver decodes settings in TOML over others, which keep the fields that the text does not
+// set. The faults are the fields that are unknown.
+func decodeOver(data []byte, over Settings) (Settings, []checker.Fault, error) {
+	settings, err := encoder.TOML[Settings]{}.DecodeOver(data, over)
+	var unknown *encoder.UnknownFieldsError
+	if !errors.As(err, &unknown) {
+		return settings, nil, err
+	}
+	var faults []checker.Fault
+	for _, field := range unknown.Fields {
+		faults = append(faults, newFault(field, "", "a field of the settings; --print-settings lists them"))
+	}
+	return settings, faults, nil
+}
+
 // withSecretsFromFiles returns a copy in which the secrets are read from the files that
 // the settings name, and the faults of these files.
 func (s Settings) withSecretsFromFiles() (Settings, []checker.Fault) {
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -217,3 +217,59 @@
 		}
 	})
 }
+
+// TestLaterSettingsReplaceEarlierOnes guards against settings of a deployment that are lost
+// because another text sets fields of the same table, and against faults that are not reported
+// because they stand in the second text.
+func TestLaterSettingsReplaceEarlierOnes(t *testing.T) {
+	cases := []struct {
+		name string
+		more string
+		// choices and shift are those of the result.
+		choices int
+		shift   float64
+		fields  []string
+	}{
+		{
+			name:    "no further text",
+			choices: 2,
+		},
+		{
+			name:    "another field of the same table",
+			more:    "[Placing]\nShiftPerWindow = 0.075\n",
+			choices: 2,
+			shift:   0.075,
+		},
+		{
+			name:    "the same field",
+			more:    "[Placing]\nChoices = 3\n",
+			choices: 3,
+		},
+		{
+			name:   "faults",
+			more:   "[Placing]\nChoices = 9\nColour = \"red\"\n",
+			fields: []string{"Placing.Colour", "Placing.Choices"},
+		},
+	}
+	for _, c := range cases {
+		settings, err := configurer.Read([]byte(validSettings+"[Placing]\nChoices = 2\n"), c.more)
+		var invalid *configurer.InvalidError
+		if errors.As(err, &invalid) {
+			var fields []string
+			for _, fault := range invalid.Faults {
+				fields = append(fields, fault.Field)
+			}
+			if !slices.Equal(fields, c.fields) {
+				t.Errorf("%s: got faults in %v, want %v", c.name, fields, c.fields)
+			}
+			continue
+		}
+		if err != nil || len(c.fields) > 0 {
+			t.Errorf("%s: got error %v, want faults in %v", c.name, err, c.fields)
+			continue
+		}
+		if settings.Placing.Choices != c.choices || settings.Placing.ShiftPerWindow != c.shift {
+			t.Errorf("%s: got %+v, want choices %d and shift %v", c.name, settings.Placing, c.choices, c.shift)
+		}
+	}
+}
