Refuse a request by the queue only once

An instance with queues offered a refused request again, up to the number of attempts: the refusal has the verdict NotRun, after which a request may be sent again. Each repetition took a retry out of the service's budget, which retries after failures of upstreams then lacked, planned another time for the caller's retry, and let the request pass the admission level with a new random number, so that a share of 0.3 was one of up to 0.66.

A refusal by the queue or the level is now final. The level decides on a request before its first attempt only; before, it decided again after an attempt that failed before a byte was sent. Without queues nothing changes.

TestQueueRefusesOnce found the budget spent in both cases before.

--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -27,6 +27,15 @@
 	// mayHaveRunErr is the first error after which the request may have run. If a
 	// later attempt ends with NotRun, that holds for the later attempt only.
 	mayHaveRunErr error
+	// isFinal reports that the queue has refused the request. A further attempt would look for
+	// the same room and spend the budget of retries.
+	isFinal bool
+}
+
+// mayRepeat reports whether a further attempt is possible: whether the body is still available
+// and the queue has not refused the request.
+func (a *attempts) mayRepeat() bool {
+	return !a.isFinal && a.outbound.Body().Replayable()
 }
 
 // next makes the next attempt. If no upstream can be acquired, the key no longer works for the
--- a/internal/receiver/queue.go
+++ b/internal/receiver/queue.go
@@ -167,11 +167,7 @@
 // End ends the request if its service is no longer declared or the instance stops before an
 // answer is expected.
 func (w *waiting) End(now time.Time) bool {
-	if !w.attempts.admission.ServiceDeclared() {
-		w.refusal = arbiter.Refuse(arbiter.UnknownService, "the service was withdrawn while the request waited")
-	} else {
-		w.refusal = w.attempts.checkDrain(now)
-	}
+	w.refusal = w.attempts.checkWaiting(now)
 	if w.refusal == nil {
 		return false
 	}
@@ -203,7 +199,8 @@
 
 // acquire takes a slot at an upstream for the next attempt, and returns the time at which it
 // did. If no upstream has room, the request waits in its service's queue, unless there are no
-// queues or the request may have run.
+// queues or the request may have run. A refusal by the queue or by the admission level, which
+// decides once on each request, is final.
 func (a *attempts) acquire(ctx context.Context, now time.Time) (*admitter.Upstream, time.Time, *arbiter.Refusal) {
 	random := rand.Uint64()
 	queues := a.receiver.queues
@@ -212,8 +209,9 @@
 		return upstream, now, refusal
 	}
 	lane := queues.laneOf(a.admission)
-	if len(a.failed) == 0 && lane.queue.level.Load() != nil {
+	if a.outcome.Attempts == 0 && lane.queue.level.Load() != nil {
 		if refusal := a.admitByLevel(lane, now); refusal != nil {
+			a.isFinal = true
 			return nil, now, refusal
 		}
 	}
@@ -223,6 +221,7 @@
 		}
 	}
 	upstream, refusal := a.acquireInQueue(ctx, lane, random)
+	a.isFinal = refusal != nil
 	return upstream, time.Now(), refusal
 }
 
@@ -293,3 +292,12 @@
 func (a *attempts) checkDrain(now time.Time) *arbiter.Refusal {
 	return a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now)
 }
+
+// checkWaiting returns the refusal of a request that waits, if something other than a lack of
+// room ends it.
+func (a *attempts) checkWaiting(now time.Time) *arbiter.Refusal {
+	if !a.admission.ServiceDeclared() {
+		return arbiter.Refuse(arbiter.UnknownService, "the service was withdrawn while the request waited")
+	}
+	return a.checkDrain(now)
+}
--- a/internal/receiver/queue_test.go
+++ b/internal/receiver/queue_test.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/drainer"
+	"github.com/hemlockport/hemlockport/pkg/command/retrier"
 	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/query/router"
@@ -215,6 +216,84 @@
 	}
 }
 
+// TestQueueRefusesOnce guards against a request that is offered again by the same instance after
+// its queue or its admission level has refused it: it would spend the service's budget of
+// retries, and pass the level more often than the level's share.
+func TestQueueRefusesOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		// prepare brings about that most of the requests that follow are refused.
+		prepare func(t *testing.T, e *entry, queues *receiver.Queues)
+	}{
+		{
+			name: "the wait ends",
+			prepare: func(t *testing.T, e *entry, _ *receiver.Queues) {
+				upstream := newHoldingUpstream(t)
+				e.plans.Advance(*e.plans.Load().WithTable(router.New(2, slotSet(upstream.address, 1)), time.Now()))
+				var group errgroup.Group
+				request := e.request(t, http.MethodGet, "/orders/1", nil)
+				group.Go(func() error {
+					response, err := http.DefaultClient.Do(request)
+					if err == nil {
+						response.Body.Close()
+					}
+					return err
+				})
+				<-upstream.arrived
+				t.Cleanup(func() {
+					upstream.letGo <- struct{}{}
+					_ = group.Wait()
+				})
+			},
+		},
+		{
+			name: "the admission level is low",
+			prepare: func(t *testing.T, e *entry, queues *receiver.Queues) {
+				fetch(t, http.DefaultClient, e.request(t, http.MethodGet, "/orders/1", nil))
+				var counts scheduler.Counts
+				counts[0] = scheduler.Count{
+					Served: 1,
+					Full:   1000,
+				}
+				queues.SetLevels(map[string]scheduler.Level{
+					"shopfront": scheduler.NewLevel(counts),
+				})
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			queues := receiver.NewQueues(scheduler.Limits{
+				Longest:   8,
+				WaitShare: 0.02,
+			}, exporter.NewQueueCounters(metrics.NewRegistry()))
+			budgets := retrier.NewBudgets(0, 1)
+			e := newEntryOf(t, serviceSet([]string{newAnsweringUpstream(t)}), func(options *receiver.Options) {
+				options.Queues = queues
+				options.Budgets = budgets
+			})
+			c.prepare(t, e, queues)
+			refused := 0
+			for range 10 {
+				response, err := http.DefaultClient.Do(e.request(t, http.MethodGet, "/orders/2", nil))
+				if err != nil {
+					t.Fatal(err)
+				}
+				response.Body.Close()
+				if response.StatusCode == http.StatusServiceUnavailable {
+					refused++
+				}
+			}
+			if refused == 0 {
+				t.Fatal("no request was refused, want most of them")
+			}
+			if !budgets.For("shopfront").Spend() {
+				t.Error("the refusals have spent the budget of retries, want none spent")
+			}
+		})
+	}
+}
+
 // TestUrgentGoesFirst guards against a request that overtakes a more urgent one when the slot
 // becomes free.
 func TestUrgentGoesFirst(t *testing.T) {
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -105,18 +105,18 @@
 	admission admitter.Admission,
 	outcome *Outcome,
 ) (heldAnswer, error) {
-	policy := retrier.Policy{
-		Idempotent: admission.Idempotent,
-		Replayable: outbound.Body().Replayable,
-		Attempts:   admission.Attempts(r.attempts),
-		Deadline:   admission.Deadline,
-	}
 	attempts := &attempts{
 		receiver:  r,
 		outbound:  outbound,
 		admission: admission,
 		outcome:   outcome,
 	}
+	policy := retrier.Policy{
+		Idempotent: admission.Idempotent,
+		Replayable: attempts.mayRepeat,
+		Attempts:   admission.Attempts(r.attempts),
+		Deadline:   admission.Deadline,
+	}
 	return retrier.Run(ctx, r.budgets.For(admission.Service), policy, func(int) (heldAnswer, error) {
 		return attempts.next(ctx)
 	})
