Check the key of a request that waits for a slot

The key was checked before the wait for a slot and not after it. With FinishMillis above 0 a request in flight goes on for a while after its key was withdrawn, which is meant for requests that have been sent. One that waited in a queue was therefore sent with a withdrawn key, or with the name of a team that no longer has the key.

The queue now checks the key whenever it looks at a waiting request, which a new plan makes it do, and ends the request with the reason and NotRun. The new case of TestWaitEnds got the answer of the upstream before.

--- a/internal/receiver/queue.go
+++ b/internal/receiver/queue.go
@@ -164,8 +164,8 @@
 	return true
 }
 
-// End ends the request if its service is no longer declared or the instance stops before an
-// answer is expected.
+// End ends the request if its service is no longer declared, its key no longer works for the
+// team that it was admitted for, or the instance stops before an answer is expected.
 func (w *waiting) End(now time.Time) bool {
 	w.refusal = w.attempts.checkWaiting(now)
 	if w.refusal == nil {
@@ -299,5 +299,8 @@
 	if !a.admission.ServiceDeclared() {
 		return arbiter.Refuse(arbiter.UnknownService, "the service was withdrawn while the request waited")
 	}
+	if refusal := a.receiver.admitter.Recheck(a.admission, now); refusal != nil {
+		return refusal
+	}
 	return a.checkDrain(now)
 }
--- a/internal/receiver/queue_test.go
+++ b/internal/receiver/queue_test.go
@@ -159,6 +159,21 @@
 			reason:  arbiter.InstanceStopping,
 			within:  prompt,
 		},
+		{
+			name: "the key is withdrawn",
+			event: func(e *entry, upstream *holdingUpstream, queues *receiver.Queues) {
+				set := slotSet(upstream.address, 2).WithKey(declarer.Key{
+					Name: "quilters-1",
+					Team: "quilters",
+					Hash: declarer.HashKey(callerKey).String(),
+				}.WithWithdrawn())
+				e.plans.Advance(*e.plans.Load().WithTable(router.New(2, set), time.Now()))
+				queues.WakeAll()
+			},
+			verdict: arbiter.NotRun,
+			reason:  arbiter.KeyWithdrawn,
+			within:  prompt,
+		},
 		{
 			name:    "nothing happens until the longest wait ends",
 			verdict: arbiter.NotRun,
