Tell other regions no sum that lacks most of a region

The leader of a region tells the other leaders the region's demand. Two leaders told much less than that. One that is about to stop went on to lead by its own view while its region reported to the next by name already, so that the two sums replaced each other once a second. One that had just begun to lead told its own demand alone until the others had reported to it. The other regions took the difference for room and began to move their parts there.

An instance that leaves does not lead any more and reports its requests in flight to its successor. Parts were within their bound before as well.

--- a/internal/steerer/balance.go
+++ b/internal/steerer/balance.go
@@ -128,6 +128,9 @@
 	fractions := make(map[string]float64, len(loads))
 	messages := map[string]balancer.Message{}
 	s.balance.mu.Lock()
+	if s.leaving.Load() {
+		s.balance.balancer.Leave()
+	}
 	changed := s.balance.balancer.SetMembers(balancerMembers(members), now)
 	leads := s.balance.balancer.Leads()
 	for _, load := range loads {
--- a/pkg/command/balancer/balancer.go
+++ b/pkg/command/balancer/balancer.go
@@ -109,19 +109,30 @@
 	}
 }
 
+// Leave records that this instance is about to stop. From the next call of SetMembers on it does
+// not lead: the other instances follow another one and report to it.
+func (b *Balancer) Leave() {
+	b.self.Linked = false
+}
+
 // SetMembers replaces the other listed instances, and reports whether this instance has begun
 // or ceased to lead its region.
 func (b *Balancer) SetMembers(members []Member, now time.Time) bool {
 	wasCutOff := b.isCutOff()
 	b.members = members
-	leader := b.self.Name
+	leader := ""
+	if b.self.Linked {
+		leader = b.self.Name
+	}
 	leaders := map[string]string{}
 	for _, member := range members {
 		if !member.Linked {
 			continue
 		}
 		if member.Region == b.self.Region {
-			leader = min(leader, member.Name)
+			if leader == "" || member.Name < leader {
+				leader = member.Name
+			}
 			continue
 		}
 		if first, found := leaders[member.Region]; !found || member.Name < first {
@@ -158,7 +169,8 @@
 	case !member.Linked:
 		return Message{}, false
 	case member.Region != b.self.Region:
-		if !b.Leads() || b.leaders[member.Region] != member.Name {
+		// While this instance adopts the parts, most of its region has not reported to it yet.
+		if !b.Leads() || b.leaders[member.Region] != member.Name || now.Before(b.adoptUntil) {
 			return Message{}, false
 		}
 		message.Sums = b.regionDemand(now)
