Bound the answer to callers that share an address

A look-up from an address that many callers share got all nearest instances, also more than 64. Callers read 64, so that the instances beyond them, always the same ones by incarnation, got none of these callers. A failure domain with that many instances, or a region whose failure domain has none, is enough.

Such an answer now has 64 instances, and each instance's turn comes: one is replaced every 10 s, as callers close their connections to an instance that is not named any more. Answers of up to 64 instances stay as they are.

TestSharedAddressesGetABoundedAnswer got 100 instances before.

--- a/pkg/query/locator/draw_test.go
+++ b/pkg/query/locator/draw_test.go
@@ -193,6 +193,35 @@
 	}
 }
 
+// TestSharedAddressesGetABoundedAnswer guards against an answer to callers that share an address
+// of which they leave a part unread, so that the instances at its end get none of them.
+func TestSharedAddressesGetABoundedAnswer(t *testing.T) {
+	const (
+		instances  = 100
+		maxEntries = 64
+	)
+	subject := locator.New(unevenSource(2, instances-2, 0))
+	named := map[string]int{}
+	start := time.Unix(1_000_000, 0)
+	for i := range 10 * instances {
+		entries := subject.Nearest("derby", netip.Addr{}, start.Add(time.Duration(i)*time.Second)).Entries
+		if len(entries) != maxEntries {
+			t.Fatalf("got an answer with %d instances, want %d", len(entries), maxEntries)
+		}
+		for _, entry := range entries {
+			named[entry.Incarnation]++
+		}
+	}
+	if len(named) != instances {
+		t.Fatalf("got %d instances named, want all %d", len(named), instances)
+	}
+	for incarnation, count := range named {
+		if count != 10*maxEntries {
+			t.Errorf("%s: got %d answers that name it, want %d", incarnation, count, 10*maxEntries)
+		}
+	}
+}
+
 // TestCallersKeepTheirInstances guards against answers that change for callers whom the loss
 // of an instance does not concern: they would close their connections.
 func TestCallersKeepTheirInstances(t *testing.T) {
--- a/pkg/query/locator/locator.go
+++ b/pkg/query/locator/locator.go
@@ -153,7 +153,7 @@
 // names. For a failure domain that is not declared it uses Source.Home. If the capacities of
 // these instances differ, a caller gets DrawnEntries of them, chosen by its address so that it
 // keeps them, in proportion to the capacities. Otherwise, or if the caller's address is not
-// valid, it gets all of them.
+// valid, it gets all of them, but at most maxNearest.
 func (l *Locator) Nearest(place string, caller netip.Addr, now time.Time) Answer {
 	answer := Answer{
 		ValidUntil: now.Add(time.Duration(l.validMillis) * time.Millisecond),
@@ -166,13 +166,29 @@
 	if number >= len(l.sites) {
 		return answer
 	}
-	answer.Entries = l.sites[number].nearest
 	if draw := l.sites[number].draw; draw != nil && caller.IsValid() {
 		answer.Entries = draw.forCaller(caller)
+	} else {
+		answer.Entries = rotated(l.sites[number].nearest, now)
 	}
 	return answer
 }
 
+// rotationSeconds is the time after which another entry takes the place of one in the answers of
+// rotated. Callers close their connections to an instance that is no longer named.
+const rotationSeconds = 10
+
+// rotated returns all entries, or, if there are more than maxNearest, that many in turn.
+func rotated(entries []Entry, now time.Time) []Entry {
+	if len(entries) <= maxNearest {
+		return entries
+	}
+	first := int(now.Unix() / rotationSeconds % int64(len(entries)))
+	part := make([]Entry, 0, maxNearest)
+	part = append(part, entries[first:min(first+maxNearest, len(entries))]...)
+	return append(part, entries[:maxNearest-len(part)]...)
+}
+
 // DeclaredBlocks returns the lookup table of the client blocks that a set declares. The
 // number of a site is the index of its failure domain in the order of names.
 func DeclaredBlocks(set declarer.Set) *Blocks {
