Find the upstreams of a waiting request in linear time

A request that begins to wait, and each one that waits when the plan is replaced, collects the upstreams that it could use. Each was looked up in the list of those before it.

Requests that find a slot do not come here.

--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -21,7 +21,9 @@
 // soon slots become free that this instance's own requests hold.
 func (a Admission) Room(now time.Time, random uint64, answer time.Duration) Room {
 	random, pools, wanted := a.choice(now, random, nil)
-	probe := &roomProbe{}
+	probe := &roomProbe{
+		seen: map[*Upstream]struct{}{},
+	}
 	wanted.probe = probe
 	pools.acquire(random, wanted)
 	if len(probe.visited) == 0 {
@@ -92,13 +94,19 @@
 // roomProbe collects the upstreams that a policy would choose from.
 type roomProbe struct {
 	visited []*Upstream
+	// seen holds the upstreams of visited, because a policy may visit each of them several times.
+	seen map[*Upstream]struct{}
 }
 
 // visit records an upstream that may serve the request once it has room. It returns false, so
 // that the policy chooses none.
 func (p *roomProbe) visit(c *candidate, criteria criteria) bool {
 	live := c.Health() == Live || c.Health() == Suspect && (criteria.suspectsAllowed || c.suspicionExpired(criteria.now))
-	if live && criteria.allowsRegion(c.region) && !slices.Contains(p.visited, c.Upstream) {
+	if !live || !criteria.allowsRegion(c.region) {
+		return false
+	}
+	if _, found := p.seen[c.Upstream]; !found {
+		p.seen[c.Upstream] = struct{}{}
 		p.visited = append(p.visited, c.Upstream)
 	}
 	return false
--- a/pkg/command/admitter/room_test.go
+++ b/pkg/command/admitter/room_test.go
@@ -1,10 +1,12 @@
 package admitter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
@@ -102,3 +104,49 @@
 		})
 	}
 }
+
+// BenchmarkRoom shows how the cost of a wait follows the number of upstreams: it must not grow
+// faster than that number.
+func BenchmarkRoom(b *testing.B) {
+	cases := []struct {
+		name      string
+		upstreams int
+	}{
+		{
+			name:      "16 upstreams",
+			upstreams: 16,
+		},
+		{
+			name:      "1024 upstreams",
+			upstreams: 1024,
+		},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			now := time.Now()
+			set := declaredSet()
+			declared, _ := set.Versions.Get("shopfront-v1")
+			first := declared.Upstreams[0]
+			upstreams := make([]declarer.Upstream, 0, c.upstreams)
+			for i := range c.upstreams {
+				next := first
+				next.Name = fmt.Sprintf("upstream-%d", i)
+				next.Address = fmt.Sprintf("127.0.0.1:%d", i+1)
+				upstreams = append(upstreams, next)
+			}
+			_, admit := newAdmitter(set.WithVersion(declared.WithUpstreams(upstreams...)), now)
+			admission, refusal := admit.Admit(admitter.Request{
+				Host:   "shopfront",
+				Path:   "/patterns/1",
+				Method: "GET",
+				Now:    now,
+			})
+			if refusal != nil {
+				b.Fatal(refusal)
+			}
+			for b.Loop() {
+				admission.Room(now, 1, time.Second)
+			}
+		})
+	}
+}
