Count only slots in the fair order between teams

A request that began to wait took a place in its team's order, and kept it when it left without a slot: when its wait ended, its caller went away, or a more urgent request displaced it. Under overload a team that asks for more than the others therefore got less than its fair share, down to what the others left over: with teams that ask for 3, 1 and 1 slots a round where 2.25 are free, the first got 100 slots in 400 rounds and not 300.

The places of such requests go to the later ones of the team, so that only slots count. A request gets no place from before what had been served when it began to wait, as the order requires.

--- a/pkg/command/scheduler/fairness.go
+++ b/pkg/command/scheduler/fairness.go
@@ -38,6 +38,18 @@
 	f.served = max(f.served, tag)
 }
 
+// Floor returns what has been served.
+func (f *StartTimeFair) Floor() float64 {
+	return f.served
+}
+
+// Unserved takes back the count of one request of a team: only slots count, or a team whose
+// requests often wait in vain would get less than its fair share.
+func (f *StartTimeFair) Unserved(team string) float64 {
+	f.next[team]--
+	return 1
+}
+
 // ArrivalOrder lets requests go on in the order of their arrival, whatever their team. It is
 // the baseline that StartTimeFair is compared with.
 type ArrivalOrder struct {
@@ -64,3 +76,13 @@
 
 // Served does nothing: the order does not depend on what has been served.
 func (o *ArrivalOrder) Served(float64) {}
+
+// Floor returns 0: each request gets a higher tag than those before it anyway.
+func (o *ArrivalOrder) Floor() float64 {
+	return 0
+}
+
+// Unserved changes nothing.
+func (o *ArrivalOrder) Unserved(string) float64 {
+	return 0
+}
--- a/pkg/command/scheduler/queue.go
+++ b/pkg/command/scheduler/queue.go
@@ -16,9 +16,16 @@
 	Begin(team string) float64
 	// Served records that a request with this tag has stopped waiting to be sent.
 	Served(tag float64)
+	// Floor returns the lowest tag that a request can get now.
+	Floor() float64
+	// Unserved records that a request of a team has stopped waiting without a slot. It returns
+	// by how much the tags of the team's later requests decrease, each down to what Floor was
+	// when it began to wait.
+	Unserved(team string) float64
 }
 
-// Waiter is a request that waits. Its fields don't change while it waits, except for late.
+// Waiter is a request that waits. Its fields don't change while it waits, except for late and
+// tag.
 type Waiter[T any] struct {
 	Request Request
 	// Decision is what let the request wait.
@@ -30,6 +37,8 @@
 	// tag orders requests by Discipline, and number by arrival.
 	tag    float64
 	number uint64
+	// floor is the lowest value of tag.
+	floor float64
 }
 
 // Queue holds the requests of one service that wait at an instance, in the order in which
@@ -97,12 +106,14 @@
 		q.removeAt(len(q.waiters) - 1)
 	}
 	q.lastNumber++
+	discipline := q.disciplineOf(request.Priority)
 	added = &Waiter[T]{
 		Request:  request,
 		Decision: decision,
 		Value:    value,
 		late:     !decision.MeetsObjective,
-		tag:      q.disciplineOf(request.Priority).Begin(request.Team),
+		floor:    discipline.Floor(),
+		tag:      discipline.Begin(request.Team),
 		number:   q.lastNumber,
 	}
 	at, _ := slices.BinarySearchFunc(q.waiters, added, compare[T])
@@ -121,12 +132,33 @@
 	return true
 }
 
-// removeAt takes out the request at an index.
+// removeAt takes out the request at an index, which has got no slot.
 func (q *Queue[T, D]) removeAt(at int) {
+	removed := q.waiters[at]
 	q.waiters = slices.Delete(q.waiters, at, at+1)
+	q.forgo(removed)
 	q.dropIdle()
 }
 
+// forgo gives the places in the order that requests have not used, as they got no slot, to the
+// later ones of their teams.
+func (q *Queue[T, D]) forgo(unserved ...*Waiter[T]) {
+	if len(unserved) == 0 {
+		return
+	}
+	for _, gone := range unserved {
+		request := gone.Request
+		decrease := q.disciplineOf(request.Priority).Unserved(request.Team)
+		for _, waiter := range q.waiters {
+			isLater := waiter.number > gone.number && waiter.Request.Team == request.Team
+			if isLater && waiter.Request.Priority == request.Priority {
+				waiter.tag = max(waiter.tag-decrease, waiter.floor)
+			}
+		}
+	}
+	slices.SortFunc(q.waiters, compare[T])
+}
+
 // Result says what becomes of a waiting request.
 type Result int
 
@@ -150,16 +182,20 @@
 func (q *Queue[T, D]) Pass(now time.Time, try func(*Waiter[T]) Result) {
 	q.demoteLate(now)
 	kept := q.waiters[:0]
+	var unserved []*Waiter[T]
 	for _, waiter := range q.waiters {
 		switch try(waiter) {
 		case Stays:
 			kept = append(kept, waiter)
 		case Sent:
 			q.disciplineOf(waiter.Request.Priority).Served(waiter.tag)
+		case Left:
+			unserved = append(unserved, waiter)
 		}
 	}
 	clear(q.waiters[len(kept):])
 	q.waiters = kept
+	q.forgo(unserved...)
 	q.dropIdle()
 }
 
