Choose among as many upstreams of one region as have room for objects

The choice among two upstreams of all regions gives a small region more objects than its upstreams keep: two choices of 327 objects over 18 upstreams are 36 objects at upstreams that keep 12 to 29, while a region of 86 upstreams has room for each object several times.

With the table Affinity on, the region of an object is that of the upstream with the lowest hash position and distance cost, whatever the loads. Within it the object has as many choices as the upstreams there have room for (kept objects of all over the distinct objects seen there, at least 1, at most MaxCopies, a fraction of the objects one more). So load does not move requests between regions, and objects of the spillover meet the upstreams that the region's own requests use. With ObjectsPerUpstream 0, the default, the choice is as before.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -40,6 +40,7 @@
 	v.checkLimits(s)
 	v.checkPlaces(s)
 	v.checkPlacing(s.Placing)
+	v.checkAffinity(s.Affinity)
 	slack := s.Teams.Slack
 	v.require(slack >= 0 && slack <= maxCount, "Teams.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkLog(s.Log)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -37,6 +37,7 @@
 	Log       Log
 	Readiness Readiness
 	Placing   Placing
+	Affinity  Affinity
 	Teams     Teams
 }
 
@@ -305,6 +306,7 @@
 			FreeLoad:    0.8,
 			LoadWeight:  0.5,
 		},
+		Affinity: defaultAffinity(),
 	}
 }
 
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -107,8 +107,14 @@
 [Placing]
 Choices = 9
 OtherRegion = -0.5
+[Affinity]
+ObjectsPerUpstream = -1
+MaxCopies = 9
 `,
-			fields: []string{"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion", "Teams.Slack"},
+			fields: []string{
+				"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion",
+				"Affinity.ObjectsPerUpstream", "Affinity.MaxCopies", "Teams.Slack",
+			},
 		},
 		{
 			name:   "unknown platform",
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1325,6 +1325,10 @@
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
 			},
+			Affinity: configurer.Affinity{
+				ObjectsPerUpstream: 68,
+				MaxCopies:          69,
+			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
@@ -1409,6 +1413,10 @@
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
 			},
+			Affinity: configurer.Affinity{
+				ObjectsPerUpstream: 68,
+				MaxCopies:          69,
+			},
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -59,6 +59,7 @@
 	now := i.simulation.now
 	plan := i.plans.Load()
 	plan.AdjustSpillovers(now)
+	plan.UpdateRooms(now)
 	i.rationer.Apply(plan, now.Add(time.Hour), now)
 	if report, due := i.apportioner.NextReport(now); due {
 		i.sendReport(report)
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -198,6 +198,7 @@
 		s.reportDemand()
 		s.shareAdvertisements()
 		s.plans.Load().AdjustSpillovers(time.Now())
+		s.plans.Load().UpdateRooms(time.Now())
 		s.advanceMoves(ctx)
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -181,6 +181,9 @@
 		Choices:     settings.Placing.Choices,
 		FreeLoad:    settings.Placing.FreeLoad,
 		LoadWeight:  settings.Placing.LoadWeight,
+
+		ObjectsPerUpstream: settings.Affinity.ObjectsPerUpstream,
+		MaxCopies:          settings.Affinity.MaxCopies,
 	}))
 	s.assemble()
 	return s, nil
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -36,6 +36,9 @@
 	loadBounds map[string]*loadBound
 	// upstreams holds each upstream, by its address and incarnation.
 	upstreams map[upstreamID]*Upstream
+	// rooms holds how many objects the upstreams of each service in each region serve. It is
+	// nil if the number of copies does not follow that.
+	rooms map[RoomID]*room
 	// affinity configures the choice of upstreams by the object of a request. If it is
 	// nil, the nearest upstreams are preferred.
 	affinity *Affinity
@@ -59,6 +62,12 @@
 	Choices    int
 	FreeLoad   float64
 	LoadWeight float64
+	// ObjectsPerUpstream is the number of objects that an upstream keeps, so that it serves
+	// them faster. If it is not 0, each object has as many choices in its region as the
+	// upstreams there have room for, at most MaxCopies, instead of Choices among the upstreams
+	// of all regions.
+	ObjectsPerUpstream int
+	MaxCopies          int
 }
 
 // InitialPlan returns the initial plan, in which nothing is declared. Home is the name
@@ -214,6 +223,7 @@
 			next.upstreams[idOf(declared)] = p.upstreamFor(declared, version.Name, bound, seats, now)
 		}
 	}
+	next.rooms = p.roomsFor(set, now)
 	for service := range set.Services.All() {
 		next.pools[service.Name] = next.poolsFor(service)
 	}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -59,6 +59,9 @@
 	remote bool
 	// distanceCost is the cost of the distance for picker.Hashed.
 	distanceCost float64
+	// group is the upstreams of the pool in the same region. It is nil in pools without room
+	// for objects.
+	group *group
 }
 
 var _ picker.Hashed[criteria] = (*candidate)(nil)
@@ -123,6 +126,20 @@
 	return c.distanceCost
 }
 
+// Group identifies the upstreams of the same region.
+func (c *candidate) Group() int {
+	return c.group.number
+}
+
+// Copies returns the number of upstreams of the region that serve the object with a hash, or
+// 0 if the request gains nothing from an upstream that has served it before.
+func (c *candidate) Copies(criteria criteria, objectHash uint64) int {
+	if criteria.anyChoice {
+		return 0
+	}
+	return c.group.copies(objectHash)
+}
+
 // Pool holds upstreams that serve one service, in the order of preference. It is
 // immutable except for the state inside its upstreams.
 type Pool struct {
@@ -185,15 +202,20 @@
 	return pool
 }
 
+// rendezvous returns the policy that chooses among the upstreams of all regions.
+func (a Affinity) rendezvous() picker.Rendezvous[*candidate, criteria] {
+	return picker.Rendezvous[*candidate, criteria]{
+		Choices:    a.Choices,
+		FreeLoad:   a.FreeLoad,
+		LoadWeight: a.LoadWeight,
+	}
+}
+
 // newAffinityPool returns a pool with a single tier, in which each object has its own
 // order of preference among all upstreams.
 func newAffinityPool(upstreams []*Upstream, topology topology, affinity Affinity) *Pool {
 	pool := &Pool{
-		policy: picker.Rendezvous[*candidate, criteria]{
-			Choices:    affinity.Choices,
-			FreeLoad:   affinity.FreeLoad,
-			LoadWeight: affinity.LoadWeight,
-		},
+		policy: affinity.rendezvous(),
 	}
 	from, _ := topology.places.Get(topology.home)
 	var all []*candidate
@@ -217,6 +239,20 @@
 	return pool
 }
 
+// withCopies returns the pool with a choice among as many upstreams of one region as have
+// room for the objects there. The function roomOf returns the room of a region.
+func (p *Pool) withCopies(roomOf func(region string) *room, affinity Affinity) *Pool {
+	for _, tier := range p.tiers {
+		groupUpstreams(tier, roomOf, affinity)
+	}
+	return &Pool{
+		tiers: p.tiers,
+		policy: picker.Copies[*candidate, criteria]{
+			Rendezvous: affinity.rendezvous(),
+		},
+	}
+}
+
 // Acquire takes a slot at the most preferred upstream that has one free and returns that
 // upstream. It skips the upstream to avoid. If the limits of the preferred upstreams are
 // used up, other upstreams are preferred. Suspect upstreams are tried last, and leaving
@@ -258,6 +294,7 @@
 				break
 			}
 			if picked.takeSlot(criteria.now) {
+				picked.countObject(hash, criteria)
 				return picked.Upstream, true
 			}
 		}
--- a/pkg/command/admitter/rollout.go
+++ b/pkg/command/admitter/rollout.go
@@ -94,15 +94,15 @@
 	}
 	if !moving || move.Share == 0 {
 		return versionPools{
-			stable: p.newPool(stable),
+			stable: p.newPool(service.Name, stable),
 		}
 	}
 	if move.Share < 1 {
 		next = next[:canaryCount(len(next), max(move.Share, move.CanaryPercent/100))]
 	}
 	return versionPools{
-		stable: p.newPool(stable),
-		next:   p.newPool(next),
+		stable: p.newPool(service.Name, stable),
+		next:   p.newPool(service.Name, next),
 		share:  move.Share,
 	}
 }
@@ -136,14 +136,17 @@
 	return upstreams
 }
 
-// newPool returns a pool that orders upstreams by affinity if the plan has settings for
-// it, and by distance from this instance otherwise.
-func (p *Plan) newPool(upstreams []*Upstream) *Pool {
+// newPool returns a pool that orders a service's upstreams by affinity if the plan has
+// settings for it, and by distance from this instance otherwise.
+func (p *Plan) newPool(service string, upstreams []*Upstream) *Pool {
 	topology := topology{
 		places: p.table.Set().Places,
 		home:   p.home,
 	}
-	if p.affinity != nil {
+	switch {
+	case p.keepsObjects():
+		return newAffinityPool(upstreams, topology, *p.affinity).withCopies(p.roomsOf(service), *p.affinity)
+	case p.affinity != nil:
 		return newAffinityPool(upstreams, topology, *p.affinity)
 	}
 	return newNearestPool(upstreams, topology)
--- /dev/null
+++ b/pkg/query/picker/copies.go
@@ -0,0 +1,110 @@
+package picker
+
+import "math"
+
+// Grouped is a candidate for Copies. Candidates of one group, such as a region, are close to
+// one another.
+type Grouped[R any] interface {
+	Hashed[R]
+	// Group identifies the candidate's group.
+	Group() int
+	// Copies returns the number of candidates of the candidate's group that serve the object
+	// with a hash, 1 to MaxChoices. It returns 0 if the request gains nothing from a candidate
+	// that has served its object before; that holds for all candidates or for none.
+	Copies(request R, hash uint64) int
+}
+
+// Copies chooses by rendezvous hashing as Rendezvous does, but among candidates of one group,
+// whose number each group sets. The group is that of the candidate with the lowest position
+// and distance cost, whatever its load. So load never moves a request to another group, and
+// the requests that all instances send to a group for one object meet at the same candidates.
+// Requests that gain nothing from that are chosen for by Rendezvous.
+type Copies[C Grouped[R], R any] struct {
+	Rendezvous[C, R]
+}
+
+// Pick returns the usable candidate with the lowest cost, load included, among the first
+// candidates of the object's group. It returns false if none of these is usable.
+func (p Copies[C, R]) Pick(candidates []C, hash uint64, request R) (C, bool) {
+	if len(candidates) == 0 || candidates[0].Copies(request, hash) == 0 {
+		return p.Rendezvous.Pick(candidates, hash, request)
+	}
+	nearest, found := p.nearest(candidates, hash, request)
+	if !found {
+		return nearest, false
+	}
+	copies := min(nearest.Copies(request, hash), MaxChoices)
+	var first [MaxChoices]rankedCandidate[C]
+	count := p.firstOfGroup(first[:copies], candidates, hash, request, nearest.Group())
+	return p.lowestCost(first[:count], request)
+}
+
+// nearest returns the eligible candidate with the lowest position and distance cost.
+func (p Copies[C, R]) nearest(candidates []C, hash uint64, request R) (nearest C, found bool) {
+	lowest := math.Inf(1)
+	for _, candidate := range candidates {
+		// Most candidates cost too much, so the cost is compared before the eligibility.
+		cost := p.rankCost(candidate, hash, request)
+		if cost >= lowest || !candidate.Eligible(request) {
+			continue
+		}
+		nearest = candidate
+		lowest = cost
+		found = true
+	}
+	return nearest, found
+}
+
+// firstOfGroup fills first with the eligible candidates of a group that have the lowest
+// positions, in their order, and returns how many there are.
+func (p Copies[C, R]) firstOfGroup(
+	first []rankedCandidate[C],
+	candidates []C,
+	hash uint64,
+	request R,
+	group int,
+) int {
+	count := 0
+	for _, candidate := range candidates {
+		if candidate.Group() != group {
+			continue
+		}
+		next := rankedCandidate[C]{
+			candidate: candidate,
+			cost:      hashPosition(hash, candidate.Seed()),
+		}
+		full := count == len(first)
+		if (full && next.cost >= first[count-1].cost) || !candidate.Eligible(request) {
+			continue
+		}
+		if !full {
+			count++
+		}
+		insert(first[:count], next)
+	}
+	return count
+}
+
+// Rank returns the position, from 1, of the candidate that wanted accepts in the order of
+// preference for the object with that hash among the candidates of its group. All of them
+// count, usable or not, and their loads do not. It returns 0 if wanted accepts none.
+func (p Copies[C, R]) Rank(candidates []C, hash uint64, request R, wanted func(C) bool) int {
+	for _, candidate := range candidates {
+		if wanted(candidate) {
+			return p.rankInGroup(candidates, hash, candidate)
+		}
+	}
+	return 0
+}
+
+// rankInGroup returns the rank of a candidate (see Rank).
+func (p Copies[C, R]) rankInGroup(candidates []C, hash uint64, ranked C) int {
+	position := hashPosition(hash, ranked.Seed())
+	rank := 1
+	for _, other := range candidates {
+		if other.Group() == ranked.Group() && hashPosition(hash, other.Seed()) < position {
+			rank++
+		}
+	}
+	return rank
+}
