Show copies and expected time in log lines, explain and metrics

An operator could not tell among how many upstreams a request was chosen for, nor why one of them was preferred. Answered and Refused now have the fields Copies and ExpectedTime of the last attempt, and RefusedCopies and RefusedExpectedTime when no copy had room; explain puts them into its sentence. SurveyLeader is logged when another instance leads the failure domain. hemlockport_surveys_received_total, hemlockport_findings_received_total and hemlockport_objects by region and service show the exchange. Without Affinity.ObjectsPerUpstream none of the fields appears.

--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -153,7 +153,7 @@
 	case arbiter.TeamOverRate:
 		return explainOverRate(end, beliefs)
 	case arbiter.NoRoom:
-		return fmt.Sprintf("%s had no upstream of %s with a free slot, as far as it knew%s.", end.Instance, end.Service, ageSuffix(beliefs, "UpstreamsListed"))
+		return fmt.Sprintf("%s had no upstream of %s with a free slot, as far as it knew%s%s.", end.Instance, end.Service, ageSuffix(beliefs, "UpstreamsListed"), refusedCopySuffix(end))
 	case arbiter.UnknownService:
 		return fmt.Sprintf("the declaration %d of %s has no route for this host and path%s.", end.Revision, end.Instance, ageSuffix(beliefs, "ConfigInForce"))
 	case arbiter.KeyMissing, arbiter.KeyUnknown, arbiter.KeyWithdrawn:
@@ -184,7 +184,25 @@
 	if end.Status >= http.StatusInternalServerError {
 		return fmt.Sprintf("%s answered %d by itself after %d ms, and it was passed on.", end.Upstream, end.Status, end.TookMillis)
 	}
-	return fmt.Sprintf("%s answered %d after %d ms; it did not fail here.", end.Upstream, end.Status, end.TookMillis)
+	return fmt.Sprintf("%s answered %d after %d ms; it did not fail here%s.", end.Upstream, end.Status, end.TookMillis, copySuffix(end))
+}
+
+// copySuffix says which copy of its object a request went to, if that is known.
+func copySuffix(end Line) string {
+	if end.Copies == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; the upstream has rank %d for the object, which has %d copies, and was expected to take %.2f times as long as an idle one",
+		end.Rank, end.Copies, end.ExpectedTime)
+}
+
+// refusedCopySuffix says among how many copies a request found none with room, if that is known.
+func refusedCopySuffix(end Line) string {
+	if end.RefusedCopies == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; the object has %d copies, of which the best was expected to take %.2f times as long as an idle one",
+		end.RefusedCopies, end.RefusedExpectedTime)
 }
 
 // explainOverRate explains a request that was refused because its team's limit was used
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -40,6 +40,7 @@
 	upstream, refusal := a.admission.Acquire(now, rand.Uint64(), a.lastFailed())
 	if refusal != nil {
 		a.outcome.LoadBound = a.admission.LoadBound()
+		a.outcome.Refused = a.admission.RefusalAt(now)
 		return a.lastAnswer, a.overallError(refusal)
 	}
 	a.lastAnswer.discard()
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -34,6 +34,9 @@
 	// LoadBound is the service's load bound if an attempt found no upstream with room for
 	// the request, or 0 (see admitter.Admission.LoadBound).
 	LoadBound float64
+	// Refused describes the choices of the request if an attempt found no upstream with room
+	// for it (see admitter.Admission.RefusalAt).
+	Refused admitter.Placement
 	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
 	Status int
 	// Refusal is why the request failed, or nil.
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -97,6 +97,11 @@
 	if outcome.Attempts > 0 {
 		line = addPlacementFields(line, outcome.Placement)
 	}
+	if outcome.Refused.Copies > 0 {
+		line = line.
+			Int("RefusedCopies", outcome.Refused.Copies).
+			Float64("RefusedExpectedTime", roundLoad(outcome.Refused.ExpectedTime))
+	}
 	if outcome.LoadBound > 0 {
 		line = line.Float64("LoadBound", roundLoad(outcome.LoadBound))
 	}
@@ -117,6 +122,11 @@
 	line = line.
 		Int("Rank", placement.Rank).
 		Float64("Load", roundLoad(placement.Load))
+	if placement.Copies > 0 {
+		line = line.
+			Int("Copies", placement.Copies).
+			Float64("ExpectedTime", roundLoad(placement.ExpectedTime))
+	}
 	if !placement.LoadObservedAt.IsZero() {
 		line = line.Int64("LoadAgeMillis", placement.ChosenAt.Sub(placement.LoadObservedAt).Milliseconds())
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -80,6 +80,10 @@
 	// path of a request.
 	surveyMu sync.Mutex
 	surveyor *surveyor.Surveyor
+	// surveyLeader is the incarnation of the leader that was logged last. Only refreshLoop uses
+	// it.
+	surveyLeader   string
+	surveyCounters surveyCounters
 	// lendersInputs is what the lenders of all limiters were last computed from. planMu
 	// guards it.
 	lendersInputs lendersInputs
@@ -177,6 +181,7 @@
 	s.apportioner = apportioner.New(s.self.Name, s.self.Incarnation)
 	s.rationer = rationer.New(s.apportioner)
 	s.surveyor = surveyor.New()
+	s.surveyCounters = newSurveyCounters(s.registry)
 	s.demandBroadcast = newDemandBroadcast(apportioner.Report{})
 	s.roster.Store(&registrar.Roster{})
 	s.countersByService.Store(&map[string]*moveCounters{})
--- a/internal/steerer/survey.go
+++ b/internal/steerer/survey.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
-	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
-	"github.com/hemlockport/hemlockport/pkg/command/enumerator"
 	"github.com/hemlockport/hemlockport/pkg/command/surveyor"
 	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -22,162 +23,6 @@
 	topicFindings = "Findings"
 )
 
-// survey is the encoding of a surveyor.Survey on a link.
-type survey struct {
-	_     struct{} `cbor:",toarray"`
-	Rooms []roomDigest
-	Loads []loadSum
-}
-
-// roomDigest is the encoding of an admitter.RoomDigest on a link.
-type roomDigest struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Region  string
-	Samples uint64
-	Bits    [enumerator.Words]uint64
-}
-
-// loadSum is the encoding of an admitter.LoadSum on a link.
-type loadSum struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream uint64
-	// Thousandths is the sum in thousandths of a request per slot.
-	Thousandths uint64
-	Count       uint64
-	// SlowdownThousandths is the sum of the slowdowns in thousandths of what is usual.
-	SlowdownThousandths uint64
-	SlowdownCount       uint64
-}
-
-// findings is the encoding of surveyor.Findings on a link.
-type findings struct {
-	_     struct{} `cbor:",toarray"`
-	Rooms []roomNotice
-	Loads []loadNotice
-}
-
-// roomNotice is the encoding of an admitter.RoomNotice on a link.
-type roomNotice struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Region  string
-	Objects uint64
-}
-
-// loadNotice is the encoding of an admitter.LoadNotice on a link.
-type loadNotice struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream uint64
-	// Thousandths is the load in thousandths of a request per slot.
-	Thousandths uint64
-	// SlowdownThousandths is the slowdown in thousandths of what is usual, or 0.
-	SlowdownThousandths uint64
-}
-
-// thousandthsPerUnit converts requests per slot and slowdowns to thousandths.
-const thousandthsPerUnit = 1000
-
-var (
-	surveyCodec   = encoder.CBOR[survey]{}
-	findingsCodec = encoder.CBOR[findings]{}
-)
-
-// newSurvey converts a survey to its encoding on a link.
-func newSurvey(source surveyor.Survey) survey {
-	message := survey{}
-	for _, room := range source.Rooms {
-		message.Rooms = append(message.Rooms, roomDigest{
-			Service: room.ID.Service,
-			Region:  room.ID.Region,
-			Samples: room.Digest.Samples,
-			Bits:    room.Digest.Bits,
-		})
-	}
-	for _, load := range source.Loads {
-		message.Loads = append(message.Loads, loadSum{
-			Upstream:    load.Upstream,
-			Thousandths: uint64(load.Sum * thousandthsPerUnit),
-			Count:       load.Count,
-
-			SlowdownThousandths: uint64(load.Slowdowns * thousandthsPerUnit),
-			SlowdownCount:       load.SlowdownCount,
-		})
-	}
-	return message
-}
-
-// surveyorSurvey converts a received survey to the surveyor's form.
-func (s survey) surveyorSurvey() surveyor.Survey {
-	decoded := surveyor.Survey{}
-	for _, room := range s.Rooms {
-		decoded.Rooms = append(decoded.Rooms, admitter.RoomDigest{
-			ID: admitter.RoomID{
-				Service: room.Service,
-				Region:  room.Region,
-			},
-			Digest: enumerator.Digest{
-				Samples: room.Samples,
-				Bits:    room.Bits,
-			},
-		})
-	}
-	for _, load := range s.Loads {
-		decoded.Loads = append(decoded.Loads, admitter.LoadSum{
-			Upstream: load.Upstream,
-			Sum:      float64(load.Thousandths) / thousandthsPerUnit,
-			Count:    load.Count,
-
-			Slowdowns:     float64(load.SlowdownThousandths) / thousandthsPerUnit,
-			SlowdownCount: load.SlowdownCount,
-		})
-	}
-	return decoded
-}
-
-// newFindings converts findings to their encoding on a link.
-func newFindings(source surveyor.Findings) findings {
-	message := findings{}
-	for _, room := range source.Rooms {
-		message.Rooms = append(message.Rooms, roomNotice{
-			Service: room.ID.Service,
-			Region:  room.ID.Region,
-			Objects: uint64(room.Objects),
-		})
-	}
-	for _, load := range source.Loads {
-		message.Loads = append(message.Loads, loadNotice{
-			Upstream:    load.Upstream,
-			Thousandths: uint64(load.Load * thousandthsPerUnit),
-
-			SlowdownThousandths: uint64(load.Slowdown * thousandthsPerUnit),
-		})
-	}
-	return message
-}
-
-// surveyorFindings converts received findings to the surveyor's form.
-func (f findings) surveyorFindings() surveyor.Findings {
-	decoded := surveyor.Findings{}
-	for _, room := range f.Rooms {
-		decoded.Rooms = append(decoded.Rooms, admitter.RoomNotice{
-			ID: admitter.RoomID{
-				Service: room.Service,
-				Region:  room.Region,
-			},
-			Objects: float64(room.Objects),
-		})
-	}
-	for _, load := range f.Loads {
-		decoded.Loads = append(decoded.Loads, admitter.LoadNotice{
-			Upstream: load.Upstream,
-			Load:     float64(load.Thousandths) / thousandthsPerUnit,
-			Slowdown: float64(load.SlowdownThousandths) / thousandthsPerUnit,
-		})
-	}
-	return decoded
-}
-
 // registerSurveyHandlers receives the surveys and the findings of peers.
 func (s *Steerer) registerSurveyHandlers() {
 	receiveSurvey := handler.CommandFunc[survey, reporter.Empty](
@@ -189,6 +34,7 @@
 	linker.HandleCommand(s.hub, topicSurvey, receiveSurvey, surveyCodec, emptyCodec)
 	receiveFindings := handler.CommandFunc[findings, reporter.Empty](
 		func(_ context.Context, received findings) (reporter.Empty, error) {
+			s.surveyCounters.findings.Inc(1)
 			s.applyFindings(received.surveyorFindings(), time.Now())
 			return reporter.Empty{}, nil
 		},
@@ -196,8 +42,31 @@
 	linker.HandleCommand(s.hub, topicFindings, receiveFindings, findingsCodec, emptyCodec)
 }
 
+// surveyCounters count the messages of surveys.
+type surveyCounters struct {
+	surveys  metrics.Counter
+	findings metrics.Counter
+}
+
+func newSurveyCounters(registry metrics.Registry) surveyCounters {
+	return surveyCounters{
+		surveys:  metrics.GetOrRegisterCounter("hemlockport_surveys_received_total", registry),
+		findings: metrics.GetOrRegisterCounter("hemlockport_findings_received_total", registry),
+	}
+}
+
+// updateObjectGauges exports the number of distinct objects at the upstreams of each service
+// and region.
+func (s *Steerer) updateObjectGauges(plan *admitter.Plan) {
+	for _, room := range plan.Rooms() {
+		name := fmt.Sprintf("hemlockport_objects{region=%q,service=%q}", room.ID.Region, room.ID.Service)
+		metrics.GetOrRegisterGauge(name, s.registry).Update(int64(room.Objects))
+	}
+}
+
 // receiveSurvey receives the survey of a peer.
 func (s *Steerer) receiveSurvey(peer registrar.Member, received surveyor.Survey, now time.Time) {
+	s.surveyCounters.surveys.Inc(1)
 	s.surveyMu.Lock()
 	defer s.surveyMu.Unlock()
 	if peer.Place == s.self.Place {
@@ -222,12 +91,14 @@
 		return
 	}
 	plan := s.plans.Load()
+	s.updateObjectGauges(plan)
 	own := surveyor.Survey{
 		Rooms: plan.RoomDigests(),
 		Loads: plan.TakeLoadSums(),
 	}
 	leaders := s.surveyLeaders()
 	leader := leaders[s.self.Place]
+	s.logSurveyLeader(leader)
 	if leader.Incarnation != s.self.Incarnation {
 		s.sendSurvey(leader, newSurvey(own))
 		return
@@ -239,6 +110,15 @@
 	s.tellFindings(leaders, newSurvey(domain), newFindings(found))
 }
 
+// logSurveyLeader logs that another instance leads this instance's failure domain than before.
+func (s *Steerer) logSurveyLeader(leader registrar.Member) {
+	if leader.Incarnation == s.surveyLeader {
+		return
+	}
+	s.surveyLeader = leader.Incarnation
+	s.log.Info().Str("Peer", leader.Name).Bool("Self", leader.Incarnation == s.self.Incarnation).Msg("SurveyLeader")
+}
+
 // tellFindings sends the survey of this instance's failure domain to the other leaders, and
 // what all have found to the members.
 func (s *Steerer) tellFindings(leaders map[string]registrar.Member, domain survey, found findings) {
--- /dev/null
+++ b/internal/steerer/surveymessage.go
@@ -0,0 +1,164 @@
+package steerer
+
+import (
+	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/enumerator"
+	"github.com/hemlockport/hemlockport/pkg/command/surveyor"
+)
+
+// survey is the encoding of a surveyor.Survey on a link.
+type survey struct {
+	_     struct{} `cbor:",toarray"`
+	Rooms []roomDigest
+	Loads []loadSum
+}
+
+// roomDigest is the encoding of an admitter.RoomDigest on a link.
+type roomDigest struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Region  string
+	Samples uint64
+	Bits    [enumerator.Words]uint64
+}
+
+// loadSum is the encoding of an admitter.LoadSum on a link.
+type loadSum struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint64
+	// Thousandths is the sum in thousandths of a request per slot.
+	Thousandths uint64
+	Count       uint64
+	// SlowdownThousandths is the sum of the slowdowns in thousandths of what is usual.
+	SlowdownThousandths uint64
+	SlowdownCount       uint64
+}
+
+// findings is the encoding of surveyor.Findings on a link.
+type findings struct {
+	_     struct{} `cbor:",toarray"`
+	Rooms []roomNotice
+	Loads []loadNotice
+}
+
+// roomNotice is the encoding of an admitter.RoomNotice on a link.
+type roomNotice struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Region  string
+	Objects uint64
+}
+
+// loadNotice is the encoding of an admitter.LoadNotice on a link.
+type loadNotice struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint64
+	// Thousandths is the load in thousandths of a request per slot.
+	Thousandths uint64
+	// SlowdownThousandths is the slowdown in thousandths of what is usual, or 0.
+	SlowdownThousandths uint64
+}
+
+// thousandthsPerUnit converts requests per slot and slowdowns to thousandths.
+const thousandthsPerUnit = 1000
+
+var (
+	surveyCodec   = encoder.CBOR[survey]{}
+	findingsCodec = encoder.CBOR[findings]{}
+)
+
+// newSurvey converts a survey to its encoding on a link.
+func newSurvey(source surveyor.Survey) survey {
+	message := survey{}
+	for _, room := range source.Rooms {
+		message.Rooms = append(message.Rooms, roomDigest{
+			Service: room.ID.Service,
+			Region:  room.ID.Region,
+			Samples: room.Digest.Samples,
+			Bits:    room.Digest.Bits,
+		})
+	}
+	for _, load := range source.Loads {
+		message.Loads = append(message.Loads, loadSum{
+			Upstream:    load.Upstream,
+			Thousandths: uint64(load.Sum * thousandthsPerUnit),
+			Count:       load.Count,
+
+			SlowdownThousandths: uint64(load.Slowdowns * thousandthsPerUnit),
+			SlowdownCount:       load.SlowdownCount,
+		})
+	}
+	return message
+}
+
+// surveyorSurvey converts a received survey to the surveyor's form.
+func (s survey) surveyorSurvey() surveyor.Survey {
+	decoded := surveyor.Survey{}
+	for _, room := range s.Rooms {
+		decoded.Rooms = append(decoded.Rooms, admitter.RoomDigest{
+			ID: admitter.RoomID{
+				Service: room.Service,
+				Region:  room.Region,
+			},
+			Digest: enumerator.Digest{
+				Samples: room.Samples,
+				Bits:    room.Bits,
+			},
+		})
+	}
+	for _, load := range s.Loads {
+		decoded.Loads = append(decoded.Loads, admitter.LoadSum{
+			Upstream: load.Upstream,
+			Sum:      float64(load.Thousandths) / thousandthsPerUnit,
+			Count:    load.Count,
+
+			Slowdowns:     float64(load.SlowdownThousandths) / thousandthsPerUnit,
+			SlowdownCount: load.SlowdownCount,
+		})
+	}
+	return decoded
+}
+
+// newFindings converts findings to their encoding on a link.
+func newFindings(source surveyor.Findings) findings {
+	message := findings{}
+	for _, room := range source.Rooms {
+		message.Rooms = append(message.Rooms, roomNotice{
+			Service: room.ID.Service,
+			Region:  room.ID.Region,
+			Objects: uint64(room.Objects),
+		})
+	}
+	for _, load := range source.Loads {
+		message.Loads = append(message.Loads, loadNotice{
+			Upstream:    load.Upstream,
+			Thousandths: uint64(load.Load * thousandthsPerUnit),
+
+			SlowdownThousandths: uint64(load.Slowdown * thousandthsPerUnit),
+		})
+	}
+	return message
+}
+
+// surveyorFindings converts received findings to the surveyor's form.
+func (f findings) surveyorFindings() surveyor.Findings {
+	decoded := surveyor.Findings{}
+	for _, room := range f.Rooms {
+		decoded.Rooms = append(decoded.Rooms, admitter.RoomNotice{
+			ID: admitter.RoomID{
+				Service: room.Service,
+				Region:  room.Region,
+			},
+			Objects: float64(room.Objects),
+		})
+	}
+	for _, load := range f.Loads {
+		decoded.Loads = append(decoded.Loads, admitter.LoadNotice{
+			Upstream: load.Upstream,
+			Load:     float64(load.Thousandths) / thousandthsPerUnit,
+			Slowdown: float64(load.SlowdownThousandths) / thousandthsPerUnit,
+		})
+	}
+	return decoded
+}
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -179,14 +179,8 @@
 	}
 	plan := a.currentPlan()
 	pools := plan.pools[a.Service]
-	wanted := criteria{
-		now:          now,
-		avoid:        avoid,
-		routeRegions: a.Route.Declared.Homes,
-		teamRegions:  a.teamRegions(),
-		anyRegion:    plan.spillovers[a.Service].includes(random),
-		anyChoice:    a.objectHash == 0 || !a.Route.Declared.Sticky,
-	}
+	wanted := a.criteriaAt(plan, now, random)
+	wanted.avoid = avoid
 	if upstream, found := pools.acquire(random, wanted); found {
 		return upstream, nil
 	}
@@ -204,6 +198,18 @@
 	return nil, arbiter.Refuse(arbiter.NoRoom, "no upstream has a free slot").WithRetryAt(retryAt)
 }
 
+// criteriaAt returns which upstreams the request may use at a time. The hash is that of its
+// object, or a random number.
+func (a Admission) criteriaAt(plan *Plan, now time.Time, hash uint64) criteria {
+	return criteria{
+		now:          now,
+		routeRegions: a.Route.Declared.Homes,
+		teamRegions:  a.teamRegions(),
+		anyRegion:    plan.spillovers[a.Service].includes(hash),
+		anyChoice:    !a.hasCopies(),
+	}
+}
+
 // LoadBound returns the load, in requests for each slot, from which on this instance sends
 // the upstreams of the request's service no more requests; 0 if the service has none.
 func (a Admission) LoadBound() float64 {
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// Rooms returns the numbers of objects that decide about the copies.
+func (p *Plan) Rooms() []RoomNotice {
+	notices := make([]RoomNotice, 0, len(p.rooms))
+	for id, room := range p.rooms {
+		notices = append(notices, RoomNotice{
+			ID:      id,
+			Objects: room.objects(),
+		})
+	}
+	return notices
+}
+
 // RoomDigests returns what this instance has counted, without what it has counted nothing for.
 func (p *Plan) RoomDigests() []RoomDigest {
 	var digests []RoomDigest
--- a/pkg/query/picker/copies.go
+++ b/pkg/query/picker/copies.go
@@ -71,6 +71,24 @@
 	return best, found
 }
 
+// Expect returns how many copies the object with a hash has, usable or not, and the lowest of
+// their expected times; 0 and 0 for a request that gains nothing from copies, or without an
+// eligible candidate.
+func (p Copies[C, R]) Expect(candidates []C, hash uint64, request R) (copies int, expected float64) {
+	nearest, found := p.nearest(candidates, hash, request)
+	if !found || nearest.Copies(request, hash) == 0 {
+		return 0, 0
+	}
+	var first [MaxChoices]rankedCandidate[C]
+	most := min(nearest.Copies(request, hash), MaxChoices)
+	count := p.firstOfGroup(first[:most], candidates, hash, request, nearest.Group())
+	expected = math.Inf(1)
+	for _, choice := range first[:count] {
+		expected = min(expected, choice.candidate.ExpectedTime(request))
+	}
+	return count, expected
+}
+
 // nearest returns the eligible candidate with the lowest position and distance cost.
 func (p Copies[C, R]) nearest(candidates []C, hash uint64, request R) (nearest C, found bool) {
 	lowest := math.Inf(1)
