Give popular objects the copies that their demand needs

A popular object overloaded its first copy before the load figures, which are some seconds old, moved a part of its requests to others.

Each instance counts objects by space-saving in a bounded number of counters (Affinity.CountedObjects) with atomics and no lock, and tells the counts since its last message with its survey. Leaders sum them, let the demand rise within about a second and fall within ten, and tell the members the popular objects: those with at least 1.5 times the mean. An object needs its requests a second times the work time over half of an upstream's slots; the work time is a low quantile of the durations of answers. Instances are distributed evenly among the needed copies; copies beyond them are allowed only where there is room for objects. Needed copies are not bounded by the room, only by MaxCopies: an object that one upstream cannot serve displaces one rare object at each further one.

--- a/internal/configurer/affinity.go
+++ b/internal/configurer/affinity.go
@@ -15,12 +15,23 @@
 	// MaxCopies is the largest number of upstreams of a region that serve an object. 1 to 8;
 	// 4 by default. It has no effect while ObjectsPerUpstream is 0.
 	MaxCopies int
+	// CountedObjects is the number of counters for popular objects of each service and region.
+	// 8 to 4096; 128 by default. It has no effect while ObjectsPerUpstream is 0.
+	CountedObjects int
 }
 
+const (
+	// minCountedObjects and maxCountedObjects bound Affinity.CountedObjects. A counter takes 16
+	// bytes.
+	minCountedObjects = 8
+	maxCountedObjects = 4096
+)
+
 // defaultAffinity returns the values of the fields that the settings file does not set.
 func defaultAffinity() Affinity {
 	return Affinity{
-		MaxCopies: 4,
+		MaxCopies:      4,
+		CountedObjects: 128,
 	}
 }
 
@@ -30,4 +41,7 @@
 	copies := affinity.MaxCopies
 	v.require(copies >= 1 && copies <= picker.MaxChoices, "Affinity.MaxCopies", fmt.Sprint(copies),
 		fmt.Sprintf("1 to %d", picker.MaxChoices))
+	counted := affinity.CountedObjects
+	v.require(counted >= minCountedObjects && counted <= maxCountedObjects, "Affinity.CountedObjects", fmt.Sprint(counted),
+		fmt.Sprintf("%d to %d", minCountedObjects, maxCountedObjects))
 }
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -110,10 +110,11 @@
 [Affinity]
 ObjectsPerUpstream = -1
 MaxCopies = 9
+CountedObjects = 7
 `,
 			fields: []string{
 				"Place", "Readiness.Listen", "Placing.Choices", "Placing.OtherRegion",
-				"Affinity.ObjectsPerUpstream", "Affinity.MaxCopies", "Teams.Slack",
+				"Affinity.ObjectsPerUpstream", "Affinity.MaxCopies", "Affinity.CountedObjects", "Teams.Slack",
 			},
 		},
 		{
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -41,13 +41,13 @@
 	// Rank is the position of the upstream among the Copies of the request's object, and
 	// ExpectedTime the time to an answer that was expected there, as a multiple of the time at
 	// an idle upstream. They are 0 where the number of copies does not follow the demand.
-	Rank         int     `json:"Rank"`
-	Copies       int     `json:"Copies"`
-	ExpectedTime float64 `json:"ExpectedTime"`
+	Rank         int     `json:"Rank,omitempty"`
+	Copies       int     `json:"Copies,omitempty"`
+	ExpectedTime float64 `json:"ExpectedTime,omitempty"`
 	// RefusedCopies and RefusedExpectedTime are those of a request that found no copy with
 	// room.
-	RefusedCopies       int     `json:"RefusedCopies"`
-	RefusedExpectedTime float64 `json:"RefusedExpectedTime"`
+	RefusedCopies       int     `json:"RefusedCopies,omitempty"`
+	RefusedExpectedTime float64 `json:"RefusedExpectedTime,omitempty"`
 }
 
 // Log holds the lines that one or more instances logged.
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -64,7 +64,9 @@
 		a.recordFailedAnswer(upstream, response.StatusCode)
 		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
 	}
-	upstream.RecordSuccess(time.Now())
+	answeredAt := time.Now()
+	upstream.RecordSuccess(answeredAt)
+	a.admission.RecordDuration(answeredAt.Sub(now))
 	return a.lastAnswer, nil
 }
 
--- a/internal/simulator/affinity_test.go
+++ b/internal/simulator/affinity_test.go
@@ -243,6 +243,7 @@
 		LoadWeight:         0.2,
 		ObjectsPerUpstream: 16,
 		MaxCopies:          4,
+		CountedObjects:     128,
 	}
 )
 
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -188,6 +188,7 @@
 	if verdict == answered {
 		a.chosen.RecordLoad(report, s.now)
 		a.chosen.RecordSuccess(s.now)
+		a.admission.RecordDuration(s.now.Sub(a.sentAt))
 		a.finish()
 		a.request.known = a.known
 		a.request.region = s.regionOf(a.chosen.Declared().Place)
--- a/internal/simulator/survey.go
+++ b/internal/simulator/survey.go
@@ -12,7 +12,7 @@
 	i.surveyedAt = s.now
 	plan := i.plans.Load()
 	own := surveyor.Survey{
-		Rooms: plan.RoomDigests(),
+		Rooms: plan.TakeRoomDigests(),
 		Loads: plan.TakeLoadSums(),
 	}
 	leader := s.leaderOf(i.place)
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -46,6 +46,12 @@
 					Region:  "region",
 					Samples: 3,
 					Bits:    [enumerator.Words]uint64{4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19},
+					Popular: []objectCount{
+						{
+							Object:   25,
+							Requests: 26,
+						},
+					},
 				},
 			},
 			Loads: []loadSum{
@@ -64,6 +70,12 @@
 					Service: "service",
 					Region:  "region",
 					Objects: 3,
+					Popular: []objectDemand{
+						{
+							Object:      7,
+							Thousandths: 8,
+						},
+					},
 				},
 			},
 			Loads: []loadNotice{
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -195,6 +195,7 @@
 
 		ObjectsPerUpstream: settings.Affinity.ObjectsPerUpstream,
 		MaxCopies:          settings.Affinity.MaxCopies,
+		CountedObjects:     settings.Affinity.CountedObjects,
 	}))
 	s.assemble()
 	return s, nil
--- a/internal/steerer/survey.go
+++ b/internal/steerer/survey.go
@@ -93,7 +93,7 @@
 	plan := s.plans.Load()
 	s.updateObjectGauges(plan)
 	own := surveyor.Survey{
-		Rooms: plan.RoomDigests(),
+		Rooms: plan.TakeRoomDigests(),
 		Loads: plan.TakeLoadSums(),
 	}
 	leaders := s.surveyLeaders()
--- a/internal/steerer/surveymessage.go
+++ b/internal/steerer/surveymessage.go
@@ -21,6 +21,14 @@
 	Region  string
 	Samples uint64
 	Bits    [enumerator.Words]uint64
+	Popular []objectCount
+}
+
+// objectCount is the encoding of an admitter.ObjectCount on a link.
+type objectCount struct {
+	_        struct{} `cbor:",toarray"`
+	Object   uint64
+	Requests uint64
 }
 
 // loadSum is the encoding of an admitter.LoadSum on a link.
@@ -48,6 +56,15 @@
 	Service string
 	Region  string
 	Objects uint64
+	Popular []objectDemand
+}
+
+// objectDemand is the encoding of an admitter.ObjectDemand on a link.
+type objectDemand struct {
+	_      struct{} `cbor:",toarray"`
+	Object uint64
+	// Thousandths is the demand in thousandths of a request a second.
+	Thousandths uint64
 }
 
 // loadNotice is the encoding of an admitter.LoadNotice on a link.
@@ -60,7 +77,7 @@
 	SlowdownThousandths uint64
 }
 
-// thousandthsPerUnit converts requests per slot and slowdowns to thousandths.
+// thousandthsPerUnit converts requests per slot, slowdowns and demands to thousandths.
 const thousandthsPerUnit = 1000
 
 var (
@@ -77,6 +94,7 @@
 			Region:  room.ID.Region,
 			Samples: room.Digest.Samples,
 			Bits:    room.Digest.Bits,
+			Popular: newObjectCounts(room.Popular),
 		})
 	}
 	for _, load := range source.Loads {
@@ -105,6 +123,7 @@
 				Samples: room.Samples,
 				Bits:    room.Bits,
 			},
+			Popular: admitterCounts(room.Popular),
 		})
 	}
 	for _, load := range s.Loads {
@@ -128,6 +147,7 @@
 			Service: room.ID.Service,
 			Region:  room.ID.Region,
 			Objects: uint64(room.Objects),
+			Popular: newObjectDemands(room.Popular),
 		})
 	}
 	for _, load := range source.Loads {
@@ -151,6 +171,7 @@
 				Region:  room.Region,
 			},
 			Objects: float64(room.Objects),
+			Popular: admitterDemands(room.Popular),
 		})
 	}
 	for _, load := range f.Loads {
@@ -162,3 +183,51 @@
 	}
 	return decoded
 }
+
+// newObjectCounts converts counts to their encoding on a link.
+func newObjectCounts(source []admitter.ObjectCount) []objectCount {
+	counts := make([]objectCount, 0, len(source))
+	for _, count := range source {
+		counts = append(counts, objectCount{
+			Object:   count.Object,
+			Requests: count.Requests,
+		})
+	}
+	return counts
+}
+
+// admitterCounts converts received counts to the admitter's form.
+func admitterCounts(received []objectCount) []admitter.ObjectCount {
+	counts := make([]admitter.ObjectCount, 0, len(received))
+	for _, count := range received {
+		counts = append(counts, admitter.ObjectCount{
+			Object:   count.Object,
+			Requests: count.Requests,
+		})
+	}
+	return counts
+}
+
+// newObjectDemands converts demands to their encoding on a link.
+func newObjectDemands(source []admitter.ObjectDemand) []objectDemand {
+	demands := make([]objectDemand, 0, len(source))
+	for _, demand := range source {
+		demands = append(demands, objectDemand{
+			Object:      demand.Object,
+			Thousandths: uint64(demand.PerSecond * thousandthsPerUnit),
+		})
+	}
+	return demands
+}
+
+// admitterDemands converts received demands to the admitter's form.
+func admitterDemands(received []objectDemand) []admitter.ObjectDemand {
+	demands := make([]admitter.ObjectDemand, 0, len(received))
+	for _, demand := range received {
+		demands = append(demands, admitter.ObjectDemand{
+			Object:    demand.Object,
+			PerSecond: float64(demand.Thousandths) / thousandthsPerUnit,
+		})
+	}
+	return demands
+}
--- a/pkg/command/admitter/acquire_test.go
+++ b/pkg/command/admitter/acquire_test.go
@@ -34,6 +34,7 @@
 			LoadWeight:         0.2,
 			ObjectsPerUpstream: 16,
 			MaxCopies:          4,
+			CountedObjects:     128,
 		},
 	},
 }
--- a/pkg/command/admitter/placement.go
+++ b/pkg/command/admitter/placement.go
@@ -38,7 +38,7 @@
 		placement.Rank = a.rankOf(upstream)
 	}
 	if group := a.groupOf(upstream); group != nil {
-		placement.Copies = group.copies(a.objectHash)
+		placement.Copies = max(group.copies(a.objectHash), group.needed(a.objectHash, now))
 		placement.ExpectedTime = upstream.expectedTimeAt(now)
 	}
 	return placement
--- a/pkg/command/admitter/plan.go
+++ b/pkg/command/admitter/plan.go
@@ -39,6 +39,9 @@
 	// rooms holds how many objects the upstreams of each service in each region serve. It is
 	// nil if the number of copies does not follow that.
 	rooms map[RoomID]*room
+	// workTimes holds the work time of each service, by the service's name. It is nil if rooms
+	// is.
+	workTimes map[string]*workTime
 	// affinity configures the choice of upstreams by the object of a request. If it is
 	// nil, the nearest upstreams are preferred.
 	affinity *Affinity
@@ -68,6 +71,8 @@
 	// of all regions.
 	ObjectsPerUpstream int
 	MaxCopies          int
+	// CountedObjects is the number of counters for popular objects of each service and region.
+	CountedObjects int
 }
 
 // InitialPlan returns the initial plan, in which nothing is declared. Home is the name
@@ -224,6 +229,7 @@
 		}
 	}
 	next.rooms = p.roomsFor(set, now)
+	next.workTimes = p.workTimesFor(set)
 	for service := range set.Services.All() {
 		next.pools[service.Name] = next.poolsFor(service)
 	}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -154,7 +154,13 @@
 	if criteria.anyChoice {
 		return 0
 	}
-	return c.group.copies(objectHash)
+	return max(c.group.copies(objectHash), c.group.needed(objectHash, criteria.now))
+}
+
+// Needed returns the number of upstreams of the region that the demand for the object with a
+// hash needs.
+func (c *candidate) Needed(criteria criteria, objectHash uint64) int {
+	return c.group.needed(objectHash, criteria.now)
 }
 
 // Pool holds upstreams that serve one service, in the order of preference. It is
@@ -258,9 +264,14 @@
 
 // withCopies returns the pool with a choice among as many upstreams of one region as have
 // room for the objects there. The function roomOf returns the room of a region.
-func (p *Pool) withCopies(roomOf func(region string) *room, salt uint64, affinity Affinity) *Pool {
+func (p *Pool) withCopies(
+	roomOf func(region string) *room,
+	work *workTime,
+	salt uint64,
+	affinity Affinity,
+) *Pool {
 	for _, tier := range p.tiers {
-		groupUpstreams(tier, roomOf, affinity)
+		groupUpstreams(tier, roomOf, work, affinity)
 	}
 	return &Pool{
 		tiers: p.tiers,
--- a/pkg/command/admitter/rollout.go
+++ b/pkg/command/admitter/rollout.go
@@ -146,7 +146,9 @@
 	}
 	switch {
 	case p.keepsObjects():
-		return newAffinityPool(upstreams, topology, *p.affinity).withCopies(p.roomsOf(service), hasher.Sum(p.incarnation), *p.affinity)
+		salt := hasher.Sum(p.incarnation)
+		pool := newAffinityPool(upstreams, topology, *p.affinity)
+		return pool.withCopies(p.roomsOf(service), p.workTimes[service], salt, *p.affinity)
 	case p.affinity != nil:
 		return newAffinityPool(upstreams, topology, *p.affinity)
 	}
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/command/enumerator"
+	"github.com/hemlockport/hemlockport/pkg/command/sketcher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
@@ -29,6 +30,10 @@
 type room struct {
 	// counted counts the objects of the requests that this instance sends to the upstreams.
 	counted *enumerator.Enumerator
+	// popular counts the requests for popular objects that have not been shared yet.
+	popular *sketcher.Sketch
+	// demands is what a peer has told last of the demand for popular objects; nil if nothing.
+	demands atomic.Pointer[demands]
 	// notice is what a peer has told last; nil before the first.
 	notice atomic.Pointer[roomNotice]
 	// objectBits is the number of distinct objects in the form of math.Float64bits. It is 0
@@ -69,6 +74,8 @@
 type RoomDigest struct {
 	ID     RoomID
 	Digest enumerator.Digest
+	// Popular counts the requests for objects since the digest before.
+	Popular []ObjectCount
 }
 
 // RoomNotice is the estimated number of distinct objects that the upstreams of one service in
@@ -76,6 +83,8 @@
 type RoomNotice struct {
 	ID      RoomID
 	Objects float64
+	// Popular is the demand for the popular objects.
+	Popular []ObjectDemand
 }
 
 // UpdateRooms updates the numbers of copies of all services. It must be called every
@@ -98,8 +107,9 @@
 	return notices
 }
 
-// RoomDigests returns what this instance has counted, without what it has counted nothing for.
-func (p *Plan) RoomDigests() []RoomDigest {
+// TakeRoomDigests returns what this instance has counted, without what it has counted nothing
+// for. The counts of popular objects are those since the call before.
+func (p *Plan) TakeRoomDigests() []RoomDigest {
 	var digests []RoomDigest
 	for id, room := range p.rooms {
 		digest := room.counted.Digest()
@@ -107,8 +117,9 @@
 			continue
 		}
 		digests = append(digests, RoomDigest{
-			ID:     id,
-			Digest: digest,
+			ID:      id,
+			Digest:  digest,
+			Popular: room.takePopular(),
 		})
 	}
 	return digests
@@ -123,6 +134,7 @@
 				objects: max(notice.Objects, 0),
 				until:   now.Add(roomNoticeLifetime),
 			})
+			room.demands.Store(newDemands(notice.Popular, now))
 		}
 	}
 }
@@ -160,7 +172,38 @@
 	}
 	return &room{
 		counted: enumerator.New(now),
+		popular: sketcher.New(p.affinity.CountedObjects),
+	}
+}
+
+// takePopular returns the counts of popular objects since the call before.
+func (r *room) takePopular() []ObjectCount {
+	taken := r.popular.Take()
+	counts := make([]ObjectCount, 0, len(taken))
+	for _, count := range taken {
+		counts = append(counts, ObjectCount{
+			Object:   count.Object,
+			Requests: count.Requests,
+		})
+	}
+	return counts
+}
+
+// workTimesFor returns the work times of all services of a set. A service that remains keeps
+// the one that it has. There are none if upstreams keep no objects.
+func (p *Plan) workTimesFor(set declarer.Set) map[string]*workTime {
+	if !p.keepsObjects() {
+		return nil
+	}
+	workTimes := map[string]*workTime{}
+	for service := range set.Services.All() {
+		kept, found := p.workTimes[service.Name]
+		if !found {
+			kept = &workTime{}
+		}
+		workTimes[service.Name] = kept
 	}
+	return workTimes
 }
 
 // keepsObjects reports whether the number of copies of an object follows the room for
@@ -175,8 +218,12 @@
 	number int
 	// capacity is the number of objects that the upstreams keep together.
 	capacity float64
+	// slots is the mean number of slots of an upstream.
+	slots float64
 	// maxCopies is the largest number of copies.
 	maxCopies int
+	// work is the work time of the service; never nil.
+	work *workTime
 	// room holds the number of objects; never nil.
 	room *room
 }
@@ -202,8 +249,14 @@
 }
 
 // groupUpstreams sets the groups of the candidates of a pool.
-func groupUpstreams(candidates []*candidate, roomOf func(region string) *room, affinity Affinity) {
+func groupUpstreams(
+	candidates []*candidate,
+	roomOf func(region string) *room,
+	work *workTime,
+	affinity Affinity,
+) {
 	groups := map[string]*group{}
+	counts := map[*group]float64{}
 	for _, member := range candidates {
 		found, known := groups[member.region]
 		if !known {
@@ -211,10 +264,13 @@
 				number:    len(groups),
 				maxCopies: affinity.MaxCopies,
 				room:      roomOf(member.region),
+				work:      work,
 			}
 			groups[member.region] = found
 		}
 		found.capacity += float64(affinity.ObjectsPerUpstream)
+		counts[found]++
+		found.slots += (float64(member.declared.Load().Slots) - found.slots) / counts[found]
 		member.group = found
 	}
 }
@@ -223,6 +279,7 @@
 func (c *candidate) countObject(objectHash uint64, criteria criteria) {
 	if c.group != nil && !criteria.anyChoice {
 		c.group.room.counted.Record(objectHash)
+		c.group.room.popular.Record(objectHash)
 	}
 }
 
--- a/pkg/command/surveyor/roomsum.go
+++ b/pkg/command/surveyor/roomsum.go
@@ -28,20 +28,21 @@
 	}
 }
 
-// digests returns the sums, sorted by ID.
-func (r roomSum) digests() []admitter.RoomDigest {
+// digests returns the sums, sorted by ID, with the counts of popular objects.
+func (r roomSum) digests(counts objectSum) []admitter.RoomDigest {
 	digests := map[admitter.RoomID]admitter.RoomDigest{}
 	for id, digest := range r {
 		digests[id] = admitter.RoomDigest{
-			ID:     id,
-			Digest: digest,
+			ID:      id,
+			Digest:  digest,
+			Popular: counts.highest(id),
 		}
 	}
 	return sortedValues(digests, lessID)
 }
 
-// notices returns the numbers of objects, sorted by ID.
-func (r roomSum) notices() []admitter.RoomNotice {
+// notices returns the numbers of objects, sorted by ID, with the demand for popular objects.
+func (r roomSum) notices(rates rates) []admitter.RoomNotice {
 	notices := map[admitter.RoomID]admitter.RoomNotice{}
 	for id, digest := range r {
 		// An unknown number is told as 0.
@@ -49,6 +50,7 @@
 		notices[id] = admitter.RoomNotice{
 			ID:      id,
 			Objects: objects,
+			Popular: rates.popular(id, objects),
 		}
 	}
 	return sortedValues(notices, lessID)
--- a/pkg/command/surveyor/surveyor.go
+++ b/pkg/command/surveyor/surveyor.go
@@ -25,7 +25,8 @@
 
 // Survey is what one instance has found, or the instances of one failure domain together.
 type Survey struct {
-	// Rooms are cumulative: each survey of a sender replaces the one before.
+	// Rooms are cumulative: each survey of a sender replaces the one before. But their Popular
+	// counts, as Loads do, what has been found since the sender's survey before.
 	Rooms []admitter.RoomDigest
 	// Loads are what has been found since the sender's survey before.
 	Loads []admitter.LoadSum
@@ -51,6 +52,11 @@
 	// memberLoads and domainLoads are the loads told since the last call of Sum.
 	memberLoads []admitter.LoadSum
 	domainLoads []admitter.LoadSum
+	// memberCounts and domainCounts are the counts of popular objects told since then.
+	memberCounts objectSum
+	domainCounts objectSum
+	// rates holds the demand for objects.
+	rates rates
 	// means holds the mean load of each upstream, by its seed.
 	means map[uint64]mean
 	// summedAt is when Sum was called last.
@@ -101,9 +107,12 @@
 // New returns a surveyor that has been told nothing.
 func New() *Surveyor {
 	return &Surveyor{
-		members: map[string]told{},
-		domains: map[string]told{},
-		means:   map[uint64]mean{},
+		members:      map[string]told{},
+		domains:      map[string]told{},
+		memberCounts: objectSum{},
+		domainCounts: objectSum{},
+		rates:        rates{},
+		means:        map[uint64]mean{},
 	}
 }
 
@@ -111,12 +120,14 @@
 func (s *Surveyor) ReceiveMember(sender string, survey Survey, now time.Time) {
 	s.members[sender] = newTold(survey, now)
 	s.memberLoads = append(s.memberLoads, survey.Loads...)
+	s.memberCounts.add(survey.Rooms)
 }
 
 // ReceiveDomain receives the survey of another failure domain from its leader.
 func (s *Surveyor) ReceiveDomain(sender string, survey Survey, now time.Time) {
 	s.domains[sender] = newTold(survey, now)
 	s.domainLoads = append(s.domainLoads, survey.Loads...)
+	s.domainCounts.add(survey.Rooms)
 }
 
 func newTold(survey Survey, now time.Time) told {
@@ -135,28 +146,34 @@
 	domainRooms.add(own.Rooms)
 	domainRooms.addAll(s.members)
 	domainLoads := sumLoads(own.Loads, s.memberLoads)
+	s.memberCounts.add(own.Rooms)
 	survey := Survey{
-		Rooms: domainRooms.digests(),
+		Rooms: domainRooms.digests(s.memberCounts),
 		Loads: domainLoads,
 	}
 	domainRooms.addAll(s.domains)
+	s.domainCounts.add(survey.Rooms)
+	elapsed := now.Sub(s.summedAt)
+	if s.summedAt.IsZero() || elapsed <= 0 {
+		elapsed = Interval
+	}
+	s.summedAt = now
+	s.rates.update(s.domainCounts, elapsed)
 	findings := Findings{
-		Rooms: domainRooms.notices(),
-		Loads: s.updateMeans(sumLoads(domainLoads, s.domainLoads), now),
+		Rooms: domainRooms.notices(s.rates),
+		Loads: s.updateMeans(sumLoads(domainLoads, s.domainLoads), elapsed),
 	}
 	s.memberLoads = nil
 	s.domainLoads = nil
+	s.memberCounts = objectSum{}
+	s.domainCounts = objectSum{}
 	return survey, findings
 }
 
 // updateMeans adds loads to the means, and returns the means of the upstreams that have told
 // their load.
-func (s *Surveyor) updateMeans(loads []admitter.LoadSum, now time.Time) []admitter.LoadNotice {
-	kept := 0.0
-	if !s.summedAt.IsZero() {
-		kept = math.Exp(-max(now.Sub(s.summedAt), 0).Seconds() / meanTime.Seconds())
-	}
-	s.summedAt = now
+func (s *Surveyor) updateMeans(loads []admitter.LoadSum, elapsed time.Duration) []admitter.LoadNotice {
+	kept := math.Exp(-elapsed.Seconds() / meanTime.Seconds())
 	for upstream, before := range s.means {
 		after := before.fade(kept)
 		if after.count < minReports {
--- a/pkg/query/picker/copies.go
+++ b/pkg/query/picker/copies.go
@@ -12,6 +12,8 @@
 	// with a hash, 1 to MaxChoices. It returns 0 if the request gains nothing from a candidate
 	// that has served its object before; that holds for all candidates or for none.
 	Copies(request R, hash uint64) int
+	// Needed returns how many of the copies the demand for the object needs, at least 1.
+	Needed(request R, hash uint64) int
 	// ExpectedTime returns the expected time to an answer as a multiple of the time that an
 	// idle candidate needs.
 	ExpectedTime(request R) float64
@@ -44,23 +46,28 @@
 	copies := min(nearest.Copies(request, hash), MaxChoices)
 	var first [MaxChoices]rankedCandidate[C]
 	count := p.firstOfGroup(first[:copies], candidates, hash, request, nearest.Group())
-	return p.soonest(first[:count], hash, request)
+	return p.soonest(first[:count], nearest.Needed(request, hash), hash, request)
 }
 
 // soonest returns the usable one of an object's copies, in their order of preference, with the
-// lowest expected time. A later copy is chosen only if it is better by a part of Spread that
-// differs between instances and objects. So as the first copy gets slower, one instance after
-// another moves to a later copy: they all see the same figures, which are some seconds old, and
-// would otherwise move together, and back together.
-func (p Copies[C, R]) soonest(copies []rankedCandidate[C], hash uint64, request R) (best C, found bool) {
+// lowest expected time. A copy after those that are needed is chosen only if it is better by a
+// part of Spread that differs between instances and objects. So as the needed copies get
+// slower, one instance after another moves to a later copy: they all see the same figures,
+// which are some seconds old, and would otherwise move together, and back together.
+func (p Copies[C, R]) soonest(
+	copies []rankedCandidate[C],
+	needed int,
+	hash uint64,
+	request R,
+) (best C, found bool) {
 	lowest := math.Inf(1)
 	for rank, choice := range copies {
 		if !choice.candidate.Usable(request) {
 			continue
 		}
 		time := choice.candidate.ExpectedTime(request)
-		if rank > 0 {
-			time += p.Spread * (float64(rank-1) + hashPosition(hash^p.Salt, choice.candidate.Seed()))
+		if needed > 1 || rank > 0 {
+			time += p.handicap(rank, needed, hashPosition(hash^p.Salt, choice.candidate.Seed()))
 		}
 		if time < lowest {
 			best = choice.candidate
@@ -71,6 +78,23 @@
 	return best, found
 }
 
+// neededSpread is the part of Spread over which the instances are distributed among the needed
+// copies.
+const neededSpread = 0.1
+
+// handicap returns the expected time that is added to that of the copy with a rank from 0. The
+// position is a pseudorandom number that differs between instances.
+func (p Copies[C, R]) handicap(rank, needed int, position float64) float64 {
+	switch {
+	case rank < needed:
+		return p.Spread * neededSpread * position
+	case needed == 1:
+		return p.Spread * (float64(rank-needed) + position)
+	default:
+		return p.Spread * (float64(rank-needed) + neededSpread + position)
+	}
+}
+
 // Expect returns how many copies the object with a hash has, usable or not, and the lowest of
 // their expected times; 0 and 0 for a request that gains nothing from copies, or without an
 // eligible candidate.
--- a/pkg/query/picker/copies_test.go
+++ b/pkg/query/picker/copies_test.go
@@ -12,8 +12,11 @@
 	hashedServer
 	group  int
 	copies int
+	// needed is the number of copies that the demand needs; 0 counts as 1.
+	needed int
 }
 
+func (s *groupedServer) Needed(anyRequest, uint64) int     { return max(s.needed, 1) }
 func (s *groupedServer) Group() int                        { return s.group }
 func (s *groupedServer) ExpectedTime(r anyRequest) float64 { return s.Load(r) }
 func (s *groupedServer) Copies(anyRequest, uint64) int     { return s.copies }
@@ -142,3 +145,35 @@
 		}
 	}
 }
+
+// TestNeededCopiesShareTheRequests guards against a popular object whose requests all go to its
+// first copy until that is overloaded: instances must be distributed among the needed copies,
+// and leave the others alone.
+func TestNeededCopiesShareTheRequests(t *testing.T) {
+	const (
+		instances = 300
+		copies    = 4
+		needed    = 3
+	)
+	servers := newGroupedServers(40, 6, copies)
+	for _, server := range servers {
+		server.needed = needed
+	}
+	random := rand.New(rand.NewPCG(6, 6))
+	hash := random.Uint64()
+	counts := map[*groupedServer]int{}
+	for range instances {
+		policy := newCopies()
+		policy.Salt = random.Uint64()
+		picked, _ := policy.Pick(servers, hash, anyRequest{})
+		counts[picked]++
+	}
+	if len(counts) != needed {
+		t.Errorf("got %d servers for the object, want %d", len(counts), needed)
+	}
+	for server, count := range counts {
+		if count < instances/needed/2 {
+			t.Errorf("got %d of %d instances at a server of group %d, want about a third", count, instances, server.group)
+		}
+	}
+}
