--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -36,6 +36,8 @@
 Address = "http://10.200.1.7:8382"
 [Drain]
 KillSeconds = 6
+[Affinity]
+ObjectsPerUpstream = 16
 `
 
 func TestInvalidSettingsNameTheFaultyFields(t *testing.T) {
@@ -99,7 +101,8 @@
 		},
 		{
 			name: "invalid on the Thimblegate platform",
-			text: strings.Replace(thimblegateSettings, `Name = "derby"`, `Name = "corby"`, 1) + `
+			text: strings.NewReplacer(`Name = "derby"`, `Name = "corby"`, "[Affinity]\nObjectsPerUpstream = 16\n", "").
+				Replace(thimblegateSettings) + `
 [Readiness]
 Listen = "nowhere"
 [Teams]
