Let what an instance has just heard raise the mean load of an upstream

The mean loads are some 3 s old. An instance that had just been told that an upstream is loaded still chose it by the mean. The load that it estimates itself now counts if it is higher.

--- a/pkg/command/admitter/sharedload.go
+++ b/pkg/command/admitter/sharedload.go
@@ -61,15 +61,15 @@
 }
 
 // meanLoadAt returns the mean load that all instances have found lately, or the load that this
-// instance has at the upstream itself if it is higher. If no mean is known it is the load that
-// this instance estimates. One of a hundred instances hears from an upstream so seldom that
-// its own estimate is mostly near 0.
+// instance estimates itself if that is higher or no mean is known. One of a hundred instances
+// hears from an upstream so seldom that its own estimate is mostly near 0; but where it has just
+// heard, that is newer than the mean.
 func (u *Upstream) meanLoadAt(now time.Time) float64 {
 	shared := u.sharedLoad.Load()
 	if shared == nil || !now.Before(shared.until) {
 		return u.loadAt(now)
 	}
-	return max(shared.load, float64(u.slots.InUse())/float64(u.declared.Load().Slots))
+	return max(shared.load, u.loadAt(now))
 }
 
 // LoadSum is the loads that an upstream has told one or several instances.
