--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -66,6 +66,10 @@
 			got:  string(arbiter.KeyWithdrawn),
 			want: "KeyWithdrawn",
 		},
+		{
+			got:  string(arbiter.KeyMoved),
+			want: "KeyMoved",
+		},
 		{
 			got:  string(arbiter.KeyExposed),
 			want: "KeyExposed",
@@ -122,6 +126,10 @@
 			got:  string(arbiter.UpstreamUnreached),
 			want: "UpstreamUnreached",
 		},
+		{
+			got:  string(arbiter.ConnectionEnded),
+			want: "ConnectionEnded",
+		},
 		{
 			got:  string(arbiter.UpstreamShed),
 			want: "UpstreamShed",
@@ -370,6 +378,30 @@
 			StoreLost:   true,
 			EveryMillis: 13,
 			Seatless:    true,
+		}).WithSparse(),
+		comparer.NewCase("beat-saturated.cbor", encoder.CBOR[linker.Heartbeat]{}, linker.Heartbeat{
+			Revision:  2,
+			Roster:    3,
+			AgeMillis: 4,
+			Leaving:   true,
+			Feeds: [5]uint64{
+				7,
+				8,
+				9,
+				10,
+				11,
+			},
+			Eras: [5]uint64{
+				14,
+				15,
+				16,
+				17,
+				18,
+			},
+			StoreLost:   true,
+			EveryMillis: 13,
+			Seatless:    true,
+			Saturated:   true,
 		}),
 		comparer.NewCase("member.cbor", encoder.CBOR[registrar.Member]{}, registrar.Member{
 			Incarnation:   "incarnation",
@@ -381,6 +413,23 @@
 			PeerAddress:   "peer address",
 			Listed:        true,
 			Leaving:       true,
+		}).WithSparse(),
+		comparer.NewCase("member-capacity.cbor", encoder.CBOR[registrar.Member]{}, registrar.Member{
+			Incarnation:   "incarnation",
+			Name:          "name",
+			Place:         "place",
+			SeatPlace:     "seat place",
+			Seat:          6,
+			CallerAddress: "caller address",
+			PeerAddress:   "peer address",
+			Listed:        true,
+			Leaving:       true,
+			Capacity: registrar.Capacity{
+				Cores:       0.5,
+				LinkMbits:   11,
+				MemoryMB:    12,
+				Descriptors: 13,
+			},
 		}),
 		comparer.NewCase("vacant.cbor", encoder.CBOR[registrar.Member]{}, registrar.Vacant(registrar.Seat{
 			Place:  "place",
@@ -398,7 +447,7 @@
 				Listed:        true,
 				Leaving:       true,
 			},
-		}),
+		}).WithSparse(),
 		comparer.NewCase("ask.cbor", encoder.CBOR[borrower.Ask]{}, borrower.Ask{
 			Number:         2,
 			Resource:       "resource",
@@ -1334,6 +1383,8 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Affinity: configurer.Affinity{
 				ObjectsPerUpstream: 68,
@@ -1343,6 +1394,12 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1423,6 +1480,8 @@
 				Choices:     63,
 				FreeLoad:    64.5,
 				LoadWeight:  65.5,
+
+				ShiftPerWindow: 66.5,
 			},
 			Affinity: configurer.Affinity{
 				ObjectsPerUpstream: 68,
@@ -1432,6 +1491,12 @@
 			Teams: configurer.Teams{
 				Slack: 67,
 			},
+			Capacity: configurer.Capacity{
+				Cores:       71.5,
+				LinkMbits:   72.5,
+				MemoryMB:    73.5,
+				Descriptors: 74.5,
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -20,20 +20,28 @@
 	outcome   *Outcome
 	// lastAnswer is the failed answer of the last attempt, if it got one.
 	lastAnswer heldAnswer
-	// failed holds the upstreams of the attempts so far, which have all failed.
+	// failed holds the upstreams of the attempts so far, which have all failed, except for
+	// those in which nothing was sent.
 	failed []*admitter.Upstream
+	// unsent is the upstream of the last attempt that failed before a byte was sent, or nil.
+	unsent *admitter.Upstream
 	// mayHaveRunErr is the first error after which the request may have run. If a
 	// later attempt ends with NotRun, that holds for the later attempt only.
 	mayHaveRunErr error
 }
 
-// next makes the next attempt. If no upstream can be acquired, or the instance stops before
-// an answer is expected, it returns the answer of the attempt before.
+// next makes the next attempt. If no upstream can be acquired, the key no longer works for the
+// request's team, or the instance stops before an answer is expected, it returns the answer of
+// the attempt before.
 func (a *attempts) next(ctx context.Context) (heldAnswer, error) {
 	now := time.Now()
 	if refusal := a.receiver.drainer.Check(drainRequest(a.admission, a.outcome.Arrived), now); refusal != nil {
 		return a.lastAnswer, a.overallError(refusal)
 	}
+	// The key may have been withdrawn or moved while the request waited or was sent before.
+	if refusal := a.receiver.admitter.Recheck(a.admission, now); refusal != nil {
+		return a.lastAnswer, a.overallError(refusal)
+	}
 	if len(a.failed) > 0 {
 		a.receiver.metrics.CountRetry()
 	}
@@ -102,7 +110,7 @@
 
 // outboundFor returns the request for an attempt at an upstream.
 func (a *attempts) outboundFor(upstream *admitter.Upstream) forwarder.Outbound {
-	if slices.Contains(a.failed, upstream) {
+	if upstream == a.unsent || slices.Contains(a.failed, upstream) {
 		return a.outbound.WithUnsharedConnection()
 	}
 	return a.outbound
@@ -110,7 +118,12 @@
 
 // fail records an attempt that has failed with err, and returns the error of the request.
 func (a *attempts) fail(upstream *admitter.Upstream, err error) error {
-	a.failed = append(a.failed, upstream)
+	if arbiter.IsUnsent(err) {
+		// The upstream is not at fault, so the next attempt does not avoid it.
+		a.unsent = upstream
+	} else {
+		a.failed = append(a.failed, upstream)
+	}
 	return a.overallError(err)
 }
 
--- a/internal/simulator/instance.go
+++ b/internal/simulator/instance.go
@@ -5,6 +5,7 @@
 
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/balancer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/command/surveyor"
 	"github.com/hemlockport/hemlockport/pkg/holder"
@@ -27,6 +28,10 @@
 	surveyedAt time.Time
 	// mute says that the instance tells the others nothing of what it has found.
 	mute bool
+	// balancer is nil if the scenario has no ShiftPerWindow.
+	balancer *balancer.Balancer
+	// rounds counts the calls of refresh.
+	rounds int
 }
 
 // newInstance returns an instance that knows no configuration yet.
@@ -34,7 +39,7 @@
 	plans := holder.New[admitter.Plan]()
 	plans.Advance(*admitter.InitialPlan(declared.Place, declared.Name).WithAffinity(s.scenario.Affinity))
 	fractions := apportioner.New(declared.Name, declared.Name)
-	return &instance{
+	created := &instance{
 		simulation:  s,
 		name:        declared.Name,
 		place:       declared.Place,
@@ -44,6 +49,10 @@
 		rationer:    rationer.New(fractions),
 		surveyor:    surveyor.New(),
 	}
+	if s.scenario.ShiftPerWindow > 0 {
+		created.balancer = balancer.New(s.balancerMember(declared), s.scenario.ShiftPerWindow)
+	}
+	return created
 }
 
 // setMembers makes all instances members between which limits are split.
@@ -65,8 +74,8 @@
 func (i *instance) refresh() {
 	now := i.simulation.now
 	plan := i.plans.Load()
-	plan.AdjustSpillovers(now)
-	plan.UpdateRooms(now)
+	i.adjustSpillovers(plan)
+	plan.UpdateCaches(now)
 	i.survey()
 	i.rationer.Apply(plan, now.Add(time.Hour), now)
 	if report, due := i.apportioner.NextReport(now); due {
--- a/internal/simulator/survey.go
+++ b/internal/simulator/survey.go
@@ -12,8 +12,8 @@
 	i.surveyedAt = s.now
 	plan := i.plans.Load()
 	own := surveyor.Survey{
-		Rooms: plan.TakeRoomDigests(),
-		Loads: plan.TakeLoadSums(),
+		Caches: plan.TakeCacheDigests(),
+		Loads:  plan.TakeLoadSums(),
 	}
 	leader := s.leaderOf(i.place)
 	if leader != i {
@@ -34,7 +34,7 @@
 // receiveFindings applies what all instances have found.
 func (i *instance) receiveFindings(findings surveyor.Findings) {
 	plan := i.plans.Load()
-	plan.ReceiveRoomNotices(findings.Rooms, i.simulation.now)
+	plan.ReceiveCacheNotices(findings.Caches, i.simulation.now)
 	plan.ReceiveLoadNotices(findings.Loads, i.simulation.now)
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -23,6 +23,7 @@
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
+	"github.com/hemlockport/hemlockport/pkg/command/detector"
 	"github.com/hemlockport/hemlockport/pkg/command/drainer"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -92,6 +93,16 @@
 	locatorMu         sync.Mutex
 	locatorGeneration uint64
 	locatorInputs     locatorInputs
+	// balance moves the parts of objects that roam between regions; nil if the settings leave
+	// that to Plan.AdjustSpillovers.
+	balance *balance
+	// lookupCrowd tells addresses that several callers share.
+	lookupCrowd    locator.Crowd
+	lookupCounters lookupCounters
+	// saturation is the latest state of this instance's processor. Only refreshLoop uses it;
+	// saturated is what it says.
+	saturation detector.Saturation
+	saturated  atomic.Bool
 	// locatorUpdates runs updateLocator after changes of links and members.
 	locatorUpdates *coalescer.Coalescer
 
@@ -113,6 +124,9 @@
 	selfListed atomic.Bool
 	// moves holds the moves by the name of their service. planMu guards it.
 	moves map[string]*trackedMove
+	// informedPeers holds the incarnations of the linked peers that have been informed of all
+	// moves and verdicts. planMu guards it.
+	informedPeers map[string]bool
 	// countersByService holds the counters of the running moves by the name of their
 	// service; never nil.
 	countersByService atomic.Pointer[map[string]*moveCounters]
@@ -159,6 +173,12 @@
 			Place:         settings.Place,
 			CallerAddress: settings.Callers.Listen,
 			PeerAddress:   settings.Peers.Listen,
+			Capacity: registrar.Capacity{
+				Cores:       settings.Capacity.Cores,
+				LinkMbits:   settings.Capacity.LinkMbits,
+				MemoryMB:    settings.Capacity.MemoryMB,
+				Descriptors: settings.Capacity.Descriptors,
+			},
 		},
 		listeners: opened,
 		plans:     holder.New[admitter.Plan](),
@@ -186,12 +206,15 @@
 	s.roster.Store(&registrar.Roster{})
 	s.countersByService.Store(&map[string]*moveCounters{})
 	s.requestLog = newRequestLog(s.log, s.registry)
+	s.lookupCounters = newLookupCounters(s.registry)
+	s.balance = newBalance(settings, s.registry)
 	s.plans.Advance(*admitter.InitialPlan(s.self.Place, s.self.Incarnation).WithAffinity(admitter.Affinity{
 		OtherPlace:  settings.Placing.OtherPlace,
 		OtherRegion: settings.Placing.OtherRegion,
 		Choices:     settings.Placing.Choices,
 		FreeLoad:    settings.Placing.FreeLoad,
 		LoadWeight:  settings.Placing.LoadWeight,
+		Balanced:    settings.Placing.ShiftPerWindow > 0,
 
 		ObjectsPerUpstream: settings.Affinity.ObjectsPerUpstream,
 		MaxCopies:          settings.Affinity.MaxCopies,
@@ -226,8 +249,10 @@
 	})
 	s.registerDemandHandler()
 	s.registerMoveHandler()
+	s.registerVerdictsHandler()
 	s.registerAdvertisementsHandler()
 	s.registerSurveyHandlers()
+	s.registerBalanceHandler()
 	s.reflectors = s.newReflectors()
 	s.borrower = borrower.New(s.hub, s.plans, s.registry)
 	s.forwarder = forwarder.New(
--- a/internal/steerer/survey.go
+++ b/internal/steerer/survey.go
@@ -58,9 +58,9 @@
 // updateObjectGauges exports the number of distinct objects at the upstreams of each service
 // and region.
 func (s *Steerer) updateObjectGauges(plan *admitter.Plan) {
-	for _, room := range plan.Rooms() {
-		name := fmt.Sprintf("hemlockport_objects{region=%q,service=%q}", room.ID.Region, room.ID.Service)
-		metrics.GetOrRegisterGauge(name, s.registry).Update(int64(room.Objects))
+	for _, cache := range plan.Caches() {
+		name := fmt.Sprintf("hemlockport_objects{region=%q,service=%q}", cache.ID.Region, cache.ID.Service)
+		metrics.GetOrRegisterGauge(name, s.registry).Update(int64(cache.Objects))
 	}
 }
 
@@ -79,7 +79,7 @@
 // applyFindings applies what all instances have found together.
 func (s *Steerer) applyFindings(found surveyor.Findings, now time.Time) {
 	plan := s.plans.Load()
-	plan.ReceiveRoomNotices(found.Rooms, now)
+	plan.ReceiveCacheNotices(found.Caches, now)
 	plan.ReceiveLoadNotices(found.Loads, now)
 }
 
@@ -93,8 +93,8 @@
 	plan := s.plans.Load()
 	s.updateObjectGauges(plan)
 	own := surveyor.Survey{
-		Rooms: plan.TakeRoomDigests(),
-		Loads: plan.TakeLoadSums(),
+		Caches: plan.TakeCacheDigests(),
+		Loads:  plan.TakeLoadSums(),
 	}
 	leaders := s.surveyLeaders()
 	leader := leaders[s.self.Place]
--- a/internal/steerer/surveymessage.go
+++ b/internal/steerer/surveymessage.go
@@ -9,13 +9,13 @@
 
 // survey is the encoding of a surveyor.Survey on a link.
 type survey struct {
-	_     struct{} `cbor:",toarray"`
-	Rooms []roomDigest
-	Loads []loadSum
+	_      struct{} `cbor:",toarray"`
+	Caches []cacheDigest
+	Loads  []loadSum
 }
 
-// roomDigest is the encoding of an admitter.RoomDigest on a link.
-type roomDigest struct {
+// cacheDigest is the encoding of an admitter.CacheDigest on a link.
+type cacheDigest struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
 	Region  string
@@ -45,13 +45,13 @@
 
 // findings is the encoding of surveyor.Findings on a link.
 type findings struct {
-	_     struct{} `cbor:",toarray"`
-	Rooms []roomNotice
-	Loads []loadNotice
+	_      struct{} `cbor:",toarray"`
+	Caches []cacheNotice
+	Loads  []loadNotice
 }
 
-// roomNotice is the encoding of an admitter.RoomNotice on a link.
-type roomNotice struct {
+// cacheNotice is the encoding of an admitter.CacheNotice on a link.
+type cacheNotice struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
 	Region  string
@@ -88,13 +88,13 @@
 // newSurvey converts a survey to its encoding on a link.
 func newSurvey(source surveyor.Survey) survey {
 	message := survey{}
-	for _, room := range source.Rooms {
-		message.Rooms = append(message.Rooms, roomDigest{
-			Service: room.ID.Service,
-			Region:  room.ID.Region,
-			Samples: room.Digest.Samples,
-			Bits:    room.Digest.Bits,
-			Popular: newObjectCounts(room.Popular),
+	for _, cache := range source.Caches {
+		message.Caches = append(message.Caches, cacheDigest{
+			Service: cache.ID.Service,
+			Region:  cache.ID.Region,
+			Samples: cache.Digest.Samples,
+			Bits:    cache.Digest.Bits,
+			Popular: newObjectCounts(cache.Popular),
 		})
 	}
 	for _, load := range source.Loads {
@@ -113,17 +113,17 @@
 // surveyorSurvey converts a received survey to the surveyor's form.
 func (s survey) surveyorSurvey() surveyor.Survey {
 	decoded := surveyor.Survey{}
-	for _, room := range s.Rooms {
-		decoded.Rooms = append(decoded.Rooms, admitter.RoomDigest{
-			ID: admitter.RoomID{
-				Service: room.Service,
-				Region:  room.Region,
+	for _, cache := range s.Caches {
+		decoded.Caches = append(decoded.Caches, admitter.CacheDigest{
+			ID: admitter.CacheID{
+				Service: cache.Service,
+				Region:  cache.Region,
 			},
 			Digest: enumerator.Digest{
-				Samples: room.Samples,
-				Bits:    room.Bits,
+				Samples: cache.Samples,
+				Bits:    cache.Bits,
 			},
-			Popular: admitterCounts(room.Popular),
+			Popular: admitterCounts(cache.Popular),
 		})
 	}
 	for _, load := range s.Loads {
@@ -142,12 +142,12 @@
 // newFindings converts findings to their encoding on a link.
 func newFindings(source surveyor.Findings) findings {
 	message := findings{}
-	for _, room := range source.Rooms {
-		message.Rooms = append(message.Rooms, roomNotice{
-			Service: room.ID.Service,
-			Region:  room.ID.Region,
-			Objects: uint64(room.Objects),
-			Popular: newObjectDemands(room.Popular),
+	for _, cache := range source.Caches {
+		message.Caches = append(message.Caches, cacheNotice{
+			Service: cache.ID.Service,
+			Region:  cache.ID.Region,
+			Objects: uint64(cache.Objects),
+			Popular: newObjectDemands(cache.Popular),
 		})
 	}
 	for _, load := range source.Loads {
@@ -164,14 +164,14 @@
 // surveyorFindings converts received findings to the surveyor's form.
 func (f findings) surveyorFindings() surveyor.Findings {
 	decoded := surveyor.Findings{}
-	for _, room := range f.Rooms {
-		decoded.Rooms = append(decoded.Rooms, admitter.RoomNotice{
-			ID: admitter.RoomID{
-				Service: room.Service,
-				Region:  room.Region,
+	for _, cache := range f.Caches {
+		decoded.Caches = append(decoded.Caches, admitter.CacheNotice{
+			ID: admitter.CacheID{
+				Service: cache.Service,
+				Region:  cache.Region,
 			},
-			Objects: float64(room.Objects),
-			Popular: admitterDemands(room.Popular),
+			Objects: float64(cache.Objects),
+			Popular: admitterDemands(cache.Popular),
 		})
 	}
 	for _, load := range f.Loads {
--- a/pkg/command/admitter/room.go
+++ b/pkg/command/admitter/cache.go
@@ -15,19 +15,19 @@
 	// minObjectsChange is the relative change of the estimated number of objects that changes
 	// the numbers of copies. Smaller changes are noise of the estimate.
 	minObjectsChange = 0.1
-	// roomNoticeLifetime is how long a number of objects that a peer has told counts.
-	roomNoticeLifetime = 5 * time.Second
+	// cacheNoticeLifetime is how long a number of objects that a peer has told counts.
+	cacheNoticeLifetime = 5 * time.Second
 )
 
-// RoomID identifies the upstreams of one service in one region.
-type RoomID struct {
+// CacheID identifies the upstreams of one service in one region.
+type CacheID struct {
 	Service string
 	Region  string
 }
 
-// room holds how many distinct objects the upstreams of one service in one region serve.
+// cache holds how many distinct objects the upstreams of one service in one region serve.
 // Successive plans share it. It is safe for concurrent use, and a request takes no lock.
-type room struct {
+type cache struct {
 	// counted counts the objects of the requests that this instance sends to the upstreams.
 	counted *enumerator.Enumerator
 	// popular counts the requests for popular objects that have not been shared yet.
@@ -35,26 +35,26 @@
 	// demands is what a peer has told last of the demand for popular objects; nil if nothing.
 	demands atomic.Pointer[demands]
 	// notice is what a peer has told last; nil before the first.
-	notice atomic.Pointer[roomNotice]
+	notice atomic.Pointer[cacheNotice]
 	// objectBits is the number of distinct objects in the form of math.Float64bits. It is 0
 	// while the number is unknown.
 	objectBits atomic.Uint64
 }
 
-// roomNotice is a number of objects that a peer has told.
-type roomNotice struct {
+// cacheNotice is a number of objects that a peer has told.
+type cacheNotice struct {
 	objects float64
 	until   time.Time
 }
 
 // objects returns the number of distinct objects, or 0 while it is unknown.
-func (r *room) objects() float64 {
+func (r *cache) objects() float64 {
 	return math.Float64frombits(r.objectBits.Load())
 }
 
 // update sets the number of objects to what a peer has told or else to what this instance has
 // counted.
-func (r *room) update(now time.Time) {
+func (r *cache) update(now time.Time) {
 	r.counted.Advance(now)
 	objects := 0.0
 	if notice := r.notice.Load(); notice != nil && now.Before(notice.until) {
@@ -69,79 +69,79 @@
 	r.objectBits.Store(math.Float64bits(objects))
 }
 
-// RoomDigest is what an instance or several have counted for the upstreams of one service in
+// CacheDigest is what an instance or several have counted for the upstreams of one service in
 // one region.
-type RoomDigest struct {
-	ID     RoomID
+type CacheDigest struct {
+	ID     CacheID
 	Digest enumerator.Digest
 	// Popular counts the requests for objects since the digest before.
 	Popular []ObjectCount
 }
 
-// RoomNotice is the estimated number of distinct objects that the upstreams of one service in
+// CacheNotice is the estimated number of distinct objects that the upstreams of one service in
 // one region serve; 0 if it is unknown.
-type RoomNotice struct {
-	ID      RoomID
+type CacheNotice struct {
+	ID      CacheID
 	Objects float64
 	// Popular is the demand for the popular objects.
 	Popular []ObjectDemand
 }
 
-// UpdateRooms updates the numbers of copies of all services. It must be called every
+// UpdateCaches updates the numbers of copies of all services. It must be called every
 // SpilloverInterval. It has no effect in a plan whose upstreams keep no objects.
-func (p *Plan) UpdateRooms(now time.Time) {
-	for _, room := range p.rooms {
-		room.update(now)
+func (p *Plan) UpdateCaches(now time.Time) {
+	for _, cache := range p.caches {
+		cache.update(now)
 	}
 }
 
-// Rooms returns the numbers of objects that decide about the copies.
-func (p *Plan) Rooms() []RoomNotice {
-	notices := make([]RoomNotice, 0, len(p.rooms))
-	for id, room := range p.rooms {
-		notices = append(notices, RoomNotice{
+// Caches returns the numbers of objects that decide about the copies.
+func (p *Plan) Caches() []CacheNotice {
+	notices := make([]CacheNotice, 0, len(p.caches))
+	for id, cache := range p.caches {
+		notices = append(notices, CacheNotice{
 			ID:      id,
-			Objects: room.objects(),
+			Objects: cache.objects(),
 		})
 	}
 	return notices
 }
 
-// TakeRoomDigests returns what this instance has counted, without what it has counted nothing
+// TakeCacheDigests returns what this instance has counted, without what it has counted nothing
 // for. The counts of popular objects are those since the call before.
-func (p *Plan) TakeRoomDigests() []RoomDigest {
-	var digests []RoomDigest
-	for id, room := range p.rooms {
-		digest := room.counted.Digest()
+func (p *Plan) TakeCacheDigests() []CacheDigest {
+	var digests []CacheDigest
+	for id, cache := range p.caches {
+		digest := cache.counted.Digest()
 		if digest.Samples == 0 {
 			continue
 		}
-		digests = append(digests, RoomDigest{
+		digests = append(digests, CacheDigest{
 			ID:      id,
 			Digest:  digest,
-			Popular: room.takePopular(),
+			Popular: cache.takePopular(),
 		})
 	}
 	return digests
 }
 
-// ReceiveRoomNotices applies numbers of objects that a peer has told. They count for
-// roomNoticeLifetime instead of those that this instance has counted.
-func (p *Plan) ReceiveRoomNotices(notices []RoomNotice, now time.Time) {
+// ReceiveCacheNotices applies numbers of objects that a peer has told. They count for
+// cacheNoticeLifetime instead of those that this instance has counted.
+func (p *Plan) ReceiveCacheNotices(notices []CacheNotice, now time.Time) {
 	for _, notice := range notices {
-		if room, found := p.rooms[notice.ID]; found {
-			room.notice.Store(&roomNotice{
+		if cache, found := p.caches[notice.ID]; found {
+			cache.notice.Store(&cacheNotice{
 				objects: max(notice.Objects, 0),
-				until:   now.Add(roomNoticeLifetime),
+				until:   now.Add(cacheNoticeLifetime),
 			})
-			room.demands.Store(newDemands(notice.Popular, now))
+			cache.demands.Store(newDemands(notice.Popular, now))
 		}
 	}
 }
 
-// roomsFor returns the rooms of all services of a set. One that remains keeps what it has
+// cachesFor returns the caches of all services of a set. One that remains keeps what it has
 // counted. There are none if upstreams keep no objects.
-func (p *Plan) roomsFor(set declarer.Set, now time.Time) map[RoomID]*room {
+func (p *Plan) cachesFor(set declarer.Set, now time.Time) map[CacheID]*cache {
 	if !p.keepsObjects() {
 		return nil
 	}
@@ -152,32 +152,32 @@
 	for place := range set.Places.All() {
 		regions[place.Region] = true
 	}
-	rooms := map[RoomID]*room{}
+	caches := map[CacheID]*cache{}
 	for service := range set.Services.All() {
 		for region := range regions {
-			id := RoomID{
+			id := CacheID{
 				Service: service.Name,
 				Region:  region,
 			}
-			rooms[id] = p.roomFor(id, now)
+			caches[id] = p.cacheFor(id, now)
 		}
 	}
-	return rooms
+	return caches
 }
 
-// roomFor returns the room with an ID in p, or a new one.
-func (p *Plan) roomFor(id RoomID, now time.Time) *room {
-	if kept, found := p.rooms[id]; found {
+// cacheFor returns the cache with an ID in p, or a new one.
+func (p *Plan) cacheFor(id CacheID, now time.Time) *cache {
+	if kept, found := p.caches[id]; found {
 		return kept
 	}
-	return &room{
+	return &cache{
 		counted: enumerator.New(now),
 		popular: sketcher.New(p.affinity.CountedObjects),
 	}
 }
 
 // takePopular returns the counts of popular objects since the call before.
-func (r *room) takePopular() []ObjectCount {
+func (r *cache) takePopular() []ObjectCount {
 	taken := r.popular.Take()
 	counts := make([]ObjectCount, 0, len(taken))
 	for _, count := range taken {
@@ -224,8 +224,8 @@
 	maxCopies int
 	// work is the work time of the service; never nil.
 	work *workTime
-	// room holds the number of objects; never nil.
-	room *room
+	// cache holds the number of objects; never nil.
+	cache *cache
 }
 
 // copies returns the number of upstreams of the group that serve the object with a hash: as
@@ -234,7 +234,7 @@
 // the number of objects is unknown, because copies that are removed again have displaced other
 // objects.
 func (g *group) copies(objectHash uint64) int {
-	objects := g.room.objects()
+	objects := g.cache.objects()
 	if objects <= 0 {
 		return 1
 	}
@@ -251,7 +251,7 @@
 // groupUpstreams sets the groups of the candidates of a pool.
 func groupUpstreams(
 	candidates []*candidate,
-	roomOf func(region string) *room,
+	cacheOf func(region string) *cache,
 	work *workTime,
 	affinity Affinity,
 ) {
@@ -263,7 +263,7 @@
 			found = &group{
 				number:    len(groups),
 				maxCopies: affinity.MaxCopies,
-				room:      roomOf(member.region),
+				cache:     cacheOf(member.region),
 				work:      work,
 			}
 			groups[member.region] = found
@@ -278,15 +278,15 @@
 // countObject counts a request for the object with a hash that is sent to the upstream.
 func (c *candidate) countObject(objectHash uint64, criteria criteria) {
 	if c.group != nil && !criteria.anyChoice {
-		c.group.room.counted.Record(objectHash)
-		c.group.room.popular.Record(objectHash)
+		c.group.cache.counted.Record(objectHash)
+		c.group.cache.popular.Record(objectHash)
 	}
 }
 
-// roomsOf returns a function that returns the room of a service in a region.
-func (p *Plan) roomsOf(service string) func(region string) *room {
-	return func(region string) *room {
-		return p.rooms[RoomID{
+// cachesOf returns a function that returns the cache of a service in a region.
+func (p *Plan) cachesOf(service string) func(region string) *cache {
+	return func(region string) *cache {
+		return p.caches[CacheID{
 			Service: service,
 			Region:  region,
 		}]
--- a/pkg/command/admitter/demand.go
+++ b/pkg/command/admitter/demand.go
@@ -29,7 +29,7 @@
 	PerSecond float64
 }
 
-// demands holds the demand for the popular objects of a room. It is immutable.
+// demands holds the demand for the popular objects of a cache. It is immutable.
 type demands struct {
 	perSecond map[uint64]float64
 	until     time.Time
@@ -53,7 +53,7 @@
 // needed returns how many upstreams the demand for the object with a hash needs: its requests
 // times their work over what one upstream can spare, at least 1 and at most maxCopies.
 func (g *group) needed(objectHash uint64, now time.Time) int {
-	told := g.room.demands.Load()
+	told := g.cache.demands.Load()
 	if told == nil || !now.Before(told.until) {
 		return 1
 	}
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -18,9 +18,11 @@
 	// waitFreeLoad is the mean load, in requests per slot, from which on requests are expected
 	// to wait. Arrivals are random, so some wait long before all slots are taken on average.
 	waitFreeLoad = 0.3
-	// copiesSpread is picker.Copies.Spread. Mean loads are some 3 s old when they count, so a
-	// lower value lets objects move back and forth between their copies: 1 gave 0.84 to 0.87
-	// of requests in time with four copies in a simulation in which 3 gave 0.92 to 0.94.
+	// copiesMargin and copiesSpread are the fields of picker.Copies. Mean loads are some 3 s
+	// old when they count, so a lower spread lets objects move back and forth between their
+	// copies: 1 gave 0.84 to 0.87 of requests in time with four copies in a simulation in which
+	// 3 gave 0.92 to 0.94. Without a margin later copies had to learn 1 in 200 requests more.
+	copiesMargin = 0.5
 	copiesSpread = 3
 )
 
@@ -263,21 +265,22 @@
 }
 
 // withCopies returns the pool with a choice among as many upstreams of one region as have
-// room for the objects there. The function roomOf returns the room of a region.
+// room for the objects there. The function cacheOf returns the cache of a region.
 func (p *Pool) withCopies(
-	roomOf func(region string) *room,
+	cacheOf func(region string) *cache,
 	work *workTime,
 	salt uint64,
 	affinity Affinity,
 ) *Pool {
 	for _, tier := range p.tiers {
-		groupUpstreams(tier, roomOf, work, affinity)
+		groupUpstreams(tier, cacheOf, work, affinity)
 	}
 	return &Pool{
 		tiers: p.tiers,
 		policy: picker.Copies[*candidate, criteria]{
 			Rendezvous: affinity.rendezvous(),
 			Salt:       salt,
+			Margin:     copiesMargin,
 			Spread:     copiesSpread,
 		},
 	}
--- a/pkg/command/surveyor/roomsum.go
+++ b/pkg/command/surveyor/cachesum.go
@@ -7,32 +7,32 @@
 	"github.com/hemlockport/hemlockport/pkg/command/enumerator"
 )
 
-// roomSum sums digests by the upstreams that they are about.
-type roomSum map[admitter.RoomID]enumerator.Digest
+// cacheSum sums digests by the upstreams that they are about.
+type cacheSum map[admitter.CacheID]enumerator.Digest
 
-func newRoomSum() roomSum {
-	return roomSum{}
+func newCacheSum() cacheSum {
+	return cacheSum{}
 }
 
 // add adds the digests of one sender.
-func (r roomSum) add(digests []admitter.RoomDigest) {
+func (r cacheSum) add(digests []admitter.CacheDigest) {
 	for _, digest := range digests {
 		r[digest.ID] = r[digest.ID].WithMerged(digest.Digest)
 	}
 }
 
 // addAll adds the digests of all senders.
-func (r roomSum) addAll(senders map[string]told) {
+func (r cacheSum) addAll(senders map[string]told) {
 	for _, told := range senders {
-		r.add(told.rooms)
+		r.add(told.caches)
 	}
 }
 
 // digests returns the sums, sorted by ID, with the counts of popular objects.
-func (r roomSum) digests(counts objectSum) []admitter.RoomDigest {
-	digests := map[admitter.RoomID]admitter.RoomDigest{}
+func (r cacheSum) digests(counts objectSum) []admitter.CacheDigest {
+	digests := map[admitter.CacheID]admitter.CacheDigest{}
 	for id, digest := range r {
-		digests[id] = admitter.RoomDigest{
+		digests[id] = admitter.CacheDigest{
 			ID:      id,
 			Digest:  digest,
 			Popular: counts.highest(id),
@@ -42,12 +42,12 @@
 }
 
 // notices returns the numbers of objects, sorted by ID, with the demand for popular objects.
-func (r roomSum) notices(rates rates) []admitter.RoomNotice {
-	notices := map[admitter.RoomID]admitter.RoomNotice{}
+func (r cacheSum) notices(rates rates) []admitter.CacheNotice {
+	notices := map[admitter.CacheID]admitter.CacheNotice{}
 	for id, digest := range r {
 		// An unknown number is told as 0.
 		objects, _ := digest.Objects()
-		notices[id] = admitter.RoomNotice{
+		notices[id] = admitter.CacheNotice{
 			ID:      id,
 			Objects: objects,
 			Popular: rates.popular(id, objects),
@@ -56,7 +56,7 @@
 	return sortedValues(notices, lessID)
 }
 
-func lessID(a, b admitter.RoomID) bool {
+func lessID(a, b admitter.CacheID) bool {
 	if a.Service != b.Service {
 		return a.Service < b.Service
 	}
--- a/pkg/command/surveyor/demand.go
+++ b/pkg/command/surveyor/demand.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// maxCounts bounds the counts of objects of one room in a survey, and maxPopular the
-	// demands of one room in findings, so that a message keeps to a few KB.
+	// maxCounts bounds the counts of objects of one cache in a survey, and maxPopular the
+	// demands of one cache in findings, so that a message keeps to a few KB.
 	maxCounts  = 128
 	maxPopular = 32
-	// maxRates bounds the objects of one room whose demand is known.
+	// maxRates bounds the objects of one cache whose demand is known.
 	maxRates = 1024
 	// popularFactor is the multiple of the mean demand from which on an object is popular.
 	// Others need one copy, or the load shows that all need more.
@@ -27,11 +27,11 @@
 	fallTime = 10 * time.Second
 )
 
-// objectSum sums the counts of objects by room.
-type objectSum map[admitter.RoomID]map[uint64]uint64
+// objectSum sums the counts of objects by cache.
+type objectSum map[admitter.CacheID]map[uint64]uint64
 
 // add adds the counts of a sender.
-func (o objectSum) add(digests []admitter.RoomDigest) {
+func (o objectSum) add(digests []admitter.CacheDigest) {
 	for _, digest := range digests {
 		counts := o[digest.ID]
 		if counts == nil {
@@ -44,8 +44,8 @@
 	}
 }
 
-// highest returns the highest counts of a room, at most maxCounts.
-func (o objectSum) highest(id admitter.RoomID) []admitter.ObjectCount {
+// highest returns the highest counts of a cache, at most maxCounts.
+func (o objectSum) highest(id admitter.CacheID) []admitter.ObjectCount {
 	counts := make([]admitter.ObjectCount, 0, len(o[id]))
 	for object, requests := range o[id] {
 		counts = append(counts, admitter.ObjectCount{
@@ -59,8 +59,8 @@
 	return counts[:min(len(counts), maxCounts)]
 }
 
-// rates holds the demand for objects by room, in requests a second.
-type rates map[admitter.RoomID]map[uint64]float64
+// rates holds the demand for objects by cache, in requests a second.
+type rates map[admitter.CacheID]map[uint64]float64
 
 // update moves the demands towards the counts of a time: a demand that rises follows within
 // about a second, one that falls within some ten.
@@ -99,9 +99,9 @@
 	return current + (before-current)*math.Exp(-elapsed.Seconds()/timeConstant.Seconds())
 }
 
-// popular returns the highest demands of a room with that many objects, at most maxPopular,
+// popular returns the highest demands of a cache with that many objects, at most maxPopular,
 // that are popularFactor times the mean or more.
-func (r rates) popular(id admitter.RoomID, objects float64) []admitter.ObjectDemand {
+func (r rates) popular(id admitter.CacheID, objects float64) []admitter.ObjectDemand {
 	total := 0.0
 	for _, perSecond := range r[id] {
 		total += perSecond
--- a/pkg/command/surveyor/surveyor.go
+++ b/pkg/command/surveyor/surveyor.go
@@ -25,23 +25,23 @@
 
 // Survey is what one instance has found, or the instances of one failure domain together.
 type Survey struct {
-	// Rooms are cumulative: each survey of a sender replaces the one before. But their Popular
+	// Caches are cumulative: each survey of a sender replaces the one before. But their Popular
 	// counts, as Loads do, what has been found since the sender's survey before.
-	Rooms []admitter.RoomDigest
+	Caches []admitter.CacheDigest
 	// Loads are what has been found since the sender's survey before.
 	Loads []admitter.LoadSum
 }
 
 // Findings is what all instances have found together.
 type Findings struct {
-	Rooms []admitter.RoomNotice
-	Loads []admitter.LoadNotice
+	Caches []admitter.CacheNotice
+	Loads  []admitter.LoadNotice
 }
 
-// told is the rooms that a sender has told.
+// told is the caches that a sender has told.
 type told struct {
-	rooms []admitter.RoomDigest
-	until time.Time
+	caches []admitter.CacheDigest
+	until  time.Time
 }
 
 // Surveyor sums the surveys of members and of other leaders.
@@ -120,20 +120,20 @@
 func (s *Surveyor) ReceiveMember(sender string, survey Survey, now time.Time) {
 	s.members[sender] = newTold(survey, now)
 	s.memberLoads = append(s.memberLoads, survey.Loads...)
-	s.memberCounts.add(survey.Rooms)
+	s.memberCounts.add(survey.Caches)
 }
 
 // ReceiveDomain receives the survey of another failure domain from its leader.
 func (s *Surveyor) ReceiveDomain(sender string, survey Survey, now time.Time) {
 	s.domains[sender] = newTold(survey, now)
 	s.domainLoads = append(s.domainLoads, survey.Loads...)
-	s.domainCounts.add(survey.Rooms)
+	s.domainCounts.add(survey.Caches)
 }
 
 func newTold(survey Survey, now time.Time) told {
 	return told{
-		rooms: survey.Rooms,
-		until: now.Add(lifetime),
+		caches: survey.Caches,
+		until:  now.Add(lifetime),
 	}
 }
 
@@ -142,17 +142,17 @@
 func (s *Surveyor) Sum(own Survey, now time.Time) (Survey, Findings) {
 	dropLapsed(s.members, now)
 	dropLapsed(s.domains, now)
-	domainRooms := newRoomSum()
-	domainRooms.add(own.Rooms)
-	domainRooms.addAll(s.members)
+	domainCaches := newCacheSum()
+	domainCaches.add(own.Caches)
+	domainCaches.addAll(s.members)
 	domainLoads := sumLoads(own.Loads, s.memberLoads)
-	s.memberCounts.add(own.Rooms)
+	s.memberCounts.add(own.Caches)
 	survey := Survey{
-		Rooms: domainRooms.digests(s.memberCounts),
-		Loads: domainLoads,
+		Caches: domainCaches.digests(s.memberCounts),
+		Loads:  domainLoads,
 	}
-	domainRooms.addAll(s.domains)
-	s.domainCounts.add(survey.Rooms)
+	domainCaches.addAll(s.domains)
+	s.domainCounts.add(survey.Caches)
 	elapsed := now.Sub(s.summedAt)
 	if s.summedAt.IsZero() || elapsed <= 0 {
 		elapsed = Interval
@@ -160,8 +160,8 @@
 	s.summedAt = now
 	s.rates.update(s.domainCounts, elapsed)
 	findings := Findings{
-		Rooms: domainRooms.notices(s.rates),
-		Loads: s.updateMeans(sumLoads(domainLoads, s.domainLoads), elapsed),
+		Caches: domainCaches.notices(s.rates),
+		Loads:  s.updateMeans(sumLoads(domainLoads, s.domainLoads), elapsed),
 	}
 	s.memberLoads = nil
 	s.domainLoads = nil
--- a/pkg/query/picker/copies.go
+++ b/pkg/query/picker/copies.go
@@ -28,8 +28,10 @@
 	Rendezvous[C, R]
 	// Salt differs between instances.
 	Salt uint64
-	// Spread is the advantage in expected time, as a multiple of the time of a request at an
-	// idle candidate, at which all instances prefer a later copy to the first one.
+	// Margin is the advantage in expected time, as a multiple of the time of a request at an
+	// idle candidate, that a copy needs to be preferred to the one before by any instance, and
+	// Margin and Spread together the one at which all instances prefer it.
+	Margin float64
 	Spread float64
 }
 
@@ -53,7 +55,8 @@
 // lowest expected time. A copy after those that are needed is chosen only if it is better by a
 // part of Spread that differs between instances and objects. So as the needed copies get
 // slower, one instance after another moves to a later copy: they all see the same figures,
-// which are some seconds old, and would otherwise move together, and back together.
+// which are some seconds old, and would otherwise move together, and back together. The first
+// request at a later copy is slow, so that a small advantage is not worth it.
 func (p Copies[C, R]) soonest(
 	copies []rankedCandidate[C],
 	needed int,
@@ -85,14 +88,10 @@
 // handicap returns the expected time that is added to that of the copy with a rank from 0. The
 // position is a pseudorandom number that differs between instances.
 func (p Copies[C, R]) handicap(rank, needed int, position float64) float64 {
-	switch {
-	case rank < needed:
+	if rank < needed {
 		return p.Spread * neededSpread * position
-	case needed == 1:
-		return p.Spread * (float64(rank-needed) + position)
-	default:
-		return p.Spread * (float64(rank-needed) + neededSpread + position)
 	}
+	return p.Margin + p.Spread*(float64(rank-needed)+position)
 }
 
 // Expect returns how many copies the object with a hash has, usable or not, and the lowest of
--- a/pkg/query/picker/copies_test.go
+++ b/pkg/query/picker/copies_test.go
@@ -46,6 +46,7 @@
 			FreeLoad:   1,
 			LoadWeight: 0.2,
 		},
+		Margin: 0.5,
 		Spread: 2,
 	}
 }
