--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -40,6 +40,7 @@
 	Affinity  Affinity
 	Teams     Teams
 	Capacity  Capacity
+	Duty      Duty
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -312,6 +313,7 @@
 			LoadWeight:  0.5,
 		},
 		Affinity: defaultAffinity(),
+		Duty:     defaultDuty(),
 	}
 }
 
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1400,6 +1400,14 @@
 				MemoryMB:    73.5,
 				Descriptors: 74.5,
 			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("settings.toml", encoder.TOML[configurer.Settings]{}, configurer.Settings{
 			Name:  "name",
@@ -1497,6 +1505,14 @@
 				MemoryMB:    73.5,
 				Descriptors: 74.5,
 			},
+			Duty: configurer.Duty{
+				Address:        "address",
+				WindowSeconds:  68.5,
+				LateSeconds:    69.5,
+				LeaseMillis:    70,
+				CallsPerSecond: 71.5,
+				Names:          []string{"names1", "names2"},
+			},
 		}),
 		comparer.NewCase("document.toml", encoder.TOML[declarer.Document]{}, declarer.Document{
 			Place: []declarer.Place{
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -49,6 +49,8 @@
 	// request is part of the spillover. It has no effect in pools without affinity, nor
 	// on routeRegions and teamRegions.
 	anyRegion bool
+	// preview reports that the choice is only shown: it takes no slot and counts nothing.
+	preview bool
 }
 
 // allowsRegion reports whether the request may run in a region.
@@ -88,7 +90,9 @@
 	if c.admitsLimit(criteria.now) {
 		return true
 	}
-	c.limitDemand.Add(1)
+	if !criteria.preview {
+		c.limitDemand.Add(1)
+	}
 	return false
 }
 
@@ -111,9 +115,11 @@
 	if c.Upstream == criteria.avoid || !c.admitsCold(criteria.now) || !criteria.allowsRegion(c.region) {
 		return false
 	}
-	if !c.advertisement.Load().acceptsAt(criteria.now) {
-		return false
-	}
+	return c.advertisement.Load().acceptsAt(criteria.now) && c.isHealthyFor(criteria)
+}
+
+// isHealthyFor reports whether the upstream's health allows that it serves a request.
+func (c *candidate) isHealthyFor(criteria criteria) bool {
 	switch c.Health() {
 	case Live:
 		return true
@@ -326,6 +332,9 @@
 			if !found {
 				break
 			}
+			if criteria.preview {
+				return picked.Upstream, true
+			}
 			if picked.takeSlot(criteria.now) {
 				picked.countObject(hash, criteria)
 				return picked.Upstream, true
