Test what explain says about copies

The sentences of explain about the copies of an object had no test. Two lines, one answered by the second of three copies and one refused because the only copy had no room, now check them.

--- a/internal/query/explainer/explainer_test.go
+++ b/internal/query/explainer/explainer_test.go
@@ -24,6 +24,11 @@
    5.4 front-corby-1 {"level":"info","Instance":"front-corby-1","Request":"e5","Team":"bami644","Attempts":0,"Revision":8,"TookMillis":170,"Verdict":"NotRun","Reason":"TeamOverRate","time":"2026-04-28T19:45:24.40Z","message":"Refused"}
 `
 
+// copiesLog holds lines with the fields of copies, which recordedLog is too old for.
+const copiesLog = `{"Instance":"front-corby-1","Request":"e7","Service":"seda15a","Upstream":"i-aa","Attempts":1,"Status":200,"TookMillis":250,"Rank":2,"Copies":3,"ExpectedTime":1.4,"time":"2026-12-06T19:45:25.00Z","message":"Answered"}
+{"Instance":"front-corby-1","Request":"e8","Service":"seda15a","Attempts":0,"RefusedCopies":1,"RefusedExpectedTime":4.5,"Verdict":"NotRun","Reason":"NoRoom","time":"2026-12-06T19:45:25.10Z","message":"Refused"}
+`
+
 // recordedForeign is how many lines of recordedLog must be skipped.
 const recordedForeign = 3
 
@@ -71,8 +76,18 @@
 			request: "e6",
 			cause:   "no log tells of this request",
 		},
+		{
+			name:    "answered by a later copy",
+			request: "e7",
+			cause:   "rank 2 for the object, which has 3 copies, and was expected to take 1.40 times as long",
+		},
+		{
+			name:    "the only copy had no room",
+			request: "e8",
+			cause:   "the object has 1 copies, of which the best was expected to take 4.50 times as long",
+		},
 	}
-	log, err := explainer.Read(strings.NewReader(recordedLog))
+	log, err := explainer.Read(strings.NewReader(recordedLog + copiesLog))
 	if err != nil {
 		t.Fatal(err)
 	}
