--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -41,6 +41,7 @@
 	Teams     Teams
 	Capacity  Capacity
 	Duty      Duty
+	Queue     Queue
 }
 
 // Teams configures how the limits of teams are enforced. Only AdapterThimblegate uses it.
@@ -314,6 +315,7 @@
 		},
 		Affinity: defaultAffinity(),
 		Duty:     defaultDuty(),
+		Queue:    defaultQueue(),
 	}
 }
 
--- a/internal/configurer/settings_test.go
+++ b/internal/configurer/settings_test.go
@@ -140,6 +140,20 @@
 			text:   strings.Replace(thimblegateSettings, "Cores = 0.112", "Cores = nan", 1) + "[Readiness]\nListen = \"10.1.0.37:8384\"\n",
 			fields: []string{"Capacity.Cores"},
 		},
+		{
+			name:   "a queue that holds nothing and one that holds requests for ever",
+			text:   validSettings + "[Queue]\nLongest = 0\nWaitShare = 1.5\n",
+			fields: []string{"Queue.Longest", "Queue.WaitShare"},
+		},
+		{
+			name: "smallest machine",
+			text: validSettings + "[Capacity]\nMemoryMB = 64\nDescriptors = 300\n",
+		},
+		{
+			name:   "machine too small",
+			text:   validSettings + "[Capacity]\nMemoryMB = 63\nDescriptors = 299\n",
+			fields: []string{"Capacity.MemoryMB", "Capacity.Descriptors"},
+		},
 		{
 			name:   "unknown platform",
 			text:   validSettings + "[Platform]\nAdapter = \"Elsewhere\"\n",
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 )
 
 // maxBufferedBytes is how much of a response's body is buffered until its turn. The
@@ -33,12 +35,12 @@
 	safe bool
 	// closesConn reports that the connection closes after the response.
 	closesConn bool
+	// statusSet reports that the status can't change any more.
+	statusSet bool
 
 	header http.Header
 	// status is the response's HTTP status; 0 until it is set.
 	status int
-	// statusSet reports that the status can't change any more.
-	statusSet bool
 	// buffered is the response's body until it is written to the connection.
 	buffered bytes.Buffer
 	// streaming reports that the handler writes to the connection.
@@ -55,6 +57,10 @@
 	// without the end of the response, so that the caller doesn't take it for complete.
 	broken bool
 
+	// held is what the exchange has taken from the server's budget, in bytes. Only the
+	// handler changes it until it has returned.
+	held int64
+
 	body *watchedBody
 	// bodyDone is closed when the request's body is no longer read: it was read to its
 	// end, a read failed or the handler has returned.
@@ -147,7 +153,7 @@
 		return 0, http.ErrBodyNotAllowed
 	}
 	if !e.streaming {
-		if e.buffered.Len()+len(p) <= maxBufferedBytes {
+		if e.buffered.Len()+len(p) <= maxBufferedBytes && e.take(int64(len(p))) {
 			return e.buffered.Write(p)
 		}
 		if err := e.startStreaming(len(p)); err != nil {
@@ -226,6 +232,11 @@
 		return nil
 	}
 	e.streaming = true
+	if !e.takeForAnswer(bounder.StreamBytes) {
+		e.broken = true
+		e.conn.server.onEvent(BrokenOff)
+		return errNoRoom
+	}
 	if err := e.writeHead(); err != nil {
 		return err
 	}
@@ -255,7 +266,7 @@
 // writeResponse waits for the handler to return, writes the response as far as the
 // handler hasn't, and reports whether the connection stays open.
 func (e *exchange) writeResponse() bool {
-	timeout := time.Duration(e.conn.server.limits.WriteMillis) * time.Millisecond
+	timeout := time.Duration(e.conn.server.limits.Load().WriteMillis) * time.Millisecond
 	e.conn.setCurrent(e, time.Now().Add(timeout))
 	close(e.turn)
 	<-e.handlerDone
@@ -284,6 +295,7 @@
 	close(e.turn)
 	<-e.handlerDone
 	e.releaseHeld()
+	e.release()
 	close(e.written)
 }
 
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -37,6 +37,14 @@
 	Reason      arbiter.Reason `json:"Reason"`
 	Detail      string         `json:"Detail"`
 	Cause       string         `json:"Cause"`
+	// The fields from Queue on are those of a request that waited for an upstream, or that the
+	// queue or the admission level refused (see scheduler.Cause).
+	Queue          string  `json:"Queue"`
+	Priority       int     `json:"Priority"`
+	WaitedMillis   int64   `json:"WaitedMillis"`
+	Ahead          int     `json:"Ahead"`
+	ExpectedMillis int64   `json:"ExpectedMillis"`
+	LevelShare     float64 `json:"LevelShare"`
 	// Rank is the position of the upstream among the Copies of the request's object, and
 	// ExpectedTime the time to an answer that was expected there, as a multiple of the time at
 	// an idle upstream. They are 0 where the number of copies does not follow the demand.
--- a/internal/receiver/forward_test.go
+++ b/internal/receiver/forward_test.go
@@ -39,11 +39,17 @@
 // newEntry starts an entry for a service whose upstreams listen at the addresses.
 func newEntry(t testing.TB, addresses ...string) *entry {
 	t.Helper()
-	return newEntryWith(t, func(*receiver.Options) {}, addresses...)
+	return newEntryOf(t, serviceSet(addresses), func(*receiver.Options) {})
 }
 
 // newEntryWith is newEntry with changed options of the receiver.
 func newEntryWith(t testing.TB, change func(options *receiver.Options), addresses ...string) *entry {
+	t.Helper()
+	return newEntryOf(t, serviceSet(addresses), change)
+}
+
+// newEntryOf starts an entry for a declared set, with changed options of the receiver.
+func newEntryOf(t testing.TB, set declarer.Set, change func(options *receiver.Options)) *entry {
 	t.Helper()
 	plans := holder.New[admitter.Plan]()
 	// The team's bucket starts empty. A start one hour ago makes it full now.
@@ -52,7 +58,6 @@
 		Index: 0,
 		Count: 1,
 	}
-	set := serviceSet(addresses)
 	plan := admitter.InitialPlan("derby", "derby-1").WithSeats([]splitter.Seat{seat}, start).WithTable(router.New(1, set), start)
 	plan.Confirm(start)
 	plans.Advance(*plan)
--- a/internal/simulator/request.go
+++ b/internal/simulator/request.go
@@ -21,6 +21,7 @@
 // Result is what became of one request.
 type Result struct {
 	Kind string
+	Team string
 	// Sent is when the caller first sent the request, counted from the start.
 	Sent time.Duration
 	// Took is the time until the answer; 0 if there was none.
@@ -44,6 +45,8 @@
 	retries int
 	// known says that the upstream that has answered knew the object.
 	known bool
+	// servedAt is when the instance got the request.
+	servedAt time.Time
 }
 
 // arrive makes a caller send a request of a kind.
@@ -90,6 +93,7 @@
 	}
 	result := Result{
 		Kind:     r.kind.Name,
+		Team:     r.kind.Team,
 		Sent:     r.sentAt.Sub(s.start),
 		Answered: wasAnswered,
 		Place:    r.place,
@@ -105,10 +109,12 @@
 // serve admits a request and sends it to an upstream.
 func (i *instance) serve(r *request) {
 	s := i.simulation
+	r.servedAt = s.now
 	admission, refusal := i.admitter.Admit(admitter.Request{
 		Host:     r.kind.Host,
 		Path:     "/" + r.kind.Name + "/1",
 		Method:   "GET",
+		Key:      r.kind.Team,
 		Object:   r.object,
 		Random:   s.random.Uint64(),
 		Now:      s.now,
@@ -124,11 +130,21 @@
 // attempt sends a request to an upstream other than the one to avoid, which may be nil.
 func (i *instance) attempt(r *request, admission admitter.Admission, number int, avoid *admitter.Upstream) {
 	s := i.simulation
+	if queue := i.queueOf(admission.Service); queue != nil {
+		queue.enqueue(r, admission, number, avoid)
+		return
+	}
 	chosen, refusal := admission.Acquire(s.now, s.random.Uint64(), avoid)
 	if refusal != nil {
 		s.end(r, "", refusal.RetryAt)
 		return
 	}
+	i.start(r, admission, number, chosen)
+}
+
+// start sends a request to an upstream that has been chosen.
+func (i *instance) start(r *request, admission admitter.Admission, number int, chosen *admitter.Upstream) {
+	s := i.simulation
 	a := &attempt{
 		instance:  i,
 		request:   r,
@@ -191,16 +207,18 @@
 		a.chosen.RecordLoad(report, s.now)
 		a.chosen.RecordSuccess(s.now)
 		a.admission.RecordDuration(s.now.Sub(a.sentAt))
+		a.queueEnded(nil)
 		a.finish()
 		a.request.known = a.known
 		s.end(a.request, a.chosen.Declared().Place, time.Time{})
 		return
 	}
-	a.fail(arbiter.Refuse(arbiter.UpstreamShed, "shed"), report)
+	a.fail(errShed, report)
 	if a.number < maxAttempts && s.now.Before(a.deadline) {
 		a.instance.attempt(a.request, a.admission, a.number+1, a.chosen)
 		return
 	}
+	a.queueEnded(errShed)
 	s.end(a.request, "", s.now.Add(admitter.NoRoomRetryMillis*time.Millisecond))
 }
 
@@ -221,7 +239,8 @@
 	if a.ended {
 		return
 	}
-	a.fail(arbiter.Fail(arbiter.DeadlineExceeded, "too late"), registrar.Report{})
+	a.fail(errLate, registrar.Report{})
+	a.queueEnded(errLate)
 	a.instance.simulation.end(a.request, "", time.Time{})
 }
 
@@ -231,6 +250,12 @@
 	a.finish()
 }
 
+// The refusals of attempts that failed.
+var (
+	errShed = arbiter.Refuse(arbiter.UpstreamShed, "shed")
+	errLate = arbiter.Fail(arbiter.DeadlineExceeded, "too late")
+)
+
 // finish gives back the slot.
 func (a *attempt) finish() {
 	a.ended = true
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -63,6 +63,25 @@
 				},
 			},
 		}),
+		comparer.NewCase("queue_figures.cbor", encoder.CBOR[queueFigures]{}, queueFigures{
+			Scope: queueScopeDomain,
+			Services: []queueService{
+				{
+					Service: "service",
+					Priorities: []queuePriority{
+						{
+							Priority: 2,
+							Served:   3,
+							Late:     4,
+							Full:     5,
+							Turned:   6,
+							Over:     7,
+							Held:     8,
+						},
+					},
+				},
+			},
+		}),
 		comparer.NewCase("survey.cbor", encoder.CBOR[survey]{}, survey{
 			Caches: []cacheDigest{
 				{
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -221,6 +221,7 @@
 			s.fetchFromPeers()
 			s.refreshLenders()
 			s.shareSurvey(time.Now())
+			s.shareQueueCounts()
 		}
 	}
 	return nil
--- a/internal/steerer/plan.go
+++ b/internal/steerer/plan.go
@@ -26,6 +26,7 @@
 	// Teams are added and removed only by declarations.
 	s.setLenders(s.plans.Load())
 	s.receiver.CancelInvalid()
+	s.raiseLimits(declaration.Limits)
 	s.log.Info().
 		Uint64("Revision", declaration.Revision).
 		Uint64("Before", previous).
@@ -55,6 +56,7 @@
 		s.publishLocator(plan.Table())
 	}
 	s.plans.Advance(*plan)
+	s.wakeQueues()
 }
 
 // refreshKeptRegistrations drops the upstreams that the platform does not list and that have been
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -165,14 +165,13 @@
 // upstream to avoid, which may be nil, is used only if no other one is usable. The caller
 // must call Release on the upstream.
 func (a Admission) Acquire(now time.Time, random uint64, avoid *Upstream) (*Upstream, *arbiter.Refusal) {
-	if a.objectHash != 0 {
-		random = a.objectHash
-	}
-	plan := a.currentPlan()
-	wanted := a.criteriaAt(plan, now, random)
-	wanted.avoid = avoid
-	wanted.anyRegion = plan.spillovers[a.Service].choose(random)
-	return plan.pools[a.Service].acquireAny(random, wanted)
+	random, pools, wanted := a.choice(now, random, avoid)
+	upstream, refusal := pools.acquireAny(random, wanted)
+	if refusal == nil {
+		// A request that waits tries again and again, so only a success counts as demand.
+		a.currentPlan().spillovers[a.Service].countRequest()
+	}
+	return upstream, refusal
 }
 
 // criteriaAt returns which upstreams the request may use at a time. The hash is that of its
--- a/pkg/command/admitter/pool.go
+++ b/pkg/command/admitter/pool.go
@@ -49,6 +49,9 @@
 	// request is part of the spillover. It has no effect in pools without affinity, nor
 	// on routeRegions and teamRegions.
 	anyRegion bool
+	// probe, if not nil, collects the upstreams that the request would choose from, and none
+	// is chosen.
+	probe *roomProbe
 	// preview reports that the choice is only shown: it takes no slot and counts nothing.
 	preview bool
 }
@@ -84,6 +87,9 @@
 // service's bound and room in its limit. A request that only the limit keeps away counts as
 // demand for it.
 func (c *candidate) Usable(criteria criteria) bool {
+	if criteria.probe != nil {
+		return criteria.probe.visit(c, criteria)
+	}
 	if !c.hasFreeSlot() || !c.loadBound.admits(c.loadAt(criteria.now)) || !c.mayServe(criteria) {
 		return false
 	}
--- a/pkg/command/admitter/upstream.go
+++ b/pkg/command/admitter/upstream.go
@@ -63,6 +63,8 @@
 	sharedLoad atomic.Pointer[sharedLoad]
 	// slowdown is what the upstream has told this instance of its slowdown; nil if nothing.
 	slowdown atomic.Pointer[slowdown]
+	// watchers are told of each release of a slot; nil if there are none.
+	watchers atomic.Pointer[[]*Watcher]
 }
 
 // newUpstream returns the state of an upstream that is live and has no requests.
@@ -155,6 +157,7 @@
 // Release gives back the slot of a request that has ended.
 func (u *Upstream) Release() {
 	u.slots.Release()
+	u.tellWatchers()
 }
 
 // applyDeclaration replaces the declaration by one with the same address and
