Let a successor gather sums before it records windows

A new holder recorded every window that had ended 4 s before at once, with the counts that it had. The leaders of the other failure domains had sent their sums to the holder before it, and send them to the new one only after they have got its record, so the report of such a window lacked the requests of all other failure domains. The platform got a wrong report after a take-over that came 4 s or more after a window's end, which is the usual case when a holder dies shortly before it records a window.

For 2 s after a take-over that is followed by the quiet time, a window is now recorded only if its counts are complete. The first call comes 3 s after the take-over, so no call is later than before.

TestSuccessorWaitsForSums failed before ("window 1001: got 0 requests, want at least 70") and passes now; go test -race ./internal/command/usagereporter passes.

--- a/internal/command/usagereporter/duty.go
+++ b/internal/command/usagereporter/duty.go
@@ -24,6 +24,10 @@
 	maxPatienceDoublings = 3
 	// partedPatience is how long a holder goes on while too few of the others are linked.
 	partedPatience = 2 * time.Second
+	// gatherTime is how long a new holder records no window without all counts. The other failure
+	// domains have sent their sums to the holder before it, and send them again in the round
+	// after they have got its record. It is below the usual lease_ms, so that no call waits for it.
+	gatherTime = 2 * time.Second
 	// abstention is the time in which an instance that gave the duty up does not take it again.
 	abstention = 10 * time.Second
 	// rateMargin is the factor by which calls stay under the rate that the platform accepts.
@@ -48,9 +52,7 @@
 	r.mu.Lock()
 	now := r.now()
 	if r.state.Token() != r.term.token {
-		r.term = term{
-			token: r.state.Token(),
-		}
+		r.beginTerm(now)
 	}
 	wants := r.wants(now)
 	action := r.state.Decide(wants, now)
@@ -69,6 +71,16 @@
 	}
 }
 
+// beginTerm notes that this instance has acquired or lost the lease. The caller holds mu.
+func (r *Reporter) beginTerm(now leaser.Instant) {
+	r.term = term{
+		token: r.state.Token(),
+	}
+	if r.state.CallFrom() > now {
+		r.term.gatherUntil = now + gatherTime
+	}
+}
+
 // wants returns what this instance has to do. The caller holds mu.
 func (r *Reporter) wants(now leaser.Instant) leaser.Wants[meter.Ledger] {
 	ledger := r.state.View().Record.Value
@@ -259,9 +271,10 @@
 	}
 	r.status.reported(report, token, r.term, err, r.age(report.Window), seconds(r.options.Settings.LateSeconds))
 	r.term = term{
-		token:      token,
-		progress:   r.term.progress.WithAccepted(report.Window),
-		nextCallAt: r.term.nextCallAt,
+		token:       token,
+		progress:    r.term.progress.WithAccepted(report.Window),
+		nextCallAt:  r.term.nextCallAt,
+		gatherUntil: r.term.gatherUntil,
 	}
 }
 
--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -315,8 +315,8 @@
 }
 
 // fleetCounts returns the counts of all instances in a window, and whether the leaders of all
-// failure domains have summed it. It returns nil if too few of the others are linked to know. The
-// caller holds mu.
+// failure domains have summed it. It returns nil if too few of the others are linked to know, or
+// if some may not have sent their sums to this new holder yet. The caller holds mu.
 func (r *Reporter) fleetCounts(window int64) (meter.Counts, bool) {
 	if !r.fleet.Eligible {
 		return nil, false
@@ -327,6 +327,9 @@
 	}
 	for _, place := range r.fleet.Places {
 		if known, found := r.places[place.Name]; !found || known.through < window {
+			if r.now() < r.term.gatherUntil {
+				return nil, false
+			}
 			r.incomplete = window
 			return total, false
 		}
--- /dev/null
+++ b/internal/command/usagereporter/takeover_test.go
@@ -0,0 +1,90 @@
+package usagereporter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hemlockport/hemlockport/pkg/command/leaser"
+	"github.com/hemlockport/hemlockport/pkg/command/meter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
+)
+
+// TestSuccessorWaitsForSums checks that a new holder does not record a window before the other
+// failure domains have sent it their sums: they have sent them to the holder before it, and a
+// window that is recorded without them has a wrong report.
+func TestSuccessorWaitsForSums(t *testing.T) {
+	const requests = 70
+	h := newHarness(t)
+	other := registrar.Member{
+		Name:        "peer",
+		Incarnation: "peer-1",
+		Place:       "york",
+	}
+	h.fleet.Places = append(h.fleet.Places, Place{
+		Name:    other.Place,
+		Members: []registrar.Member{other},
+	})
+	last := int64(1000)
+	h.startAt(meter.EndOf(last+1, h.reporter.schedule.Length).Add(-time.Second))
+	h.storeRecord(leaser.Record[ledger]{
+		Name:     "earlier",
+		Machine:  "earlier-1",
+		Token:    3,
+		Sequence: 5,
+		Era:      h.position.Era,
+		Value: ledger{
+			Last: last,
+		},
+	})
+	for !h.reporter.state.Holds() {
+		h.run(tickInterval)
+	}
+	// The leader of the other failure domain learns of the new holder and sends at its next round.
+	h.run(exchangeInterval)
+	through := meter.WindowAt(h.reporter.trueTime(), h.reporter.schedule.Length) - 1
+	sums := countsMessage{
+		Place:   other.Place,
+		Through: through,
+	}
+	for window := last + 1; window <= through; window++ {
+		sums.Windows = append(sums.Windows, meter.WindowCounts{
+			Window: window,
+			Counts: meter.Counts{
+				"team": requests,
+			},
+		})
+	}
+	h.reporter.receiveSums(other, sums)
+	h.run(4 * time.Second)
+	if len(h.calls) == 0 {
+		t.Fatal("got no calls of the new holder")
+	}
+	for _, report := range h.record().Value.Reports {
+		if report.Window <= through && report.Counts["team"] < requests {
+			t.Errorf("window %d: got %d requests, want at least %d", report.Window, report.Counts["team"], requests)
+		}
+	}
+	for _, call := range h.calls {
+		if call.Window <= through && call.Counts["team"] < requests {
+			t.Errorf("call for window %d: got %d requests, want at least %d", call.Window, call.Counts["team"], requests)
+		}
+	}
+}
+
+// startAt makes true time begin at a time.
+func (h *harness) startAt(started time.Time) {
+	from := h.now
+	h.reporter.wall = func() time.Time { return started.Add(h.now - from) }
+	h.reporter.clocks = meter.NewClocks(started, from)
+}
+
+// storeRecord puts a record into the store.
+func (h *harness) storeRecord(record leaser.Record[ledger]) {
+	h.t.Helper()
+	encoded, err := recordCodec.Encode(record)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.value = encoded
+	h.position.Revision++
+}
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -165,6 +165,8 @@
 	failedFrom leaser.Instant
 	// nextCallAt is the instant before which no call is made.
 	nextCallAt leaser.Instant
+	// gatherUntil is the instant before which no window is recorded without all counts.
+	gatherUntil leaser.Instant
 	// releaseReason is why the instance gives the duty up, if it does.
 	releaseReason string
 }
