Bound the reports that wait for the platform

While the platform accepted no report, the ledger kept every recorded window: some 2 KB a window with 140 teams. After about forty minutes the record was above the store's 1 MB for an object, so that a holder's writes failed and no window was decided any more, and before that the whole record went to some 150 instances every 5 s.

The ledger now keeps the latest 120 windows. An older one stays decided, so that it is never reported with other counts, and is logged as WindowsSkipped.

--- a/internal/command/usagereporter/duty.go
+++ b/internal/command/usagereporter/duty.go
@@ -223,6 +223,7 @@
 		now:        r.trueTime(),
 		length:     r.schedule.Length,
 		incomplete: r.incomplete,
+		progress:   r.term.progress,
 	})
 	r.status.update(r.state)
 	return r.holderMessages()
--- a/internal/command/usagereporter/status.go
+++ b/internal/command/usagereporter/status.go
@@ -111,11 +111,16 @@
 	length time.Duration
 	// incomplete is a window whose counts were not complete.
 	incomplete int64
+	// progress says which reports were accepted.
+	progress meter.Progress
 }
 
 // recorded logs the windows that a write has decided.
 func (s *status) recorded(decided recordedWindows) {
 	ledger, token := decided.record.Value, decided.record.Token
+	for _, window := range ledger.GivenUp(decided.before, decided.progress) {
+		s.skip(window, window, token)
+	}
 	next := decided.before.Last + 1
 	for _, report := range ledger.Reports {
 		if report.Window <= decided.before.Last {
