Keep the state of a reported window when its report is repeated

A successor sends the recorded reports again, because it does not know which of them the platform has accepted. hemlockport duty then showed a window that had been reported in time as late, or as given up, with the successor as the cause, and led operators to a fault that the platform never saw. The first accepted report of a window now decides its state.

TestAudit has a repeat, a failed repeat and a skipped repeat of window 10; it failed before ("Number:10 State:Skipped") and passes now.

--- a/internal/query/auditor/auditor.go
+++ b/internal/query/auditor/auditor.go
@@ -151,6 +151,10 @@
 // addWindows adds what a line says about windows. tenure is that of the line's token.
 func addWindows(windows map[int64]Window, line Line, tenure Tenure) {
 	window := windows[line.Window]
+	if line.Message != "WindowsSkipped" && isReported(window) {
+		// A later holder repeats a report that it does not know to be accepted.
+		return
+	}
 	window.Number = line.Window
 	window.Token = line.Token
 	switch line.Message {
@@ -168,6 +172,9 @@
 		window = reported(window, line, tenure)
 	case "WindowsSkipped":
 		for number := line.From; number <= line.Through; number++ {
+			if isReported(windows[number]) {
+				continue
+			}
 			windows[number] = Window{
 				Number: number,
 				State:  stateSkipped,
@@ -182,6 +189,11 @@
 	windows[line.Window] = window
 }
 
+// isReported reports whether the platform has accepted a window's report before.
+func isReported(window Window) bool {
+	return window.State == stateInTime || window.State == stateLate
+}
+
 // reported returns a window after its report was accepted or rejected for good.
 func reported(window Window, line Line, tenure Tenure) Window {
 	window.ReportedMillis = line.AgeMillis
--- a/internal/query/auditor/auditor_test.go
+++ b/internal/query/auditor/auditor_test.go
@@ -8,16 +8,20 @@
 	"github.com/hemlockport/hemlockport/internal/query/auditor"
 )
 
-// logText is what two instances log when the holder dies and the cloud is away for a while.
+// logText is what two instances log when the holder dies and the cloud is away for a while. The
+// successor repeats the report of window 10, and later gives its repeats up.
 const logText = `{"level":"info","Instance":"a","Token":1,"FirstCallMillis":7500,"time":"2026-12-06T13:00:00Z","message":"DutyAcquired"}
 {"level":"info","Instance":"a","Window":10,"Token":1,"Requests":7,"Complete":true,"AgeMillis":2000,"time":"2026-12-06T13:00:07Z","message":"WindowRecorded"}
 {"level":"info","Instance":"a","Window":10,"Token":1,"AgeMillis":2100,"Late":false,"Attempts":1,"time":"2026-12-06T13:00:08Z","message":"WindowReported"}
 2026-12-06 {"level":"info","Instance":"b","Token":2,"Previous":"a","PreviousToken":1,"FirstCallMillis":3000,"time":"2026-12-06T13:00:20Z","message":"DutyAcquired"}
 {"level":"info","Instance":"b","Window":11,"Token":2,"Requests":9,"Complete":true,"AgeMillis":8000,"time":"2026-12-06T13:00:20Z","message":"WindowRecorded"}
+{"level":"warn","Instance":"b","Window":10,"Token":2,"error":"status 503","time":"2026-12-06T13:00:23Z","message":"ReportFailed"}
+{"level":"warn","Instance":"b","Window":10,"Token":2,"AgeMillis":16000,"Late":true,"Attempts":1,"time":"2026-12-06T13:00:23Z","message":"WindowReported"}
 {"level":"warn","Instance":"b","Window":11,"Token":2,"AgeMillis":11000,"Late":true,"Attempts":1,"time":"2026-12-06T13:00:23Z","message":"WindowReported"}
 {"level":"info","Instance":"b","Window":12,"Token":2,"Requests":9,"Complete":true,"AgeMillis":2000,"time":"2026-12-06T13:00:24Z","message":"WindowRecorded"}
 {"level":"warn","Instance":"b","Window":12,"Token":2,"error":"status 503","time":"2026-12-06T13:00:25Z","message":"ReportFailed"}
 {"level":"info","Instance":"b","Token":2,"Reason":"PlatformUnreached","LastError":"status 503","time":"2026-12-06T13:00:28Z","message":"DutyReleased"}
+{"level":"warn","Instance":"a","From":10,"Through":10,"Token":3,"time":"2026-12-06T13:00:40Z","message":"WindowsSkipped"}
 {"level":"warn","Instance":"a","From":13,"Through":14,"Token":3,"time":"2026-12-06T13:00:40Z","message":"WindowsSkipped"}
 a line of another program
 `
