Wait for the counts of a failure domain whose link is cut

The fleet of a duty listed only failure domains with a linked instance. If the link to the only instance of a failure domain was cut when a window was due, the holder took the window as complete 2 s after its end and recorded it without up to a second of that failure domain's counts. With three failure domains and windows of 5 s this is about 7 % of the requests, above the tolerance of 5 %.

A listed failure domain without a linked instance now belongs to the fleet without members, so that its counts are waited for until 4 s after the window's end. A failure domain that has really died costs that wait until its entries are removed; reports are due after 10 s.

TestUnlinkedPlaceIsExpected failed before ("map[derby:1]") and passes now, and go test -race ./internal/steerer ./internal/command/usagereporter passes.

--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -67,14 +67,15 @@
 	// Rank is how many linked instances precede this one in taking the duty over.
 	Rank int
 	// Place is the failure domain of this instance, and Places are all of them in which an
-	// instance runs.
+	// instance is listed.
 	Place  Place
 	Places []Place
 	// Changes differs from an earlier number if links have changed.
 	Changes uint64
 }
 
-// Place is a failure domain with the instances that run in it, in the order of their names.
+// Place is a failure domain with the instances in it that are linked or this one and not leaving,
+// in the order of their names. It may have none.
 type Place struct {
 	Name    string
 	Members []registrar.Member
--- a/internal/steerer/duty.go
+++ b/internal/steerer/duty.go
@@ -69,6 +69,10 @@
 		listed++
 		peer, found := s.hub.Peer(other.Incarnation)
 		if !found {
+			// The counts of its failure domain are waited for, also if no other one there is linked.
+			if _, known := members[other.Place]; !known {
+				members[other.Place] = nil
+			}
 			continue
 		}
 		linked++
