Drop windows from peers that can't be reported any more

Counts of very early windows from a peer were kept for good: their distance to the latest window overflows, so that they were neither refused nor removed, and each message could add more of them. Windows that are older than the kept ones are now dropped on arrival, as those that have not begun are.

TestOddWindowsOfAPeerAreDropped failed before for a very low number and an old window, and passes now; go test -race ./internal/command/usagereporter passes.

--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -100,10 +100,12 @@
 	}
 }
 
-// isPlausible reports whether a window may have begun. Counts of a later one, from an instance
-// whose clock is wrong, would displace those that are kept. The caller holds mu.
+// isPlausible reports whether a window may have begun and can still be reported. Counts of a later
+// one, from an instance whose clock is wrong, would displace those that are kept, and those of a
+// very early one would never be removed. The caller holds mu.
 func (r *Reporter) isPlausible(window int64) bool {
-	return window <= meter.WindowAt(r.trueTime(), r.schedule.Length)+1
+	current := meter.WindowAt(r.trueTime(), r.schedule.Length)
+	return window <= current+1 && window > current-meter.Retained
 }
 
 func (r *Reporter) receiveSums(from registrar.Member, received countsMessage) {
--- a/internal/command/usagereporter/takeover_test.go
+++ b/internal/command/usagereporter/takeover_test.go
@@ -1,6 +1,7 @@
 package usagereporter
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -88,3 +89,53 @@
 	h.value = encoded
 	h.position.Revision++
 }
+
+// TestOddWindowsOfAPeerAreDropped checks that windows which cannot be counted any more or not yet
+// take no memory. Their difference from the present one may overflow.
+func TestOddWindowsOfAPeerAreDropped(t *testing.T) {
+	h := newHarness(t)
+	current := meter.WindowAt(h.reporter.trueTime(), h.reporter.schedule.Length)
+	cases := []struct {
+		name   string
+		window int64
+		kept   int
+	}{
+		{
+			name:   "very low number",
+			window: math.MinInt64 + 1,
+		},
+		{
+			name:   "greatest number",
+			window: math.MaxInt64,
+		},
+		{
+			name:   "too old",
+			window: current - meter.Retained,
+		},
+		{
+			name:   "present",
+			window: current,
+			kept:   1,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h.reporter.members = meter.NewTally()
+			h.reporter.receiveCounts(registrar.Member{
+				Incarnation: "peer-1",
+			}, countsMessage{
+				Windows: []meter.WindowCounts{
+					{
+						Window: current - 1,
+					},
+					{
+						Window: c.window,
+					},
+				},
+			})
+			if got := len(h.reporter.members.Sums(math.MinInt64)); got != c.kept+1 {
+				t.Errorf("got %d windows, want %d", got, c.kept+1)
+			}
+		})
+	}
+}
