Keep the quiet time when the store is restored a second time

A holder that takes its lease again after the store has returned from an older copy may go on at once, because it has held the lease without a gap. If it was still in the quiet time of its first acquisition, that time ended too: with two restores within a lease, its first call could come while a holder that the store had forgotten was still acting, with a higher token before a lower one. The first call now keeps its time.

TestSecondRestoreKeepsTheQuietTime failed before ("got the first call at 8.5s, want it at 15s") and passes now.

--- a/pkg/command/leaser/holder_test.go
+++ b/pkg/command/leaser/holder_test.go
@@ -143,3 +143,24 @@
 		})
 	}
 }
+
+// TestSecondRestoreKeepsTheQuietTime checks that a holder that takes its lease again after the store
+// has returned from an older copy does not make its first call earlier: the holder before it, which
+// the store has forgotten, may act until then.
+func TestSecondRestoreKeepsTheQuietTime(t *testing.T) {
+	state, at := acquire(t, otherHolder(2, 1, 5, true), 2)
+	want := state.CallFrom()
+	now := at + time.Second
+	state = state.Read(otherHolder(3, 1, 5, true), now)
+	action := state.Decide(careful, now)
+	if action.Step != leaser.Write {
+		t.Fatalf("got step %v, want a write", action.Step)
+	}
+	state = state.Written(action.Record, storer.Position{
+		Era:      3,
+		Revision: 6,
+	}, now, now)
+	if got := state.CallFrom(); !state.Holds() || got != want {
+		t.Fatalf("got the first call at %v, want it at %v", got, want)
+	}
+}
--- a/pkg/command/leaser/state.go
+++ b/pkg/command/leaser/state.go
@@ -132,7 +132,8 @@
 		return s
 	}
 	if record.Token != s.token {
-		s.callFrom = now + s.quietTime(now)
+		// A lease that is taken again keeps the quiet time of the first acquisition.
+		s.callFrom = max(s.callFrom, now+s.quietTime(now))
 	}
 	s = s.withLatest(record)
 	s.view = View[T]{
