Keep the latest counts of a peer if messages arrive in another order

A link handles each one-way message in a task of its own, so two messages of one peer may be applied in either order, above all those that have arrived while the receiver was frozen or short of CPU time. Earlier counts then replaced later ones, and the sender, which sends changes only, did not send the later ones again: the window was reported with too few requests.

Messages with counts now carry a number that rises with each message of the sender, and counts of a lower number than the known ones are ignored.

--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -43,6 +43,9 @@
 // countsMessage holds cumulative counts: each window replaces what the sender sent before.
 type countsMessage struct {
 	_ struct{} `cbor:",toarray"`
+	// Number rises with each message of the sender. A link may hand messages over in another
+	// order, above all those that arrived while the receiver was frozen.
+	Number uint64
 	// Place is the failure domain of sums; empty for the counts of one instance.
 	Place string
 	// Through is the latest window that is summed to its end.
@@ -95,7 +98,7 @@
 	defer r.mu.Unlock()
 	for _, counted := range received.Windows {
 		if r.isPlausible(counted.Window) {
-			r.members.Set(from.Incarnation, counted)
+			r.members.Set(from.Incarnation, received.Number, counted)
 		}
 	}
 }
@@ -125,7 +128,7 @@
 	}
 	for _, counted := range received.Windows {
 		if r.isPlausible(counted.Window) {
-			place.tally.Set(from.Incarnation, counted)
+			place.tally.Set(from.Incarnation, received.Number, counted)
 		}
 	}
 	if r.isPlausible(received.Through) {
@@ -211,8 +214,9 @@
 // The caller holds mu.
 func (r *Reporter) countsMessages(now time.Time) []message {
 	windows := r.counter.Windows(meter.WindowAt(now, r.schedule.Length) - meter.Retained)
+	r.messageNumber++
 	for _, counted := range windows {
-		r.members.Set(r.options.Self.Incarnation, counted)
+		r.members.Set(r.options.Self.Incarnation, r.messageNumber, counted)
 	}
 	var messages []message
 	for _, leader := range r.fleet.Place.Leaders() {
@@ -221,6 +225,7 @@
 		}
 		if changed := r.outbox.Take(leader.Incarnation, windows); len(changed) > 0 {
 			messages = append(messages, newMessage(leader, topicCounts, countsMessage{
+				Number:  r.messageNumber,
 				Windows: changed,
 			}, countsCodec))
 		}
@@ -243,7 +248,9 @@
 	if record.Machine == "" || number > 0 && isSent {
 		return nil
 	}
+	r.messageNumber++
 	sums := countsMessage{
+		Number:  r.messageNumber,
 		Place:   r.options.Self.Place,
 		Through: through,
 		Windows: r.members.Sums(through - meter.Retained),
--- a/internal/command/usagereporter/golden_test.go
+++ b/internal/command/usagereporter/golden_test.go
@@ -47,6 +47,7 @@
 			Record:   record,
 		}),
 		comparer.NewCase("counts.cbor", countsCodec, countsMessage{
+			Number:  12,
 			Place:   "place",
 			Through: 3,
 			Windows: windows,
--- a/internal/command/usagereporter/takeover_test.go
+++ b/internal/command/usagereporter/takeover_test.go
@@ -139,3 +139,52 @@
 		})
 	}
 }
+
+// TestEarlierCountsDoNotReplaceLaterOnes checks that the latest counts of a peer remain if a link
+// hands over two messages in another order: the peer would not send them again.
+func TestEarlierCountsDoNotReplaceLaterOnes(t *testing.T) {
+	const requests = 70
+	cases := []struct {
+		name    string
+		numbers []uint64
+	}{
+		{
+			name:    "in order",
+			numbers: []uint64{1, 2},
+		},
+		{
+			name:    "exchanged",
+			numbers: []uint64{2, 1},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			peer := registrar.Member{
+				Incarnation: "peer-1",
+			}
+			current := meter.WindowAt(h.reporter.trueTime(), h.reporter.schedule.Length)
+			for _, number := range c.numbers {
+				received := countsMessage{
+					Number: number,
+					Place:  "york",
+					Windows: []meter.WindowCounts{
+						{
+							Window: current,
+							Counts: meter.Counts{
+								"team": int64(number) * requests,
+							},
+						},
+					},
+				}
+				h.reporter.receiveCounts(peer, received)
+				h.reporter.receiveSums(peer, received)
+			}
+			counted := h.reporter.members.Sum(current)["team"]
+			summed := h.reporter.places["york"].tally.Highest(current)["team"]
+			if counted != 2*requests || summed != 2*requests {
+				t.Errorf("got %d counted and %d summed, want %d", counted, summed, 2*requests)
+			}
+		})
+	}
+}
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -141,6 +141,8 @@
 	members *meter.Tally
 	places  map[string]*placeCounts
 	outbox  *meter.Outbox
+	// messageNumber is the number of the latest message with counts.
+	messageNumber uint64
 	// linkChanges is Fleet.Changes at the last exchange.
 	linkChanges uint64
 	// countsStep, sumsStep and clockStep are the numbers of the last rounds of sending.
--- a/pkg/command/meter/duty_test.go
+++ b/pkg/command/meter/duty_test.go
@@ -249,7 +249,7 @@
 		}
 		for _, changed := range outboxes[sender].Take("leader", counters[sender].Windows(0)) {
 			for range 1 + random.IntN(2) {
-				tally.Set(fmt.Sprint(sender), changed)
+				tally.Set(fmt.Sprint(sender), uint64(step), changed)
 			}
 		}
 	}
--- a/pkg/command/meter/tally.go
+++ b/pkg/command/meter/tally.go
@@ -8,40 +8,52 @@
 // Tally holds the counts that sources have reported, by window. Each report of a source
 // replaces the one before it, so that a repeat counts once. It is not safe for concurrent use.
 type Tally struct {
-	windows map[int64]map[string]Counts
+	windows map[int64]map[string]sourceCounts
 	// newest is the latest window that was set.
 	newest int64
 }
 
+// sourceCounts are what a source has counted in a window, as of its report with a number.
+type sourceCounts struct {
+	number uint64
+	counts Counts
+}
+
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
-		windows: map[int64]map[string]Counts{},
+		windows: map[int64]map[string]sourceCounts{},
 	}
 }
 
-// Set records what a source has counted in a window.
-func (t *Tally) Set(source string, counted WindowCounts) {
+// Set records what a source has counted in a window. The numbers of a source's reports rise, and
+// one that comes after a later one is ignored.
+func (t *Tally) Set(source string, number uint64, counted WindowCounts) {
 	if t.newest-counted.Window >= Retained {
 		return
 	}
 	sources, found := t.windows[counted.Window]
 	if !found {
-		sources = map[string]Counts{}
+		sources = map[string]sourceCounts{}
 		t.windows[counted.Window] = sources
 	}
-	sources[source] = counted.Counts
+	if number >= sources[source].number {
+		sources[source] = sourceCounts{
+			number: number,
+			counts: counted.Counts,
+		}
+	}
 	if counted.Window > t.newest {
 		t.newest = counted.Window
-		maps.DeleteFunc(t.windows, func(window int64, _ map[string]Counts) bool { return t.newest-window >= Retained })
+		maps.DeleteFunc(t.windows, func(window int64, _ map[string]sourceCounts) bool { return t.newest-window >= Retained })
 	}
 }
 
 // Sum returns the sum of what the sources have counted in a window.
 func (t *Tally) Sum(window int64) Counts {
 	sum := Counts{}
-	for _, counts := range t.windows[window] {
-		sum = sum.Plus(counts)
+	for _, counted := range t.windows[window] {
+		sum = sum.Plus(counted.counts)
 	}
 	return sum
 }
@@ -50,8 +62,8 @@
 // sources that have counted the same requests, of which each may lack some.
 func (t *Tally) Highest(window int64) Counts {
 	highest := Counts{}
-	for _, counts := range t.windows[window] {
-		highest = highest.upTo(counts)
+	for _, counted := range t.windows[window] {
+		highest = highest.upTo(counted.counts)
 	}
 	return highest
 }
