--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -43,6 +43,9 @@
 // countsMessage holds cumulative counts: each window replaces what the sender sent before.
 type countsMessage struct {
 	_ struct{} `cbor:",toarray"`
+	// Number rises with each message of the sender. A link may hand messages over in another
+	// order, above all those that arrived while the receiver was frozen.
+	Number uint64
 	// Place is the failure domain of sums; empty for the counts of one instance.
 	Place string
 	// Through is the latest window that is summed to its end.
@@ -95,15 +98,17 @@
 	defer r.mu.Unlock()
 	for _, counted := range received.Windows {
 		if r.isPlausible(counted.Window) {
-			r.members.Set(from.Incarnation, counted)
+			r.members.Set(from.Incarnation, received.Number, counted)
 		}
 	}
 }
 
-// isPlausible reports whether a window may have begun. Counts of a later one, from an instance
-// whose clock is wrong, would displace those that are kept. The caller holds mu.
+// isPlausible reports whether a window may have begun and can still be reported. Counts of a later
+// one, from an instance whose clock is wrong, would displace those that are kept, and those of a
+// very early one would never be removed. The caller holds mu.
 func (r *Reporter) isPlausible(window int64) bool {
-	return window <= meter.WindowAt(r.trueTime(), r.schedule.Length)+1
+	current := meter.WindowAt(r.trueTime(), r.schedule.Length)
+	return window <= current+1 && window > current-meter.Retained
 }
 
 func (r *Reporter) receiveSums(from registrar.Member, received countsMessage) {
@@ -123,7 +128,7 @@
 	}
 	for _, counted := range received.Windows {
 		if r.isPlausible(counted.Window) {
-			place.tally.Set(from.Incarnation, counted)
+			place.tally.Set(from.Incarnation, received.Number, counted)
 		}
 	}
 	if r.isPlausible(received.Through) {
@@ -209,8 +214,9 @@
 // The caller holds mu.
 func (r *Reporter) countsMessages(now time.Time) []message {
 	windows := r.counter.Windows(meter.WindowAt(now, r.schedule.Length) - meter.Retained)
+	r.messageNumber++
 	for _, counted := range windows {
-		r.members.Set(r.options.Self.Incarnation, counted)
+		r.members.Set(r.options.Self.Incarnation, r.messageNumber, counted)
 	}
 	var messages []message
 	for _, leader := range r.fleet.Place.Leaders() {
@@ -219,6 +225,7 @@
 		}
 		if changed := r.outbox.Take(leader.Incarnation, windows); len(changed) > 0 {
 			messages = append(messages, newMessage(leader, topicCounts, countsMessage{
+				Number:  r.messageNumber,
 				Windows: changed,
 			}, countsCodec))
 		}
@@ -241,7 +248,9 @@
 	if record.Machine == "" || number > 0 && isSent {
 		return nil
 	}
+	r.messageNumber++
 	sums := countsMessage{
+		Number:  r.messageNumber,
 		Place:   r.options.Self.Place,
 		Through: through,
 		Windows: r.members.Sums(through - meter.Retained),
@@ -315,8 +324,8 @@
 }
 
 // fleetCounts returns the counts of all instances in a window, and whether the leaders of all
-// failure domains have summed it. It returns nil if too few of the others are linked to know. The
-// caller holds mu.
+// failure domains have summed it. It returns nil if too few of the others are linked to know, or
+// if some may not have sent their sums to this new holder yet. The caller holds mu.
 func (r *Reporter) fleetCounts(window int64) (meter.Counts, bool) {
 	if !r.fleet.Eligible {
 		return nil, false
@@ -327,6 +336,9 @@
 	}
 	for _, place := range r.fleet.Places {
 		if known, found := r.places[place.Name]; !found || known.through < window {
+			if r.now() < r.term.gatherUntil {
+				return nil, false
+			}
 			r.incomplete = window
 			return total, false
 		}
--- a/internal/command/usagereporter/usagereporter.go
+++ b/internal/command/usagereporter/usagereporter.go
@@ -67,14 +67,15 @@
 	// Rank is how many linked instances precede this one in taking the duty over.
 	Rank int
 	// Place is the failure domain of this instance, and Places are all of them in which an
-	// instance runs.
+	// instance is listed.
 	Place  Place
 	Places []Place
 	// Changes differs from an earlier number if links have changed.
 	Changes uint64
 }
 
-// Place is a failure domain with the instances that run in it, in the order of their names.
+// Place is a failure domain with the instances in it that are linked or this one and not leaving,
+// in the order of their names. It may have none.
 type Place struct {
 	Name    string
 	Members []registrar.Member
@@ -140,6 +141,8 @@
 	members *meter.Tally
 	places  map[string]*placeCounts
 	outbox  *meter.Outbox
+	// messageNumber is the number of the latest message with counts.
+	messageNumber uint64
 	// linkChanges is Fleet.Changes at the last exchange.
 	linkChanges uint64
 	// countsStep, sumsStep and clockStep are the numbers of the last rounds of sending.
@@ -165,6 +168,8 @@
 	failedFrom leaser.Instant
 	// nextCallAt is the instant before which no call is made.
 	nextCallAt leaser.Instant
+	// gatherUntil is the instant before which no window is recorded without all counts.
+	gatherUntil leaser.Instant
 	// releaseReason is why the instance gives the duty up, if it does.
 	releaseReason string
 }
