Do not refuse requests that take nothing from a full budget

Take(0) failed while answers had taken the part of the budget that is left to them. A GET without a body was then refused with 503 although its head had found room, and the flush of an answer that was held made it stream although requests behind it ran, so that their answers were lost if it broke off.

Take now returns true for 0 bytes. The test fails without the change.

--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -102,6 +102,9 @@
 	if !budget.TakeForAnswer(bounder.StreamBytes) {
 		t.Fatal("an answer to a request that has run finds no room beside requests")
 	}
+	if !budget.Take(0) {
+		t.Fatal("a request without a body, or an answer that is flushed without further bytes, is refused for nothing")
+	}
 }
 
 // TestBudgetIsNeverExceeded guards against takers that race for the last bytes, and against
--- a/pkg/command/bounder/budget.go
+++ b/pkg/command/bounder/budget.go
@@ -21,12 +21,12 @@
 	}
 }
 
-// Take takes bytes from the budget and reports whether they were free. It leaves a part of
+// Take takes bytes from the budget and reports whether they were free; 0 always are. It leaves a part of
 // the budget to TakeForAnswer. A size above ordinaryBytes must leave half of the budget
 // free, so that a few large requests do not keep out all ordinary ones.
 func (b *Budget) Take(bytes int64) bool {
 	switch {
-	case b == nil:
+	case b == nil || bytes == 0:
 		return true
 	case bytes > ordinaryBytes:
 		return b.takeUpTo(b.limit/2, bytes)
