Reset a connection whose broken response has no end mark

A response of unknown length to a request of HTTP/1.0 ends with the connection. If it broke off, or its last write failed, the connection was closed in order, so that the caller took the truncated response for complete.

Such a connection is now reset, also below TLS and below the wrappers of closer and gatekeeper, which pass SetLinger on.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -6,6 +6,7 @@
 package closer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -151,6 +152,15 @@
 	return nil
 }
 
+// SetLinger sets what a close does with bytes that have not been sent (see net.TCPConn).
+func (c *conn) SetLinger(seconds int) error {
+	lingering, ok := c.Conn.(interface{ SetLinger(int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return lingering.SetLinger(seconds)
+}
+
 // Abort closes the connection immediately, also one that lingers.
 func (c *conn) Abort() error {
 	c.closeOnce.Do(func() {})
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -4,6 +4,7 @@
 package gatekeeper
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,15 @@
 	return halfCloser.CloseWrite()
 }
 
+// SetLinger sets what a close does with bytes that have not been sent (see net.TCPConn).
+func (c *conn) SetLinger(seconds int) error {
+	lingering, ok := c.Conn.(interface{ SetLinger(int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return lingering.SetLinger(seconds)
+}
+
 // Close closes the connection and returns its slot.
 func (c *conn) Close() error {
 	err := net.ErrClosed
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -295,6 +295,9 @@
 			continue
 		}
 		ended = !next.writeResponse()
+		if next.endsWithConn && !next.complete {
+			reset(c.netConn)
+		}
 		c.setCurrent(nil, time.Time{})
 		c.idleSince.Store(time.Now().UnixNano())
 		if remaining := c.openExchanges.Add(next.closingCount(ended)); remaining == 0 {
--- a/internal/pipeliner/evict.go
+++ b/internal/pipeliner/evict.go
@@ -132,12 +132,32 @@
 
 // abort closes a connection without the wait for its peer, also if it is over another one.
 func abort(connection net.Conn) {
-	if wrapped, ok := connection.(wrapper); ok {
-		connection = wrapped.NetConn()
-	}
+	connection = underlying(connection)
 	if lingering, ok := connection.(aborter); ok {
 		_ = lingering.Abort()
 		return
 	}
 	connection.Close()
 }
+
+// resetter is a connection whose close can tell its peer of an error.
+type resetter interface {
+	SetLinger(seconds int) error
+}
+
+// reset closes a connection at once, so that its peer gets an error in place of an orderly end.
+func reset(connection net.Conn) {
+	if resettable, ok := underlying(connection).(resetter); ok {
+		// An error means that the connection has failed.
+		_ = resettable.SetLinger(0)
+	}
+	abort(connection)
+}
+
+// underlying returns the connection below one that is over another one, or the same one.
+func underlying(connection net.Conn) net.Conn {
+	if wrapped, ok := connection.(wrapper); ok {
+		return wrapped.NetConn()
+	}
+	return connection
+}
