Reset such a connection also when the server stops

The end of a shutdown closed the connections of aborted requests in order before their handlers had returned, so that a response that ends with the connection still looked complete to a caller of HTTP/1.0.

The connection now knows that its response is not complete, and each close of it goes through one method. Two new cases of TestBrokenResponseWithoutChunks fail without the change and pass with it (20 of 20 runs with -race).

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -69,6 +69,9 @@
 	// the Unix epoch. headSince is 0 while no head is read.
 	headSince atomic.Int64
 	idleSince atomic.Int64
+	// cutShort reports that the end of the connection would mark the end of a response that is
+	// not complete.
+	cutShort atomic.Bool
 	// used reports that the first byte of a request has arrived.
 	used atomic.Bool
 	// ctx is the parent context of the connection's requests; cancel cancels it.
@@ -116,12 +119,21 @@
 	// The goroutines return no errors.
 	_ = group.Wait()
 	c.cancel()
-	c.netConn.Close()
+	c.close()
 	c.putReader()
 	c.writer.Reset(nil)
 	writeBuffers.Put(c.writer)
 }
 
+// close closes the connection so that its last response does not look complete if it is not.
+func (c *conn) close() {
+	if c.cutShort.Load() {
+		reset(c.netConn)
+		return
+	}
+	c.netConn.Close()
+}
+
 // stop ends the wait for further requests. A connection without open exchanges closes once
 // a request that has arrived has its response; any other closes after its last response.
 func (c *conn) stop() {
@@ -295,9 +307,6 @@
 			continue
 		}
 		ended = !next.writeResponse()
-		if next.endsWithConn && !next.complete {
-			reset(c.netConn)
-		}
 		c.setCurrent(nil, time.Time{})
 		c.idleSince.Store(time.Now().UnixNano())
 		if remaining := c.openExchanges.Add(next.closingCount(ended)); remaining == 0 {
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -56,11 +56,6 @@
 	// write failed, or the connection ended before its turn. The connection is then closed
 	// without the end of the response, so that the caller doesn't take it for complete.
 	broken bool
-	// endsWithConn reports that only the end of the connection marks the end of the response's
-	// body, and complete that all of the response has been written.
-	endsWithConn bool
-	complete     bool
-
 	// held is what the exchange has taken from the server's budget, in bytes. Only the
 	// handler changes it until it has returned.
 	held int64
@@ -289,7 +284,9 @@
 	if e.writeEnd() != nil {
 		return false
 	}
-	e.complete = true
+	if e.closesConn {
+		e.conn.cutShort.Store(false)
+	}
 	return !e.closesConn
 }
 
@@ -331,7 +328,7 @@
 	if chunked && !e.request.ProtoAtLeast(1, 1) {
 		chunked = false
 		e.closesConn = true
-		e.endsWithConn = true
+		e.conn.cutShort.Store(true)
 	}
 	if chunked {
 		e.header.Set("Transfer-Encoding", "chunked")
--- a/internal/pipeliner/http10_test.go
+++ b/internal/pipeliner/http10_test.go
@@ -1,6 +1,8 @@
 package pipeliner_test
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -18,19 +20,33 @@
 // caller of HTTP/1.0 takes the end of the connection for the end of a response of unknown
 // length.
 func TestBrokenResponseWithoutChunks(t *testing.T) {
+	plain := func(opened net.Listener) net.Listener { return opened }
+	wrapped := func(opened net.Listener) net.Listener {
+		return closer.New(gatekeeper.New(opened, 10, 0, func() {}))
+	}
 	cases := []struct {
 		name string
 		wrap func(net.Listener) net.Listener
+		// stops reports that the server stops in place of the handler's failure.
+		stops bool
 	}{
 		{
 			name: "plain",
-			wrap: func(opened net.Listener) net.Listener { return opened },
+			wrap: plain,
 		},
 		{
 			name: "bounded and lingering",
-			wrap: func(opened net.Listener) net.Listener {
-				return closer.New(gatekeeper.New(opened, 10, 0, func() {}))
-			},
+			wrap: wrapped,
+		},
+		{
+			name:  "plain, and the server stops",
+			wrap:  plain,
+			stops: true,
+		},
+		{
+			name:  "bounded and lingering, and the server stops",
+			wrap:  wrapped,
+			stops: true,
 		},
 	}
 	for _, c := range cases {
@@ -39,8 +55,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			release := make(chan struct{})
 			server := pipeliner.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				writeParts(t, w, 1, 0)
+				if c.stops {
+					<-release
+				}
 				breakOff(w)
 			}), limits, func(reason any) { t.Error("handler panicked:", reason) })
 			var group errgroup.Group
@@ -56,7 +76,18 @@
 			defer caller.Close()
 			_ = caller.SetDeadline(time.Now().Add(5 * time.Second))
 			send(t, caller, "GET /1 HTTP/1.0\r\n\r\n")
-			if received, err := io.ReadAll(caller); err == nil {
+			reader := bufio.NewReader(caller)
+			if _, err = reader.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			if c.stops {
+				ended, end := context.WithCancel(t.Context())
+				end()
+				group.Go(func() error { return server.Shutdown(ended) })
+			}
+			received, err := io.ReadAll(reader)
+			close(release)
+			if err == nil {
 				t.Errorf("got %d bytes and an orderly end, want an error", len(received))
 			}
 		})
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -232,7 +232,7 @@
 		}
 	}
 	s.conns.Range(func(key, _ any) bool {
-		key.(*conn).netConn.Close()
+		key.(*conn).close()
 		return true
 	})
 	<-ended
