Correct the size of the bounded ledger

The comment at MaxReports gave an estimate. The encoded record with 120 windows of 140 teams with names of 7 characters is 185,776 bytes, measured with recordCodec, so a window takes 1,548 bytes. The largest value of the store is 785,408 bytes here, because values are stored as base64: without the bound, the record passed it after 507 windows, that is 42 minutes.

--- a/pkg/command/meter/ledger.go
+++ b/pkg/command/meter/ledger.go
@@ -3,8 +3,8 @@
 import "slices"
 
 // MaxReports is the number of recorded windows that are kept until they are acknowledged: ten
-// minutes of windows of 5 s. With 140 teams they take about 250 KB, a quarter of the largest
-// object of the store.
+// minutes of windows of 5 s. With 140 teams they take 186 KB, a quarter of the largest value of the
+// store.
 const MaxReports = 120
 
 // Ledger says which windows have been decided: recorded with their counts or given up. It is
