--- a/internal/command/forwarder/attempt.go
+++ b/internal/command/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/translator"
@@ -18,6 +19,8 @@
 	// header is the header of the request, to which begin adds the metadata.
 	header   http.Header
 	metadata translator.UpstreamMetadata
+	// target is the URL of the request. It is a field so that it needs no allocation of its own.
+	target url.URL
 	// trace calls begin. It is a field so that it needs no allocation of its own.
 	trace httptrace.ClientTrace
 }
@@ -27,12 +30,14 @@
 	next := &attempt{
 		translator: f.translator,
 		header:     outbound.header.Clone(),
+		target:     outbound.target,
 		metadata: translator.UpstreamMetadata{
 			Team:     outbound.team,
 			Upstream: target.Name,
 			Deadline: outbound.deadline,
 		},
 	}
+	next.target.Host = target.Address
 	next.trace.GotConn = next.begin
 	return next
 }
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -218,7 +218,7 @@
 func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (Answer, error) {
 	attempt := f.newAttempt(target, outbound)
 	traced := httptrace.WithClientTrace(ctx, &attempt.trace)
-	response, err := f.transportFor(outbound).RoundTrip(newRequest(traced, target, outbound, attempt.header))
+	response, err := f.transportFor(outbound).RoundTrip(newRequest(traced, outbound, attempt))
 	if err != nil {
 		return Answer{}, attempt.refusal(ctx, err)
 	}
@@ -264,15 +264,13 @@
 	return f.pooled
 }
 
-// newRequest returns the HTTP request for one attempt, with the header of the attempt.
-func newRequest(ctx context.Context, target Target, outbound Outbound, header http.Header) *http.Request {
-	address := outbound.target
-	address.Host = target.Address
+// newRequest returns the HTTP request for one attempt, with the URL and header of the attempt.
+func newRequest(ctx context.Context, outbound Outbound, attempt *attempt) *http.Request {
 	request := http.Request{
 		Method:        outbound.method,
-		URL:           &address,
+		URL:           &attempt.target,
 		Host:          outbound.host,
-		Header:        header,
+		Header:        attempt.header,
 		Body:          outbound.body.reader(),
 		ContentLength: outbound.body.length,
 		Proto:         "HTTP/1.1",
