--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -789,6 +789,23 @@
 				"removed1",
 				"removed2",
 			},
+		}).WithSparse(),
+		comparer.NewCase("delta-gap.cbor", encoder.CBOR[watcher.Delta[[]byte]]{}, watcher.Delta[[]byte]{
+			Era:      4,
+			After:    2,
+			Revision: 3,
+			Objects: []storer.Object[[]byte]{
+				{
+					Name:     "name",
+					Revision: 7,
+					Value:    []byte("value"),
+				},
+			},
+			Removed: []string{
+				"removed1",
+				"removed2",
+			},
+			Gap: true,
 		}),
 		comparer.NewCase("nothing.cbor", encoder.CBOR[reporter.Empty]{}, reporter.Empty{}),
 		comparer.NewCase("editor-status.json", encoder.JSON[editor.Status]{}, editor.Status{
--- a/pkg/query/watcher/delta.go
+++ b/pkg/query/watcher/delta.go
@@ -25,6 +25,9 @@
 	// holds the names of the objects that no longer exist.
 	Objects []storer.Object[T]
 	Removed []string
+	// Gap says that Removed may lack objects that were written and removed after the earlier
+	// view (see View.Gap).
+	Gap bool `cbor:",omitempty"`
 }
 
 // Position returns the point in the store's history of the later view.
@@ -54,6 +57,8 @@
 		Era:      d.Era,
 		Revision: d.Revision,
 		Objects:  slices.Clone(d.Objects),
+		Removed:  d.Removed,
+		Gap:      d.Gap || d.After == 0,
 	}
 	if d.After == 0 {
 		return next, true
@@ -80,12 +85,34 @@
 // earlier views. It is immutable.
 type History[T any] struct {
 	view View[T]
-	// removed maps the name of each removed object to the revision of the first view
-	// without the object.
+	// removed maps the name of each removed object to the revision of the view with which
+	// its last removal became known.
 	removed map[string]uint64
 	// completeFrom is the revision of the earliest view after which removed holds all
-	// removals.
+	// removals of objects that a view up to then can hold.
 	completeFrom uint64
+	// gap spans the revisions, exclusively, whose views may hold objects that removed lacks:
+	// objects that were written and removed between two views of this history.
+	gap span
+}
+
+// span is a range of revisions, without both ends. The zero value is empty.
+type span struct {
+	after uint64
+	until uint64
+}
+
+// contains reports whether a revision lies in the range.
+func (s span) contains(revision uint64) bool {
+	return revision > s.after && revision < s.until
+}
+
+// extended returns the smallest range that holds both ranges, of which other is the later one.
+func (s span) extended(other span) span {
+	if s.until != 0 {
+		other.after = min(s.after, other.after)
+	}
+	return other
 }
 
 // NewHistory returns the history that starts with a view.
@@ -107,30 +134,53 @@
 	if len(h.removed) > maxRemovals || view.Era != h.view.Era {
 		return NewHistory(view)
 	}
-	removed := make(map[string]uint64, len(h.removed))
+	return History[T]{
+		view:         view,
+		removed:      h.removedWith(view),
+		completeFrom: h.completeFrom,
+		gap:          h.gapWith(view),
+	}
+}
+
+// removedWith returns the removals up to a later view. An object that was removed before may
+// have been written and removed again since.
+func (h History[T]) removedWith(view View[T]) map[string]uint64 {
+	removed := make(map[string]uint64, len(h.removed)+len(view.Removed))
 	for name, removedAt := range h.removed {
-		if !containsName(view.Objects, name) {
-			removed[name] = removedAt
+		if view.Gap {
+			removedAt = view.Revision
 		}
+		removed[name] = removedAt
 	}
 	for _, object := range h.view.Objects {
-		if !containsName(view.Objects, object.Name) {
-			removed[object.Name] = view.Revision
-		}
+		removed[object.Name] = view.Revision
 	}
-	return History[T]{
-		view:         view,
-		removed:      removed,
-		completeFrom: h.completeFrom,
+	for _, name := range view.Removed {
+		removed[name] = view.Revision
+	}
+	for _, object := range view.Objects {
+		delete(removed, object.Name)
+	}
+	return removed
+}
+
+// gapWith returns the gap up to a later view.
+func (h History[T]) gapWith(view View[T]) span {
+	if !view.Gap {
+		return h.gap
 	}
+	return h.gap.extended(span{
+		after: h.view.Revision,
+		until: view.Revision,
+	})
 }
 
 // Since returns the delta from the view of a position to the latest view. For the zero
-// position, one of another era or one before the start of the history, the delta holds the
-// whole latest view.
+// position, one of another era, one before the start of the history or one in its gap, the
+// delta holds the whole latest view.
 func (h History[T]) Since(position storer.Position) Delta[T] {
 	revision := position.Revision
-	if position.Era != h.view.Era || revision < h.completeFrom || revision == 0 {
+	if position.Era != h.view.Era || revision < h.completeFrom || revision == 0 || h.gap.contains(revision) {
 		return Delta[T]{
 			Era:      h.view.Era,
 			Revision: h.view.Revision,
@@ -141,6 +191,7 @@
 		Era:      h.view.Era,
 		After:    revision,
 		Revision: h.view.Revision,
+		Gap:      h.gap.until > revision,
 	}
 	for _, object := range h.view.Objects {
 		if object.Revision > revision {
--- a/pkg/query/watcher/delta_test.go
+++ b/pkg/query/watcher/delta_test.go
@@ -108,3 +108,95 @@
 		}
 	}
 }
+
+// peerView is the view and the history of one of several instances.
+type peerView struct {
+	view    watcher.View[int]
+	history watcher.History[int]
+}
+
+// apply replaces the view by a later one.
+func (p *peerView) apply(view watcher.View[int]) {
+	if p.view.Revision == 0 {
+		p.history = watcher.NewHistory(view)
+	} else {
+		p.history = p.history.WithView(view)
+	}
+	p.view = view
+}
+
+// change is a change of a randomStore: the name and whether the object was removed.
+type change struct {
+	name     string
+	revision uint64
+	removed  bool
+}
+
+// TestPeersAgreeWhateverViewsTheySkip guards against objects that stay for ever at an instance
+// which gets changes from peers: objects that were removed, written again and removed once
+// more while a peer saw no view in between.
+func TestPeersAgreeWhateverViewsTheySkip(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		objects := map[string]storer.Object[int]{}
+		var changes []change
+		revision := uint64(0)
+		current := func() watcher.View[int] {
+			view := watcher.View[int]{
+				Revision: revision,
+			}
+			for _, object := range objects {
+				view.Objects = append(view.Objects, object)
+			}
+			slices.SortFunc(view.Objects, func(a, b storer.Object[int]) int { return strings.Compare(a.Name, b.Name) })
+			return view
+		}
+		peers := make([]peerView, 4)
+		for step := range 60 {
+			for range 1 + random.IntN(4) {
+				revision++
+				name := fmt.Sprintf("servers/%d", random.IntN(4))
+				_, found := objects[name]
+				if found && random.IntN(2) == 0 {
+					delete(objects, name)
+					changes = append(changes, change{
+						name:     name,
+						revision: revision,
+						removed:  true,
+					})
+					continue
+				}
+				objects[name] = storer.Object[int]{
+					Name:     name,
+					Revision: revision,
+					Value:    random.Int(),
+				}
+				changes = append(changes, change{
+					name:     name,
+					revision: revision,
+				})
+			}
+			peer := &peers[random.IntN(len(peers))]
+			switch other := &peers[random.IntN(len(peers))]; {
+			case peer.view.Revision == 0 || random.IntN(8) == 0:
+				view := current()
+				view.Gap = true
+				peer.apply(view)
+			case random.IntN(2) == 0:
+				view := current()
+				for _, one := range changes {
+					if _, exists := objects[one.name]; one.removed && !exists && one.revision > peer.view.Revision {
+						view.Removed = append(view.Removed, one.name)
+					}
+				}
+				peer.apply(view)
+			case other.view.Revision > peer.view.Revision:
+				view, applies := other.history.Since(peer.view.Position()).Apply(peer.view)
+				if !applies || !sameObjects(view.Objects, other.view.Objects) {
+					t.Fatalf("seed %d, step %d: got %+v, want %+v", seed, step, view, other.view)
+				}
+				peer.apply(view)
+			}
+		}
+	}
+}
--- a/pkg/query/watcher/watcher.go
+++ b/pkg/query/watcher/watcher.go
@@ -39,6 +39,12 @@
 	Revision uint64
 	// Objects holds the objects in the order of their names.
 	Objects []storer.Object[T]
+	// Removed holds the names of the objects that were removed since the view before,
+	// also of those that were written and removed in between, so that neither view holds them.
+	Removed []string
+	// Gap says that Removed may lack objects that were written and removed in between,
+	// because the view was listed.
+	Gap bool
 }
 
 // Position returns the point in the store's history up to which the view is complete.
@@ -77,6 +83,9 @@
 	// changedAt is the position of the last list, offer, or watch with changes. Offers are
 	// compared with it.
 	changedAt storer.Position
+	// removed and gap are View.Removed and View.Gap of the next view.
+	removed []string
+	gap     bool
 	// complete is set while objects holds the whole view; otherwise the next call lists.
 	// verifying is set if that list only verifies that nothing has changed.
 	complete  bool
@@ -241,6 +250,8 @@
 	for _, name := range changes.Removed {
 		delete(w.objects, name)
 	}
+	w.removed = changes.Removed
+	w.gap = false
 	return true, nil
 }
 
@@ -283,6 +294,7 @@
 		Era:      era,
 		Revision: changes.Revision,
 		Objects:  changes.Objects,
+		Gap:      true,
 	})
 	return changed, nil
 }
@@ -310,6 +322,8 @@
 	w.revision = view.Revision
 	w.unchangedAt = view.Revision
 	w.changedAt = view.Position()
+	w.removed = view.Removed
+	w.gap = view.Gap
 	w.complete = true
 	w.verifying = false
 }
@@ -326,6 +340,8 @@
 	view := View[T]{
 		Era:      w.era,
 		Revision: w.revision,
+		Removed:  w.removed,
+		Gap:      w.gap,
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.objects)) {
 		view.Objects = append(view.Objects, w.objects[name])
