Log each failed attempt of a request and the status its caller got

Failures lists each failed attempt with its upstream, the status of the answer, the reason and the verdict; CallerStatus is what the caller got. explain says both. hemlockport_requests_refused_after_attempt_total counts refusals of requests that were sent, by verdict. The golden files of an explanation and of a log line get the new fields at their end. No decision changes.

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -206,6 +206,9 @@
 type Answer struct {
 	// Response is the answer to pass on, or nil if it must not be passed on.
 	Response *http.Response
+	// Status is the HTTP status of the answer, also of one that must not be passed on; 0 if
+	// there was none.
+	Status int
 	// HasReport says that the upstream has answered this attempt, even if only to refuse
 	// the request. Report is then what it tells of itself.
 	HasReport bool
@@ -238,6 +241,7 @@
 	attempt.exchange.Answered()
 	return Answer{
 		Response:  response,
+		Status:    response.StatusCode,
 		HasReport: true,
 		Report:    f.translator.ReadReport(response, time.Now()),
 	}, nil
@@ -247,9 +251,12 @@
 // that was shed has an answer of the upstream that it was meant for.
 func (f *Forwarder) refusedAnswer(response *http.Response, refusal *arbiter.Refusal) Answer {
 	if refusal.Reason != arbiter.UpstreamShed {
-		return Answer{}
+		return Answer{
+			Status: response.StatusCode,
+		}
 	}
 	return Answer{
+		Status:    response.StatusCode,
 		HasReport: true,
 		Report:    f.translator.ReadReport(response, time.Now()),
 	}
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1257,6 +1257,17 @@
 					ExpectedTime:        43.5,
 					RefusedCopies:       44,
 					RefusedExpectedTime: 45.5,
+					CallerStatus:        46,
+					Failures: []explainer.Failure{
+						{
+							Upstream:    "upstream",
+							AfterMillis: 47,
+							TookMillis:  48,
+							Status:      49,
+							Reason:      arbiter.UpstreamReplaced,
+							Verdict:     "verdict",
+						},
+					},
 				},
 			},
 			Beliefs: []explainer.Belief{
@@ -1302,6 +1313,17 @@
 			ExpectedTime:        43.5,
 			RefusedCopies:       44,
 			RefusedExpectedTime: 45.5,
+			CallerStatus:        46,
+			Failures: []explainer.Failure{
+				{
+					Upstream:    "upstream",
+					AfterMillis: 47,
+					TookMillis:  48,
+					Status:      49,
+					Reason:      arbiter.UpstreamReplaced,
+					Verdict:     "verdict",
+				},
+			},
 		}),
 		comparer.NewCase("keeper-faults.json", encoder.JSON[memstorer.Faults]{}, memstorer.Faults{
 			Down:        true,
--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -96,7 +96,7 @@
 	}
 	last := explanation.Ends[len(explanation.Ends)-1]
 	explanation.Beliefs = beliefsBefore(lines, last)
-	explanation.Cause = explainEnd(last, explanation.Beliefs)
+	explanation.Cause = explainEnd(last, explanation.Beliefs) + explainAttempts(last)
 	return explanation
 }
 
--- a/internal/query/explainer/explainer_test.go
+++ b/internal/query/explainer/explainer_test.go
@@ -33,6 +33,11 @@
 {"Instance":"front-corby-1","Request":"e21","Service":"seda15a","Attempts":0,"RefusedCopies":1,"RefusedExpectedTime":4.5,"Verdict":"NotRun","Reason":"NoRoom","time":"2026-12-06T19:45:25.10Z","message":"Refused"}
 `
 
+// attemptsLog holds lines with the failed attempts of a request.
+const attemptsLog = `{"Instance":"front-corby-1","Request":"e30","Service":"seda15a","Upstream":"i-bb","Attempts":2,"Status":0,"CallerStatus":503,"Failures":[{"Upstream":"i-aa","AfterMillis":1,"TookMillis":30,"Status":421,"Reason":"UpstreamReplaced","Verdict":"NotRun"},{"Upstream":"i-bb","AfterMillis":31,"TookMillis":12,"Status":0,"Reason":"UpstreamUnreached","Verdict":"NotRun"}],"Verdict":"NotRun","Reason":"UpstreamUnreached","Detail":"no connection to the upstream","time":"2026-12-06T19:45:26.00Z","message":"Refused"}
+{"Instance":"front-corby-1","Request":"e31","Service":"seda15a","Upstream":"i-aa","Attempts":1,"Status":0,"CallerStatus":502,"Failures":[{"Upstream":"i-aa","AfterMillis":1,"TookMillis":30,"Status":0,"Reason":"UpstreamBroken","Verdict":"MayHaveRun"}],"Verdict":"MayHaveRun","Reason":"UpstreamBroken","Detail":"the upstream broke the connection","time":"2026-12-06T19:45:27.00Z","message":"Refused"}
+`
+
 // recordedForeign is how many lines of recordedLog must be skipped.
 const recordedForeign = 3
 
@@ -101,13 +106,23 @@
 			request: "e20",
 			cause:   "rank 2 for the object, which has 3 copies, and was expected to take 1.40 times as long",
 		},
+		{
+			name:    "an answer that says that the request has not run",
+			request: "e30",
+			cause:   "Attempt 1, sent to i-aa after 1 ms, was answered 421 after 30 ms (UpstreamReplaced): it has not run. Attempt 2, sent to i-bb after 31 ms, failed after 12 ms before a byte was sent (UpstreamUnreached): it has not run. The caller got 503.",
+		},
+		{
+			name:    "an attempt without an answer",
+			request: "e31",
+			cause:   "Attempt 1, sent to i-aa after 1 ms, got no answer within 30 ms (UpstreamBroken): it may have run. The caller got 502.",
+		},
 		{
 			name:    "the only copy had no room",
 			request: "e21",
 			cause:   "the object has 1 copies, of which the best was expected to take 4.50 times as long",
 		},
 	}
-	log, err := explainer.Read(strings.NewReader(recordedLog + copiesLog))
+	log, err := explainer.Read(strings.NewReader(recordedLog + copiesLog + attemptsLog))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -55,6 +55,23 @@
 	// room.
 	RefusedCopies       int     `json:"RefusedCopies,omitempty"`
 	RefusedExpectedTime float64 `json:"RefusedExpectedTime,omitempty"`
+	// CallerStatus is the HTTP status that the caller was sent, or 0 if its connection was
+	// aborted. Failures are the attempts that failed, in their order.
+	CallerStatus int       `json:"CallerStatus,omitempty"`
+	Failures     []Failure `json:"Failures,omitempty"`
+}
+
+// Failure is an attempt to send a request that has failed.
+type Failure struct {
+	Upstream string `json:"Upstream"`
+	// AfterMillis is how long after the request's arrival the attempt began, and TookMillis
+	// how long it took.
+	AfterMillis int64 `json:"AfterMillis"`
+	TookMillis  int64 `json:"TookMillis"`
+	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
+	Status  int            `json:"Status"`
+	Reason  arbiter.Reason `json:"Reason"`
+	Verdict string         `json:"Verdict"`
 }
 
 // Log holds the lines that one or more instances logged.
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -64,20 +64,22 @@
 	placement := a.admission.PlacementAt(upstream, now)
 	a.outcome.recordAttempt(upstream, placement)
 	a.receiver.metrics.CountAttempt(placement.Rank)
-	response, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
+	answer, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
 	if err != nil {
 		upstream.Release()
 		a.recordDuration(now, err)
+		a.outcome.recordFailure(upstream, answer.Status, now, err)
 		return heldAnswer{}, a.fail(upstream, err)
 	}
 	a.lastAnswer = heldAnswer{
-		response: response,
+		response: answer.Response,
 		upstream: upstream,
 		sentAt:   now,
 	}
-	if a.receiver.isFailure(response) {
+	if a.receiver.isFailure(answer.Response) {
 		a.recordDuration(now, errAnswerFailed)
-		a.recordFailedAnswer(upstream, response.StatusCode)
+		a.recordFailedAnswer(upstream, answer.Status)
+		a.outcome.recordFailure(upstream, answer.Status, now, errAnswerFailed)
 		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
 	}
 	answeredAt := time.Now()
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"errors"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
@@ -46,8 +47,14 @@
 	AnswerLoad float64
 	// Queue is what the queue did with the request.
 	Queue QueueOutcome
-	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
+	// Status is the HTTP status of the upstream's answer that was passed on, or 0 if there was
+	// none.
 	Status int
+	// Failures are the attempts that failed, in their order.
+	Failures []FailedAttempt
+	// CallerStatus is the HTTP status that the caller is sent, or 0 if its connection is
+	// aborted.
+	CallerStatus int
 	// Refusal is why the request failed, or nil.
 	Refusal *arbiter.Refusal
 }
@@ -75,6 +82,39 @@
 	o.Attempts++
 }
 
+// FailedAttempt describes an attempt that failed, and what that says about the request.
+type FailedAttempt struct {
+	// Upstream is the name of the upstream.
+	Upstream string
+	// SentAt is when the attempt began, and EndedAt when it failed.
+	SentAt  time.Time
+	EndedAt time.Time
+	// Status is the HTTP status of the upstream's answer, or 0 if there was none.
+	Status int
+	// Reason is why the attempt failed. After the verdict NotRun it also tells the proof: no
+	// byte was sent, or the upstream's answer says so.
+	Reason arbiter.Reason
+	// Verdict says whether the request may have run in this attempt.
+	Verdict arbiter.Verdict
+}
+
+// recordFailure records an attempt that has failed with err. The status is that of the
+// upstream's answer, or 0.
+func (o *Outcome) recordFailure(upstream *admitter.Upstream, status int, sentAt time.Time, err error) {
+	failure := FailedAttempt{
+		Upstream: upstream.Declared().Name,
+		SentAt:   sentAt,
+		EndedAt:  time.Now(),
+		Status:   status,
+		Verdict:  arbiter.VerdictOf(err),
+	}
+	var refusal *arbiter.Refusal
+	if errors.As(err, &refusal) {
+		failure.Reason = refusal.Reason
+	}
+	o.Failures = append(o.Failures, failure)
+}
+
 // Attempt describes one attempt to send a request to an upstream. Until it has ended, the
 // fields from EndedAt on are zero.
 type Attempt struct {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -145,15 +145,20 @@
 	}
 	refusal := r.serve(w, request, &outcome)
 	r.metrics.Count(refusal, outcome.Arrived)
+	if refusal != nil && outcome.Attempts > 0 {
+		r.metrics.CountRefusedAfterAttempt(refusal.Verdict)
+	}
 	outcome.Refusal = refusal
 	outcome.Ended = time.Now()
+	aborts := refusal != nil && refusal.Reason == arbiter.AnswerBroken && !reset(w)
+	outcome.CallerStatus = r.callerStatus(outcome, aborts)
 	if r.queues != nil {
 		r.queues.ended(&outcome)
 	}
 	r.requestEnded(outcome)
 	switch {
 	case refusal == nil:
-	case refusal.Reason == arbiter.AnswerBroken && !reset(w):
+	case aborts:
 		// The server aborts the connection or stream on this panic.
 		panic(http.ErrAbortHandler)
 	default:
@@ -161,6 +166,19 @@
 	}
 }
 
+// callerStatus returns the HTTP status that the caller of a request is sent, or 0 if its
+// connection is aborted.
+func (r *Receiver) callerStatus(outcome Outcome, aborts bool) int {
+	switch {
+	case aborts:
+		return 0
+	case outcome.Refusal == nil:
+		return outcome.Status
+	default:
+		return r.translator.RefusalStatus(outcome.Refusal)
+	}
+}
+
 // resetter is a response that can be replaced by another one.
 type resetter interface {
 	// Reset drops what has been written, unless a part of it may have been sent to the
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -123,13 +123,14 @@
 }
 
 // sendTo makes one attempt to send a request to an upstream, and records what the
-// result shows about the upstream's health and load.
+// result shows about the upstream's health and load. With an error the answer holds no
+// response.
 func (r *Receiver) sendTo(
 	ctx context.Context,
 	upstream *admitter.Upstream,
 	outbound forwarder.Outbound,
 	admission admitter.Admission,
-) (*http.Response, error) {
+) (forwarder.Answer, error) {
 	target := forwarder.Target{
 		Name:    upstream.Declared().Name,
 		Address: upstream.Address(),
@@ -152,10 +153,10 @@
 	}
 	if err != nil {
 		r.recordFailure(upstream, err, answer.Report, admission.DeadlineFromCaller)
-		return nil, err
+		return answer, err
 	}
 	upstream.RecordLoad(answer.Report, attempt.EndedAt)
-	return answer.Response, nil
+	return answer, nil
 }
 
 // recordFailure records what a failed attempt shows about the upstream, and calls
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -88,6 +88,7 @@
 		Str("Upstream", outcome.Upstream).
 		Int("Attempts", outcome.Attempts).
 		Int("Status", outcome.Status).
+		Int("CallerStatus", outcome.CallerStatus).
 		Uint64("Revision", outcome.Revision).
 		Uint64("Plan", outcome.Generation).
 		Int64("TookMillis", outcome.Ended.Sub(outcome.Arrived).Milliseconds())
@@ -97,6 +98,12 @@
 	if outcome.Attempts > 0 {
 		line = addPlacementFields(line, outcome.Placement)
 	}
+	if len(outcome.Failures) > 0 {
+		line = line.Array("Failures", failures{
+			arrived:  outcome.Arrived,
+			attempts: outcome.Failures,
+		})
+	}
 	if outcome.Refused.Copies > 0 {
 		line = line.
 			Int("RefusedCopies", outcome.Refused.Copies).
@@ -114,6 +121,25 @@
 	return line
 }
 
+// failures writes the failed attempts of a request as an array of objects.
+type failures struct {
+	arrived  time.Time
+	attempts []receiver.FailedAttempt
+}
+
+// MarshalZerologArray adds an object for each attempt.
+func (f failures) MarshalZerologArray(array *zerolog.Array) {
+	for _, attempt := range f.attempts {
+		array.Dict(zerolog.Dict().
+			Str("Upstream", attempt.Upstream).
+			Int64("AfterMillis", attempt.SentAt.Sub(f.arrived).Milliseconds()).
+			Int64("TookMillis", attempt.EndedAt.Sub(attempt.SentAt).Milliseconds()).
+			Int("Status", attempt.Status).
+			Str("Reason", string(attempt.Reason)).
+			Str("Verdict", attempt.Verdict.String()))
+	}
+}
+
 // addQueueFields adds what the queue did with a request, and what decided it.
 func addQueueFields(line *zerolog.Event, outcome receiver.Outcome) *zerolog.Event {
 	queue := outcome.Queue
--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -119,8 +119,13 @@
 	RetryAt time.Time `json:",omitzero"`
 }
 
+// RefusalStatus returns the status of the refusal's reason.
+func (Native) RefusalStatus(refusal *arbiter.Refusal) int {
+	return StatusOf(refusal.Reason)
+}
+
 // WriteRefusal writes the verdict and the reason as headers, and a RefusalBody.
-func (Native) WriteRefusal(w http.ResponseWriter, _ *http.Request, refusal *arbiter.Refusal, now time.Time) {
+func (n Native) WriteRefusal(w http.ResponseWriter, _ *http.Request, refusal *arbiter.Refusal, now time.Time) {
 	body, err := encoder.JSON[RefusalBody]{}.Encode(RefusalBody{
 		Verdict: refusal.Verdict,
 		Reason:  refusal.Reason,
@@ -130,7 +135,7 @@
 	if err != nil {
 		body = nil
 	}
-	status := StatusOf(refusal.Reason)
+	status := n.RefusalStatus(refusal)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderVerdict, refusal.Verdict.String())
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -53,6 +53,8 @@
 	ReadReport(response *http.Response, now time.Time) registrar.Report
 	// RewriteAnswer rewrites the header of an answer before it is sent to the caller.
 	RewriteAnswer(header http.Header)
+	// RefusalStatus returns the HTTP status with which WriteRefusal answers.
+	RefusalStatus(refusal *arbiter.Refusal) int
 	// WriteRefusal writes the answer to a request that was refused or has failed.
 	WriteRefusal(w http.ResponseWriter, request *http.Request, refusal *arbiter.Refusal, now time.Time)
 	// DetectsMismatches reports whether CheckAnswer detects an answer to another request.
