Never pass on a status that promises not run without its proof

Cause: who may say "not run" was decided for refusals of our own only. An answer that was passed on made the same promise by its status, on the upstream's word without the platform's proof.

Without the statement that the request has not run, an answer with such a status becomes NotRunUnproved (MayHaveRun): 502 without signature or body, an idempotent request may be sent again, the upstream counts as one that answered with a failure, and so does its version in a move.

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -232,7 +232,7 @@
 		return Answer{}, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
 	}
 	if refusal := f.checkAnswer(response); refusal != nil {
-		if refusal.Verdict != arbiter.NotRun {
+		if refusal.Verdict != arbiter.NotRun && !isUpstreamsOwn(refusal) {
 			attempt.observer.closeConn()
 		}
 		response.Body.Close()
@@ -247,10 +247,16 @@
 	}, nil
 }
 
-// refusedAnswer returns the answer of an attempt that ends with a refusal. Only a request
-// that was shed has an answer of the upstream that it was meant for.
+// isUpstreamsOwn reports whether an answer that must not be passed on comes from the upstream
+// that the request was meant for, and belongs to the request.
+func isUpstreamsOwn(refusal *arbiter.Refusal) bool {
+	return refusal.Reason == arbiter.UpstreamShed || refusal.Reason == arbiter.NotRunUnproved
+}
+
+// refusedAnswer returns the answer of an attempt that ends with a refusal. It holds a report
+// only if the answer is that of the upstream that the request was meant for.
 func (f *Forwarder) refusedAnswer(response *http.Response, refusal *arbiter.Refusal) Answer {
-	if refusal.Reason != arbiter.UpstreamShed {
+	if !isUpstreamsOwn(refusal) {
 		return Answer{
 			Status: response.StatusCode,
 		}
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -146,6 +146,10 @@
 			got:  string(arbiter.UpstreamReplaced),
 			want: "UpstreamReplaced",
 		},
+		{
+			got:  string(arbiter.NotRunUnproved),
+			want: "NotRunUnproved",
+		},
 		{
 			got:  string(arbiter.AnswerBroken),
 			want: "AnswerBroken",
--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -169,7 +169,7 @@
 	case arbiter.DeadlineExceeded:
 		return explainDeadline(end)
 	case arbiter.UpstreamBroken, arbiter.UpstreamUnreached, arbiter.UpstreamFailed, arbiter.UpstreamReplaced,
-		arbiter.UpstreamShed, arbiter.ConnectionEnded, arbiter.AnswerBroken:
+		arbiter.UpstreamShed, arbiter.NotRunUnproved, arbiter.ConnectionEnded, arbiter.AnswerBroken:
 		return fmt.Sprintf("%s, the last of %d, failed it: %s%s; the request %s.", end.Upstream, end.Attempts, end.Detail, causeSuffix(end), verdictPhrases[end.Verdict])
 	case arbiter.CallerGone:
 		return fmt.Sprintf("the caller went away after %d ms; the request %s.", end.TookMillis, verdictPhrases[end.Verdict])
--- a/internal/steerer/counters.go
+++ b/internal/steerer/counters.go
@@ -126,7 +126,7 @@
 		return failed
 	}
 	switch refusal.Reason {
-	case arbiter.UpstreamBroken:
+	case arbiter.UpstreamBroken, arbiter.NotRunUnproved:
 		return failed
 	case arbiter.DeadlineExceeded:
 		return expiredUnlessByCaller(attempt)
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -67,6 +67,9 @@
 	UpstreamFailed Reason = "UpstreamFailed"
 	// UpstreamReplaced means that another upstream has the address now.
 	UpstreamReplaced Reason = "UpstreamReplaced"
+	// NotRunUnproved means that the upstream's answer says that the request has not run, and
+	// does not prove it.
+	NotRunUnproved Reason = "NotRunUnproved"
 	// AnswerBroken means that the answer could not be completed after its header had been
 	// written, because the upstream or the caller failed. If a part of the answer has been
 	// sent, the caller does not receive this reason: its connection or stream is aborted.
@@ -100,6 +103,7 @@
 		UpstreamBroken,
 		UpstreamFailed,
 		UpstreamReplaced,
+		NotRunUnproved,
 		AnswerBroken,
 	}
 }
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -85,6 +85,8 @@
 		return u.recordFailure(now)
 	case arbiter.DeadlineExceeded:
 		return !deadlineFromCaller && u.recordTimeout(now)
+	case arbiter.NotRunUnproved:
+		return u.RecordFailedAnswer(now)
 	case arbiter.UpstreamShed:
 		u.recordAnswer()
 		u.recordShed(report, now)
