--- a/internal/steerer/counters.go
+++ b/internal/steerer/counters.go
@@ -128,6 +128,11 @@
 	switch refusal.Reason {
 	case arbiter.UpstreamBroken, arbiter.NotRunUnproved:
 		return failed
+	case arbiter.UpstreamReplaced:
+		if refusal.Verdict == arbiter.NotRun {
+			return unrelated
+		}
+		return failed
 	case arbiter.DeadlineExceeded:
 		return expiredUnlessByCaller(attempt)
 	default:
--- a/pkg/arbiter/answer.go
+++ b/pkg/arbiter/answer.go
@@ -6,8 +6,15 @@
 	// StatesNotRun reports that the answer has the protocol's explicit statement that the
 	// request has not run.
 	StatesNotRun bool
-	// Misdirected reports that the answer says that the request was meant for another upstream.
+	// Refuses reports that the answer's status is one with which upstreams refuse requests
+	// without running them.
+	Refuses bool
+	// Misdirected reports that the answer's status says that the request was meant for another
+	// upstream, and FromAnother that the answer names another upstream as its sender.
 	Misdirected bool
+	FromAnother bool
+	// Signed reports that the answer is marked as the result of the upstream's work.
+	Signed bool
 	// PromisesNotRun reports that a caller would take the answer's status for the promise that
 	// the request has not run and never will.
 	PromisesNotRun bool
@@ -17,13 +24,26 @@
 // refusal has the verdict NotRun only if the answer proves that.
 func (c AnswerClaims) Refusal() *Refusal {
 	switch {
-	case c.Misdirected:
+	case c.proveNotRun() && c.Misdirected:
 		return Refuse(UpstreamReplaced, "another upstream has the address now")
-	case c.StatesNotRun:
+	case c.proveNotRun():
 		return Refuse(UpstreamShed, "the upstream has shed the request")
+	case c.Misdirected:
+		return Fail(UpstreamReplaced, "the upstream's answer says that another one has the address now, which nothing proves")
+	case c.StatesNotRun:
+		return Fail(NotRunUnproved, "the upstream's answer says that the request has not run, and contradicts that")
 	case c.PromisesNotRun:
 		return Fail(NotRunUnproved, "the upstream's status would promise that the request has not run, which nothing proves")
 	default:
 		return nil
 	}
 }
+
+// proveNotRun reports whether the claims prove that the request has not run: the upstream
+// states it with a status that refuses, or another upstream has the address and says so.
+func (c AnswerClaims) proveNotRun() bool {
+	if c.StatesNotRun {
+		return c.Refuses
+	}
+	return c.Misdirected && c.FromAnother && !c.Signed
+}
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -65,7 +65,8 @@
 	// UpstreamFailed means that an upstream answered with a 5xx status and a later attempt
 	// got no answer.
 	UpstreamFailed Reason = "UpstreamFailed"
-	// UpstreamReplaced means that another upstream has the address now.
+	// UpstreamReplaced means that another upstream has the address now, or with the verdict
+	// MayHaveRun that an answer says so without a proof.
 	UpstreamReplaced Reason = "UpstreamReplaced"
 	// NotRunUnproved means that the upstream's answer says that the request has not run, and
 	// does not prove it.
