Say 429 and 503 in the own protocol only of requests that have not run

Callers of the project's own protocol got 503 with the verdict MayHaveRun, such as KeyUnconfirmed of a request that had been sent. Generic clients and proxies send a request again after 503. An answer with status 200 and the verdict NotRun was passed on as Ran.

Cause: StatusOf went by the reason alone, and the check of an answer by its status and verdict together, so that a contradiction was no claim at all. StatusOf takes the refusal, and Native.CheckAnswer uses arbiter.AnswerClaims.

--- a/internal/receiver/exchange_test.go
+++ b/internal/receiver/exchange_test.go
@@ -185,6 +185,12 @@
 			script:  replyWith("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
 			verdict: arbiter.Ran,
 		},
+		{
+			name:    "states on a success that the request has not run",
+			script:  replyWith("HTTP/1.1 200 OK\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n"),
+			verdict: arbiter.MayHaveRun,
+			reason:  arbiter.NotRunUnproved,
+		},
 		{
 			name:    "answers completely",
 			script:  replyWith(completeAnswer),
--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -65,16 +65,19 @@
 	header.Set(HeaderTimeoutMillis, strconv.FormatInt(remaining, 10))
 }
 
-// CheckAnswer returns a refusal for a request that the upstream has shed: status 503 with
-// the verdict NotRun. It passes all other answers.
+// CheckAnswer returns a refusal for a request that the upstream has shed, with status 503 and
+// the verdict NotRun, and for an answer that contradicts this verdict. It passes all other
+// answers, whatever their status: callers go by the verdict.
 func (Native) CheckAnswer(response *http.Response) *arbiter.Refusal {
-	shed := response.StatusCode == http.StatusServiceUnavailable &&
-		arbiter.ParseVerdict(response.Header.Get(HeaderVerdict)) == arbiter.NotRun
-	if !shed {
+	claims := arbiter.AnswerClaims{
+		StatesNotRun: arbiter.ParseVerdict(response.Header.Get(HeaderVerdict)) == arbiter.NotRun,
+		Refuses:      response.StatusCode == http.StatusServiceUnavailable,
+	}
+	refusal := claims.Refusal()
+	if refusal == nil {
 		return nil
 	}
-	return arbiter.Refuse(arbiter.UpstreamShed, "the upstream has shed the request").
-		WithRetryAt(parseRetryAfter(response.Header))
+	return refusal.WithRetryAt(parseRetryAfter(response.Header))
 }
 
 func parseRetryAfter(header http.Header) time.Time {
@@ -119,9 +122,9 @@
 	RetryAt time.Time `json:",omitzero"`
 }
 
-// RefusalStatus returns the status of the refusal's reason.
+// RefusalStatus returns the status of a refusal.
 func (Native) RefusalStatus(refusal *arbiter.Refusal) int {
-	return StatusOf(refusal.Reason)
+	return StatusOf(refusal)
 }
 
 // WriteRefusal writes the verdict and the reason as headers, and a RefusalBody.
--- a/internal/translator/status.go
+++ b/internal/translator/status.go
@@ -28,11 +28,18 @@
 	arbiter.UpstreamShed:     http.StatusServiceUnavailable,
 }
 
-// StatusOf returns the HTTP status of a reason.
-func StatusOf(reason arbiter.Reason) int {
-	status, found := statusByReason[reason]
-	if !found {
+// StatusOf returns the HTTP status of a refusal: that of its reason, unless this is one with
+// which clients send a request again and the request may have run.
+func StatusOf(refusal *arbiter.Refusal) int {
+	status, found := statusByReason[refusal.Reason]
+	if !found || refusal.Verdict != arbiter.NotRun && invitesRetry(status) {
 		return http.StatusBadGateway
 	}
 	return status
 }
+
+// invitesRetry reports whether clients take a status for the statement that the request has
+// not run.
+func invitesRetry(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
