Keep in one place what the attempts of a request allow it to end with

Who may say "not run" was known to the error of the last attempt and to overallError only, while a timer, a stop, a queue or a moved key can end the same request. Each of them was correct, and nothing checked it.

arbiter.History counts the attempts of a request that have begun and those that are proved not to have run it; the goroutine that serves the request keeps it. Each refusal passes History.Bound before its status is chosen: NotRun needs a proof for every attempt. No case is known in which it changes a verdict.

--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -64,8 +64,10 @@
 	placement := a.admission.PlacementAt(upstream, now)
 	a.outcome.recordAttempt(upstream, placement)
 	a.receiver.metrics.CountAttempt(placement.Rank)
+	a.outcome.History = a.outcome.History.WithAttempt()
 	answer, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
 	if err != nil {
+		a.outcome.History = a.outcome.History.WithResult(arbiter.VerdictOf(err))
 		upstream.Release()
 		a.recordDuration(now, err)
 		a.outcome.recordFailure(upstream, answer.Status, now, err)
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -50,6 +50,8 @@
 	// Status is the HTTP status of the upstream's answer that was passed on, or 0 if there was
 	// none.
 	Status int
+	// History says whether the attempts allow the verdict NotRun.
+	History arbiter.History
 	// Failures are the attempts that failed, in their order.
 	Failures []FailedAttempt
 	// CallerStatus is the HTTP status that the caller is sent, or 0 if its connection is
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -144,6 +144,8 @@
 		Arrived: time.Now(),
 	}
 	refusal := r.serve(w, request, &outcome)
+	// What ends the request last, such as a stop or a moved key, does not know of the attempts.
+	refusal = outcome.History.Bound(refusal)
 	r.metrics.Count(refusal, outcome.Arrived)
 	if refusal != nil && outcome.Attempts > 0 {
 		r.metrics.CountRefusedAfterAttempt(refusal.Verdict)
