Run pipelined requests of routes that are not idempotent alone by any method

An order by GET or HEAD that was pipelined behind another request was sent to an upstream at once. Callers count requests behind an answer that closes the connection as not read and send them again, whatever their kind: the order would have run twice, with no status at all.

Cause: pipeliner took the method for the kind of the request.

pipeliner.WithRunsAlone asks the receiver, which goes by the route. Idempotent GETs are pipelined as before; a request without a route now waits for its turn.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -95,7 +95,9 @@
 	handler http.Handler,
 	settings configurer.Callers,
 	onPanic func(reason any),
+	opts ...pipeliner.Option,
 ) *pipeliner.Server {
+	opts = append(opts, pipeliner.WithBudget(l.budget), pipeliner.WithEvents(l.events.add))
 	server := pipeliner.New(
 		handler,
 		pipeliner.Limits{
@@ -107,8 +109,7 @@
 			MaxPipelined:      maxPipelined,
 		},
 		onPanic,
-		pipeliner.WithBudget(l.budget),
-		pipeliner.WithEvents(l.events.add),
+		opts...,
 	)
 	l.connections.OnFull(server.CloseWaiting)
 	group.Go(func() error { return server.Serve(l.served) })
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -4,7 +4,9 @@
 // used, as it starts each request only after the response to the previous one.
 //
 // An unsafe request, any but a GET or HEAD without a body, may change something and runs
-// alone: no other request of its connection runs at the same time.
+// alone: no other request of its connection runs at the same time. Callers send requests
+// again that stand behind a response which closes the connection, so an unsafe one must not
+// have run there. WithRunsAlone names further unsafe requests.
 //
 // The package knows nothing of admission: it leaves every request to its handler, and
 // refuses only what it can't read.
@@ -54,6 +56,8 @@
 	budget *bounder.Budget
 	// onEvent is called for each event; never nil.
 	onEvent func(Event)
+	// runsAlone reports that a request may change something, whatever its method; never nil.
+	runsAlone func(request *http.Request) bool
 	// largeBuffers holds readers whose buffer takes the largest head.
 	largeBuffers sync.Pool
 
@@ -94,6 +98,14 @@
 	}
 }
 
+// WithRunsAlone names the requests that are unsafe although they are a GET or HEAD without a
+// body. The function must not wait.
+func WithRunsAlone(runsAlone func(request *http.Request) bool) Option {
+	return func(server *Server) {
+		server.runsAlone = runsAlone
+	}
+}
+
 // New returns a server. It calls onPanic with the value of each panic of the handler,
 // except http.ErrAbortHandler, which only aborts the response.
 func New(handler http.Handler, limits Limits, onPanic func(reason any), opts ...Option) *Server {
@@ -102,6 +114,7 @@
 		handler:     handler,
 		onPanic:     onPanic,
 		onEvent:     func(Event) {},
+		runsAlone:   func(*http.Request) bool { return false },
 		requestsCtx: requestsCtx,
 		abort:       abort,
 	}
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -35,6 +35,15 @@
 	return admissionRequest, refusal
 }
 
+// RunsAlone reports whether a request must not run beside others of its connection, because
+// its route does not allow that it is repeated.
+func (r *Receiver) RunsAlone(request *http.Request) bool {
+	if r.lookupHandler != nil && request.URL.Path == PathLookup {
+		return false
+	}
+	return !r.admitter.IsIdempotent(request.Host, request.URL.Path, request.Method)
+}
+
 // bearerKey returns the key from the Authorization header, or "" if there is no such
 // header. It refuses a key that also appears elsewhere in the request.
 func bearerKey(request *http.Request) (string, *arbiter.Refusal) {
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -21,6 +21,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
@@ -156,7 +157,8 @@
 // serving callers, whose requests may finish until its context ends; the peers' and
 // operators' servers are closed when work ends.
 func (s *Server) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	callers := s.listeners.callers.Serve(group, s.callerHandler(), s.settings.Callers, s.logPanic)
+	callers := s.listeners.callers.Serve(group, s.callerHandler(), s.settings.Callers, s.logPanic,
+		pipeliner.WithRunsAlone(s.receiver.RunsAlone))
 	peers := s.httpServer(s.peerHandler())
 	peers.WriteTimeout = 0
 	operators := s.httpServer(s.operatorHandler())
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
+	"github.com/hemlockport/hemlockport/internal/pipeliner"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
 	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/responder"
@@ -91,7 +92,8 @@
 // callers, whose requests may finish until its context ends. The other listeners are
 // closed when work ends.
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
-	s.callerServer = s.listeners.callers.Serve(group, s.receiver, s.settings.Callers, s.logPanic)
+	s.callerServer = s.listeners.callers.Serve(group, s.receiver, s.settings.Callers, s.logPanic,
+		pipeliner.WithRunsAlone(s.receiver.RunsAlone))
 	lookups := s.platform.NewLookupHandler(s.lookup)
 	lookupServer := s.listeners.lookups.Serve(group, lookups, s.settings.Callers, s.logPanic)
 	readiness := s.platform.NewReadinessHandler(s.ready)
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -148,6 +148,17 @@
 	return admission, nil
 }
 
+// IsIdempotent reports whether a request may be repeated after MayHaveRun, by the plan in
+// force. It returns false if no route matches.
+func (a *Admitter) IsIdempotent(host, path, method string) bool {
+	plan := a.plans.Load()
+	if plan == nil {
+		return false
+	}
+	route, found := plan.table.Route(host, path)
+	return found && route.Idempotent(method)
+}
+
 // currentPlan returns the plan whose upstreams the request may be sent to. That is the
 // plan in force, so that a request that is sent late does not go to an upstream that is
 // leaving or no longer declared by then. If the service is no longer declared, it is the
