Let only one attempt read a streamed body

A chunked order ran with 101,376 of the 102,400 bytes that its caller had sent; with a known length it got 502. Its first upstream had refused it when its head had arrived, and proved that.

Cause: the transport sends the head before it reads the body, so the body still counted as unread and the order was sent again. The write loop of the first attempt then took a piece of the body, which two attempts shared.

Body.reading holds which attempt may read, and whether it has begun, in one atomic. The next attempt takes the right to read, or is not made (BodyRead, NotRun for this attempt).

--- a/internal/command/forwarder/body.go
+++ b/internal/command/forwarder/body.go
@@ -21,11 +21,17 @@
 	stream   io.Reader
 	// length is the number of bytes, or -1 if it is not known.
 	length int64
-	// readStarted is set when a byte of stream has been asked for. From then on the body
-	// cannot be sent again.
-	readStarted atomic.Bool
+	// reading holds the number of the attempt that may read stream, in steps of attemptStep,
+	// and readStarted once that attempt has asked for a byte. From then on the body cannot be
+	// sent again, and the number does not change.
+	reading atomic.Uint64
 }
 
+const (
+	readStarted = 1
+	attemptStep = 2
+)
+
 // ReadBody reads a body of up to MaxBufferedBytes completely, and leaves a larger one, or
 // one of unknown length, to be streamed. A length of -1 means that it is not known.
 func ReadBody(source io.Reader, length int64) (*Body, *arbiter.Refusal) {
@@ -50,7 +56,28 @@
 
 // Replayable reports whether the body can still be sent from its start.
 func (b *Body) Replayable() bool {
-	return !b.readStarted.Load()
+	return b.reading.Load()&readStarted == 0
+}
+
+// rewind begins the next attempt, so that the earlier ones cannot read the body any more, and
+// returns true. It returns false if one of them has begun to read it: the transport sends the
+// head of a request first, and may go on with the body after the answer.
+func (b *Body) rewind() bool {
+	for {
+		reading := b.reading.Load()
+		if reading&readStarted != 0 {
+			return false
+		}
+		if b.reading.CompareAndSwap(reading, reading+attemptStep) {
+			return true
+		}
+	}
+}
+
+// startReading reports whether an attempt may read the body, and notes that it does.
+func (b *Body) startReading(attempt uint64) bool {
+	started := attempt | readStarted
+	return b.reading.CompareAndSwap(attempt, started) || b.reading.Load() == started
 }
 
 // reader returns the body for one attempt. It is never nil or http.NoBody, and the request has
@@ -60,7 +87,8 @@
 	switch {
 	case b.stream != nil:
 		return &streamReader{
-			body: b,
+			body:    b,
+			attempt: b.reading.Load(),
 		}
 	case len(b.buffered) == 0:
 		return emptyReader{}
@@ -93,18 +121,20 @@
 
 // streamReader reads a streamed body for one attempt.
 type streamReader struct {
-	body   *Body
-	closed atomic.Bool
+	body *Body
+	// attempt is the number of the attempt (see Body.reading).
+	attempt uint64
+	closed  atomic.Bool
 }
 
-// errClosed means that a body was read after it was closed.
+// errClosed means that a body was read after it was closed, or after the next attempt had
+// begun.
 var errClosed = errors.New("request body closed")
 
 func (s *streamReader) Read(p []byte) (int, error) {
-	if s.closed.Load() {
+	if s.closed.Load() || !s.body.startReading(s.attempt) {
 		return 0, errClosed
 	}
-	s.body.readStarted.Store(true)
 	return s.body.stream.Read(p)
 }
 
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -219,6 +219,9 @@
 // close the response's body. Each error is an *arbiter.Refusal. With an error the answer
 // holds no response, but it holds a report if the upstream has refused the request.
 func (f *Forwarder) Send(ctx context.Context, target Target, outbound Outbound) (Answer, error) {
+	if !outbound.body.rewind() {
+		return Answer{}, errBodyRead
+	}
 	attempt := f.newAttempt(target, outbound)
 	traced := httptrace.WithClientTrace(ctx, &attempt.trace)
 	response, err := f.transportFor(outbound).RoundTrip(newRequest(traced, outbound, attempt))
@@ -247,6 +250,9 @@
 	}, nil
 }
 
+// errBodyRead is the error of an attempt that was not made.
+var errBodyRead = arbiter.Refuse(arbiter.BodyRead, "an earlier attempt has begun to read the request's body")
+
 // isUpstreamsOwn reports whether an answer that must not be passed on comes from the upstream
 // that the request was meant for, and belongs to the request.
 func isUpstreamsOwn(refusal *arbiter.Refusal) bool {
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -150,6 +150,10 @@
 			got:  string(arbiter.NotRunUnproved),
 			want: "NotRunUnproved",
 		},
+		{
+			got:  string(arbiter.BodyRead),
+			want: "BodyRead",
+		},
 		{
 			got:  string(arbiter.AnswerBroken),
 			want: "AnswerBroken",
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -71,6 +71,9 @@
 	// NotRunUnproved means that the upstream's answer says that the request has not run, and
 	// does not prove it.
 	NotRunUnproved Reason = "NotRunUnproved"
+	// BodyRead means that the request was not sent again because an earlier attempt has read a
+	// part of its body, which is not kept.
+	BodyRead Reason = "BodyRead"
 	// AnswerBroken means that the answer could not be completed after its header had been
 	// written, because the upstream or the caller failed. If a part of the answer has been
 	// sent, the caller does not receive this reason: its connection or stream is aborted.
@@ -105,6 +108,7 @@
 		UpstreamFailed,
 		UpstreamReplaced,
 		NotRunUnproved,
+		BodyRead,
 		AnswerBroken,
 	}
 }
