Send an order again to the same address on a connection of its own

An order was sent a third time although its second attempt had arrived and may have run. The second attempt went to an upstream with another name at the address of the first one, on the connection kept from there. An upstream may write an answer once more; the refusal of the first attempt has the same ID and was taken for that of the second.

Cause: attempts compared upstreams, and connections are kept by address. They now compare addresses, as they were when the attempt was sent.

--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -20,8 +20,9 @@
 	// lastAnswer is the failed answer of the last attempt, if it got one.
 	lastAnswer heldAnswer
 	// failed holds the upstreams of the attempts so far, which have all failed, except for
-	// those in which nothing was sent.
-	failed []*admitter.Upstream
+	// those in which nothing was sent, and addresses those to which the attempts went.
+	failed    []*admitter.Upstream
+	addresses []string
 	// unsent is the upstream of the last attempt that failed before a byte was sent, or nil.
 	unsent *admitter.Upstream
 	// mayHaveRunErr is the first error after which the request may have run. If a
@@ -65,13 +66,14 @@
 	a.outcome.recordAttempt(upstream, placement)
 	a.receiver.metrics.CountAttempt(placement.Rank)
 	a.outcome.History = a.outcome.History.WithAttempt()
-	answer, err := a.receiver.sendTo(ctx, upstream, a.outboundFor(upstream), a.admission)
+	address := upstream.Address()
+	answer, err := a.receiver.sendTo(ctx, upstream, address, a.outboundFor(upstream, address), a.admission)
 	if err != nil {
 		a.outcome.History = a.outcome.History.WithResult(arbiter.VerdictOf(err))
 		upstream.Release()
 		a.recordDuration(now, err)
 		a.outcome.recordFailure(upstream, answer.Status, now, err)
-		return heldAnswer{}, a.fail(upstream, err)
+		return heldAnswer{}, a.fail(upstream, address, err)
 	}
 	a.lastAnswer = heldAnswer{
 		response: answer.Response,
@@ -82,7 +84,7 @@
 		a.recordDuration(now, errAnswerFailed)
 		a.recordFailedAnswer(upstream, answer.Status)
 		a.outcome.recordFailure(upstream, answer.Status, now, errAnswerFailed)
-		return a.lastAnswer, a.fail(upstream, errAnswerFailed)
+		return a.lastAnswer, a.fail(upstream, address, errAnswerFailed)
 	}
 	answeredAt := time.Now()
 	upstream.RecordSuccess(answeredAt)
@@ -121,21 +123,24 @@
 	return a.failed[len(a.failed)-1]
 }
 
-// outboundFor returns the request for an attempt at an upstream.
-func (a *attempts) outboundFor(upstream *admitter.Upstream) forwarder.Outbound {
-	if upstream == a.unsent || slices.Contains(a.failed, upstream) {
+// outboundFor returns the request for an attempt at an upstream. Connections are kept by
+// address, which upstreams can share, and an earlier attempt's answer has the same ID.
+func (a *attempts) outboundFor(upstream *admitter.Upstream, address string) forwarder.Outbound {
+	if upstream == a.unsent || slices.Contains(a.addresses, address) {
 		return a.outbound.WithUnsharedConnection()
 	}
 	return a.outbound
 }
 
-// fail records an attempt that has failed with err, and returns the error of the request.
-func (a *attempts) fail(upstream *admitter.Upstream, err error) error {
+// fail records an attempt at an address of an upstream that has failed with err, and returns
+// the error of the request.
+func (a *attempts) fail(upstream *admitter.Upstream, address string, err error) error {
 	if arbiter.IsUnsent(err) {
 		// The upstream is not at fault, so the next attempt does not avoid it.
 		a.unsent = upstream
 	} else {
 		a.failed = append(a.failed, upstream)
+		a.addresses = append(a.addresses, address)
 	}
 	return a.overallError(err)
 }
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -122,18 +122,19 @@
 	})
 }
 
-// sendTo makes one attempt to send a request to an upstream, and records what the
-// result shows about the upstream's health and load. With an error the answer holds no
+// sendTo makes one attempt to send a request to an upstream at an address, and records what
+// the result shows about the upstream's health and load. With an error the answer holds no
 // response.
 func (r *Receiver) sendTo(
 	ctx context.Context,
 	upstream *admitter.Upstream,
+	address string,
 	outbound forwarder.Outbound,
 	admission admitter.Admission,
 ) (forwarder.Answer, error) {
 	target := forwarder.Target{
 		Name:    upstream.Declared().Name,
-		Address: upstream.Address(),
+		Address: address,
 	}
 	attempt := Attempt{
 		Admission: admission,
