--- a/internal/command/forwarder/streamed_test.go
+++ b/internal/command/forwarder/streamed_test.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// refusingOnce is an upstream that refuses the first request when its head has arrived, and
-// runs all others.
+// refusingOnce is an upstream that refuses the first request, or fails, when its head has
+// arrived, and runs all others.
 type refusingOnce struct {
 	target  Target
 	refusal string
@@ -158,32 +158,49 @@
 }
 
 // TestStreamedBodyIsNotDivided guards against a request that is sent again without a part of
-// its body, because the attempt before, which was refused early, has gone on reading it.
+// its body, because the attempt before, which was answered early, has gone on reading it.
 func TestStreamedBodyIsNotDivided(t *testing.T) {
 	cases := []struct {
 		name    string
 		refusal string
 		length  int64
+		verdict arbiter.Verdict
 	}{
 		{
 			name:    "known length",
 			refusal: "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 1\r\n\r\n.",
 			length:  streamedBytes,
+			verdict: arbiter.NotRun,
 		},
 		{
 			name:    "chunks",
 			refusal: "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 1\r\n\r\n.",
 			length:  -1,
+			verdict: arbiter.NotRun,
 		},
 		{
 			name:    "known length, refused without a body",
 			refusal: "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n",
 			length:  streamedBytes,
+			verdict: arbiter.NotRun,
 		},
 		{
 			name:    "chunks, refused without a body",
 			refusal: "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\nContent-Length: 0\r\n\r\n",
 			length:  -1,
+			verdict: arbiter.NotRun,
+		},
+		{
+			name:    "known length, a failure",
+			refusal: "HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\n.",
+			length:  streamedBytes,
+			verdict: arbiter.MayHaveRun,
+		},
+		{
+			name:    "chunks, a failure",
+			refusal: "HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\n.",
+			length:  -1,
+			verdict: arbiter.MayHaveRun,
 		},
 	}
 	for _, c := range cases {
@@ -193,15 +210,18 @@
 			sender := New()
 			t.Cleanup(sender.Close)
 			sender.singleUse.DialContext = dialLate()
-			outbound := newStreamedOrder(t, c.length)
-			_, err := sender.Send(t.Context(), upstream.target, outbound)
-			if arbiter.VerdictOf(err) != arbiter.NotRun {
-				t.Fatalf("got error %v, want a refusal with NotRun", err)
+			outbound := newStreamedOutbound(t, c.length)
+			answer, err := sender.Send(t.Context(), upstream.target, outbound)
+			if got := arbiter.VerdictOf(err); got != c.verdict {
+				t.Fatalf("got verdict %s (%v), want %s", got, err, c.verdict)
+			}
+			if err == nil {
+				answer.Response.Body.Close()
 			}
 			if !outbound.Body().Replayable() {
 				return
 			}
-			answer, err := sender.Send(t.Context(), upstream.target, outbound)
+			answer, err = sender.Send(t.Context(), upstream.target, outbound)
 			if err == nil {
 				answer.Response.Body.Close()
 			}
@@ -217,8 +237,8 @@
 	}
 }
 
-// newStreamedOrder returns a request that is not idempotent, with a streamed body.
-func newStreamedOrder(t *testing.T, length int64) Outbound {
+// newStreamedOutbound returns a request with a streamed body, which gets a connection of its own.
+func newStreamedOutbound(t *testing.T, length int64) Outbound {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, "http://shopfront/orders", nil)
 	if err != nil {
