Keep the buffer of a connection whose handler panics while its body is read

What callers got: a connection whose answer broke off while the transport still read the body of its request returned its read buffer to the pool. The next connection could get the buffer while that read was under way, with the bytes or the error of the other caller's connection; the process could end with a nil reader.

Cause: the mark that the reader may be in use was set behind the handler, and a panic, with which a broken answer ends its connection, passed over it.

Change: the mark is set when the handler ends in whichever way.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithCancel(e.conn.ctx)
 	defer cancel()
 	defer e.markHandlerDone()
-	defer e.body.markDone()
+	defer e.endBody()
 	defer func() {
 		if reason := recover(); reason != nil {
 			e.broken = true
@@ -113,11 +113,17 @@
 		}
 	}()
 	e.conn.server.handler.ServeHTTP(e, e.request.WithContext(ctx))
+}
+
+// endBody ends the reading of the body when the handler has returned or panicked. It may have
+// left a goroutine that is still in a read.
+func (e *exchange) endBody() {
 	if !e.body.isFullyRead() {
 		// The next request can't be read, as the rest of the body precedes it.
 		e.closesConn = true
 		e.conn.readerInUse.Store(true)
 	}
+	e.body.markDone()
 }
 
 // markHandlerDone reports that the handler has returned, or that there is none because
