Send no interim response once the final one has begun

What callers got: an upstream that answers before it reads the body had the head of its answer written while the transport began to read the body, which sent 100 Continue to a caller that waits for it: a second head in the middle of the answer, or, from two goroutines at once on one writer, broken bytes. A read left over after the end of the connection could write it to the next connection that gets the writer.

Cause: watchedBody.sendContinue wrote to the connection's writer without regard to the response.

Evidence: the race detector reports sendContinue against writeHead in TestOpenOrdersAreNeverSaidNotToHaveRun; TestContinueIsNotWrittenIntoAResponse got 'quilt' followed by 'HTTP/1.1 100 Continue' in one body.

Change: the head of the response and the end of the body end the time in which 100 Continue is sent, under a lock that is taken once for each.

Measured: go test -race ./internal/pipeliner -run TestContinueIs -count=50, ok.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -255,9 +255,12 @@
 type watchedBody struct {
 	exchange *exchange
 	source   io.ReadCloser
-	// continueSent reports that the status 100 Continue has been sent.
-	continueSent bool
-	doneOnce     sync.Once
+	// continueMu guards continueEnded, and the connection's writer while 100 Continue is
+	// written.
+	continueMu sync.Mutex
+	// continueEnded reports that 100 Continue has been sent or must not be sent any more.
+	continueEnded bool
+	doneOnce      sync.Once
 	// atEOF reports that the body was read to its end.
 	atEOF atomic.Bool
 }
@@ -288,13 +291,18 @@
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body
-// (RFC 9110, section 10.1.1).
+// (RFC 9110, section 10.1.1), unless the final response has begun or the body is no longer read.
 func (b *watchedBody) sendContinue() error {
-	if b.continueSent || b.exchange.request.Header.Get("Expect") != "100-continue" {
+	if b.exchange.request.Header.Get("Expect") != "100-continue" {
 		return nil
 	}
-	b.continueSent = true
 	<-b.exchange.turn
+	b.continueMu.Lock()
+	defer b.continueMu.Unlock()
+	if b.continueEnded {
+		return nil
+	}
+	b.continueEnded = true
 	writer := b.exchange.conn.writer
 	if _, err := writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
@@ -307,10 +315,21 @@
 	return nil
 }
 
+// endContinue says that 100 Continue must not be sent any more. A goroutine that the handler has
+// left may read the body while the response is written, or after the connection has closed.
+func (b *watchedBody) endContinue() {
+	b.continueMu.Lock()
+	defer b.continueMu.Unlock()
+	b.continueEnded = true
+}
+
 // markDone ends the reading of the body: later reads return io.EOF or an error, and
 // readRequests continues.
 func (b *watchedBody) markDone() {
-	b.doneOnce.Do(func() { close(b.exchange.bodyDone) })
+	b.doneOnce.Do(func() {
+		b.endContinue()
+		close(b.exchange.bodyDone)
+	})
 }
 
 // isFullyRead reports whether the body is empty or was read to its end.
--- a/internal/pipeliner/response.go
+++ b/internal/pipeliner/response.go
@@ -77,6 +77,9 @@
 
 // writeHead writes the status line and the header.
 func (e *exchange) writeHead() error {
+	if e.body != nil {
+		e.body.endContinue()
+	}
 	// While the server is draining, a response closes the connection if no other
 	// exchange is open: every request that has started gets its response.
 	if e.conn.server.closeAnnounced.Load() && e.conn.forbidNewIfLast() {
