Let requests by GET run alone if the server's owner says that they are unsafe

Change: pipeliner.WithUnsafe takes a function that says which requests by GET and HEAD without a body are unsafe. The part that serves callers does not set it yet: that needs the route, by admitter, receiver and fronter, so that TestOrderByGETBehindAClosingAnswerReachesNoUpstream still fails.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -28,7 +28,7 @@
 	conn    *conn
 	request *http.Request
 	// safe reports that the request is regarded as one that changes nothing: its method is
-	// GET or HEAD and it has no body. This is stricter than idempotence.
+	// GET or HEAD, it has no body, and WithUnsafe does not except it.
 	safe bool
 	// closesConn reports that the connection closes after the response.
 	closesConn bool
@@ -84,7 +84,7 @@
 		close(next.bodyDone)
 		return next
 	}
-	next.safe = request.Method == http.MethodGet || request.Method == http.MethodHead
+	next.safe = (request.Method == http.MethodGet || request.Method == http.MethodHead) && !c.server.isUnsafe(request)
 	next.closesConn = request.Close
 	next.body = &watchedBody{
 		exchange: next,
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -4,7 +4,9 @@
 // used, as it starts each request only after the response to the previous one.
 //
 // An unsafe request, any but a GET or HEAD without a body, may change something and runs
-// alone: no other request of its connection runs at the same time.
+// alone: no other request of its connection runs at the same time. Further requests count as
+// unsafe by WithUnsafe. A request that runs behind others has run if one of their responses
+// closes the connection, and its caller sends it again all the same.
 //
 // The package knows nothing of admission: it leaves every request to its handler, and
 // refuses only what it can't read.
@@ -54,6 +56,8 @@
 	budget *bounder.Budget
 	// onEvent is called for each event; never nil.
 	onEvent func(Event)
+	// isUnsafe reports whether a GET or HEAD without a body is unsafe; never nil.
+	isUnsafe func(*http.Request) bool
 	// largeBuffers holds readers whose buffer takes the largest head.
 	largeBuffers sync.Pool
 
@@ -94,6 +98,15 @@
 	}
 }
 
+// WithUnsafe sets the function that reports whether a GET or HEAD without a body is unsafe, as
+// one that is not idempotent. Without it none is. The function is called for each of them before
+// its handler and must not wait.
+func WithUnsafe(isUnsafe func(*http.Request) bool) Option {
+	return func(server *Server) {
+		server.isUnsafe = isUnsafe
+	}
+}
+
 // New returns a server. It calls onPanic with the value of each panic of the handler,
 // except http.ErrAbortHandler, which only aborts the response.
 func New(handler http.Handler, limits Limits, onPanic func(reason any), opts ...Option) *Server {
@@ -102,6 +115,7 @@
 		handler:     handler,
 		onPanic:     onPanic,
 		onEvent:     func(Event) {},
+		isUnsafe:    func(*http.Request) bool { return false },
 		requestsCtx: requestsCtx,
 		abort:       abort,
 	}
