--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -28,7 +28,7 @@
 	conn    *conn
 	request *http.Request
 	// safe reports that the request is regarded as one that changes nothing: its method is
-	// GET or HEAD, it has no body, and the server's runsAlone does not name it.
+	// GET or HEAD, it has no body, and WithUnsafe does not except it.
 	safe bool
 	// closesConn reports that the connection closes after the response.
 	closesConn bool
@@ -84,7 +84,7 @@
 		close(next.bodyDone)
 		return next
 	}
-	next.safe = (request.Method == http.MethodGet || request.Method == http.MethodHead) && !c.server.runsAlone(request)
+	next.safe = (request.Method == http.MethodGet || request.Method == http.MethodHead) && !c.server.isUnsafe(request)
 	next.closesConn = request.Close
 	next.body = &watchedBody{
 		exchange: next,
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithCancel(e.conn.ctx)
 	defer cancel()
 	defer e.markHandlerDone()
-	defer e.body.markDone()
+	defer e.endBody()
 	defer func() {
 		if reason := recover(); reason != nil {
 			e.broken = true
@@ -113,11 +113,17 @@
 		}
 	}()
 	e.conn.server.handler.ServeHTTP(e, e.request.WithContext(ctx))
+}
+
+// endBody ends the reading of the body when the handler has returned or panicked. It may have
+// left a goroutine that is still in a read.
+func (e *exchange) endBody() {
 	if !e.body.isFullyRead() {
 		// The next request can't be read, as the rest of the body precedes it.
 		e.closesConn = true
 		e.conn.readerInUse.Store(true)
 	}
+	e.body.markDone()
 }
 
 // markHandlerDone reports that the handler has returned, or that there is none because
@@ -249,9 +255,12 @@
 type watchedBody struct {
 	exchange *exchange
 	source   io.ReadCloser
-	// continueSent reports that the status 100 Continue has been sent.
-	continueSent bool
-	doneOnce     sync.Once
+	// continueMu guards continueEnded, and the connection's writer while 100 Continue is
+	// written.
+	continueMu sync.Mutex
+	// continueEnded reports that 100 Continue has been sent or must not be sent any more.
+	continueEnded bool
+	doneOnce      sync.Once
 	// atEOF reports that the body was read to its end.
 	atEOF atomic.Bool
 }
@@ -282,13 +291,18 @@
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body
-// (RFC 9110, section 10.1.1).
+// (RFC 9110, section 10.1.1), unless the final response has begun or the body is no longer read.
 func (b *watchedBody) sendContinue() error {
-	if b.continueSent || b.exchange.request.Header.Get("Expect") != "100-continue" {
+	if b.exchange.request.Header.Get("Expect") != "100-continue" {
 		return nil
 	}
-	b.continueSent = true
 	<-b.exchange.turn
+	b.continueMu.Lock()
+	defer b.continueMu.Unlock()
+	if b.continueEnded {
+		return nil
+	}
+	b.continueEnded = true
 	writer := b.exchange.conn.writer
 	if _, err := writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
@@ -301,10 +315,21 @@
 	return nil
 }
 
+// endContinue says that 100 Continue must not be sent any more. A goroutine that the handler has
+// left may read the body while the response is written, or after the connection has closed.
+func (b *watchedBody) endContinue() {
+	b.continueMu.Lock()
+	defer b.continueMu.Unlock()
+	b.continueEnded = true
+}
+
 // markDone ends the reading of the body: later reads return io.EOF or an error, and
 // readRequests continues.
 func (b *watchedBody) markDone() {
-	b.doneOnce.Do(func() { close(b.exchange.bodyDone) })
+	b.doneOnce.Do(func() {
+		b.endContinue()
+		close(b.exchange.bodyDone)
+	})
 }
 
 // isFullyRead reports whether the body is empty or was read to its end.
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -4,9 +4,9 @@
 // used, as it starts each request only after the response to the previous one.
 //
 // An unsafe request, any but a GET or HEAD without a body, may change something and runs
-// alone: no other request of its connection runs at the same time. Callers send requests
-// again that stand behind a response which closes the connection, so an unsafe one must not
-// have run there. WithRunsAlone names further unsafe requests.
+// alone: no other request of its connection runs at the same time. Further requests count as
+// unsafe by WithUnsafe. A request that runs behind others has run if one of their responses
+// closes the connection, and its caller sends it again all the same.
 //
 // The package knows nothing of admission: it leaves every request to its handler, and
 // refuses only what it can't read.
@@ -56,8 +56,8 @@
 	budget *bounder.Budget
 	// onEvent is called for each event; never nil.
 	onEvent func(Event)
-	// runsAlone reports that a request may change something, whatever its method; never nil.
-	runsAlone func(request *http.Request) bool
+	// isUnsafe reports whether a GET or HEAD without a body is unsafe; never nil.
+	isUnsafe func(*http.Request) bool
 	// largeBuffers holds readers whose buffer takes the largest head.
 	largeBuffers sync.Pool
 
@@ -98,11 +98,12 @@
 	}
 }
 
-// WithRunsAlone names the requests that are unsafe although they are a GET or HEAD without a
-// body. The function must not wait.
-func WithRunsAlone(runsAlone func(request *http.Request) bool) Option {
+// WithUnsafe sets the function that reports whether a GET or HEAD without a body is unsafe, as
+// one that is not idempotent. Without it none is. The function is called for each of them before
+// its handler and must not wait.
+func WithUnsafe(isUnsafe func(*http.Request) bool) Option {
 	return func(server *Server) {
-		server.runsAlone = runsAlone
+		server.isUnsafe = isUnsafe
 	}
 }
 
@@ -114,7 +115,7 @@
 		handler:     handler,
 		onPanic:     onPanic,
 		onEvent:     func(Event) {},
-		runsAlone:   func(*http.Request) bool { return false },
+		isUnsafe:    func(*http.Request) bool { return false },
 		requestsCtx: requestsCtx,
 		abort:       abort,
 	}
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -35,9 +35,9 @@
 	return admissionRequest, refusal
 }
 
-// RunsAlone reports whether a request must not run beside others of its connection, because
+// IsUnsafe reports whether a request must not run beside others of its connection, because
 // its route does not allow that it is repeated.
-func (r *Receiver) RunsAlone(request *http.Request) bool {
+func (r *Receiver) IsUnsafe(request *http.Request) bool {
 	if r.lookupHandler != nil && request.URL.Path == PathLookup {
 		return false
 	}
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -158,7 +158,7 @@
 // operators' servers are closed when work ends.
 func (s *Server) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
 	callers := s.listeners.callers.Serve(group, s.callerHandler(), s.settings.Callers, s.logPanic,
-		pipeliner.WithRunsAlone(s.receiver.RunsAlone))
+		pipeliner.WithUnsafe(s.receiver.IsUnsafe))
 	peers := s.httpServer(s.peerHandler())
 	peers.WriteTimeout = 0
 	operators := s.httpServer(s.operatorHandler())
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -93,7 +93,7 @@
 // closed when work ends.
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
 	s.callerServer = s.listeners.callers.Serve(group, s.receiver, s.settings.Callers, s.logPanic,
-		pipeliner.WithRunsAlone(s.receiver.RunsAlone))
+		pipeliner.WithUnsafe(s.receiver.IsUnsafe))
 	lookups := s.platform.NewLookupHandler(s.lookup)
 	lookupServer := s.listeners.lookups.Serve(group, lookups, s.settings.Callers, s.logPanic)
 	readiness := s.platform.NewReadinessHandler(s.ready)
