Pass on an answer that comes before the end of the request's body

Callers got 502 in place of an answer without a body that arrived while their own body was still sent, also in place of a refusal that proves that the order has not run, so that they could not send it again.

Cause: guardedConn took each write after bytes had arrived for the begin of another request, waited 20 ms for the reader, which waits for the end of the write, and closed the connection. A request is now known to begin when it is given the connection. TestAnswerBeforeTheEndOfTheBody failed 5 of 5 times in its case without a body and passes.

--- a/internal/command/forwarder/conn.go
+++ b/internal/command/forwarder/conn.go
@@ -27,9 +27,11 @@
 	// each time the reader begins to wait.
 	readerWaiting atomic.Bool
 	waitBegun     chan struct{}
-	// received is set if bytes have arrived since the last write. The next write then
-	// begins another request, and must wait until the reader has taken all of them. The
-	// first write on a new connection doesn't wait if nothing has arrived.
+	// begins is set when a request is given the connection, until its first write. That
+	// write must wait until the reader has taken all bytes that have arrived. Later writes
+	// of the request may follow an answer that came before the end of its body.
+	begins atomic.Bool
+	// received is set if bytes have arrived since the last write.
 	received atomic.Bool
 	// writes counts the writes that have sent at least one byte, and the one in progress.
 	writes atomic.Uint64
@@ -69,7 +71,7 @@
 // waits for bytes. If that takes too long, it sends nothing and closes the
 // connection.
 func (g *guardedConn) Write(p []byte) (int, error) {
-	if g.received.Load() && !g.awaitReader() {
+	if g.begins.Swap(false) && g.received.Load() && !g.awaitReader() {
 		g.Close()
 		return 0, errUnsolicited
 	}
@@ -117,6 +119,7 @@
 		return
 	}
 	o.conn = guarded
+	guarded.begins.Store(true)
 	o.writesBefore = guarded.writes.Load()
 	o.reused = info.Reused
 }
