Apply small changes of the number of objects once the estimate is steady

What callers got: instances could decide by numbers of objects that differ by up to a tenth for as long as the estimate stood still, and so choose other copies of some objects than the other instances do.

Cause: cache.update passes over a change of less than a tenth, as noise. An instance that is told a number before the surveys of all instances are in keeps that one, if the full number is within a tenth of it. TestInstancesAgreeOnTheNumberOfObjects sends its requests while surveys are exchanged, and so met this at times.

Change: a small change counts once the estimate has been steady, within a hundredth, for 3 s. While it varies, it is passed over as before. The new table test fails without the change (73 and 63 instead of 67).

Instances may still differ by up to a tenth while the estimate keeps changing.

--- a/pkg/command/admitter/cache.go
+++ b/pkg/command/admitter/cache.go
@@ -13,8 +13,14 @@
 
 const (
 	// minObjectsChange is the relative change of the estimated number of objects that changes
-	// the numbers of copies. Smaller changes are noise of the estimate.
+	// the numbers of copies at once. A smaller one is noise of the estimate, and counts only
+	// once the estimate has been steady for steadyTime.
 	minObjectsChange = 0.1
+	// maxSteadyChange is the relative change up to which an estimate is steady.
+	maxSteadyChange = 0.01
+	// steadyTime is how long an estimate must be steady: longer than all instances take to
+	// learn what each has counted.
+	steadyTime = 3 * time.Second
 	// cacheNoticeLifetime is how long a number of objects that a peer has told counts.
 	cacheNoticeLifetime = 5 * time.Second
 )
@@ -39,6 +45,32 @@
 	// objectBits is the number of distinct objects in the form of math.Float64bits. It is 0
 	// while the number is unknown.
 	objectBits atomic.Uint64
+	// estimate is the latest estimate of the number of objects. Only update uses it.
+	estimate steadyEstimate
+}
+
+// steadyEstimate is an estimate and the time since which it has been steady. It is an immutable
+// value.
+type steadyEstimate struct {
+	objects float64
+	since   time.Time
+}
+
+// With returns e if a new estimate differs from it by no more than maxSteadyChange, or else the
+// new one.
+func (e steadyEstimate) With(objects float64, now time.Time) steadyEstimate {
+	if math.Abs(objects-e.objects) <= maxSteadyChange*e.objects {
+		return e
+	}
+	return steadyEstimate{
+		objects: objects,
+		since:   now,
+	}
+}
+
+// isSteady reports whether the estimate has been steady for steadyTime.
+func (e steadyEstimate) isSteady(now time.Time) bool {
+	return now.Sub(e.since) >= steadyTime
 }
 
 // cacheNotice is a number of objects that a peer has told.
@@ -53,7 +85,7 @@
 }
 
 // update sets the number of objects to what a peer has told or else to what this instance has
-// counted.
+// counted. One goroutine at a time may call it.
 func (r *cache) update(now time.Time) {
 	r.counted.Advance(now)
 	objects := 0.0
@@ -62,8 +94,10 @@
 	} else if counted, known := r.counted.Digest().Objects(); known {
 		objects = counted
 	}
+	r.estimate = r.estimate.With(objects, now)
 	before := r.objects()
-	if before > 0 && math.Abs(objects/before-1) < minObjectsChange {
+	isSmall := before > 0 && math.Abs(objects/before-1) < minObjectsChange
+	if isSmall && !r.estimate.isSteady(now) {
 		return
 	}
 	r.objectBits.Store(math.Float64bits(objects))
--- a/pkg/command/admitter/cache_test.go
+++ b/pkg/command/admitter/cache_test.go
@@ -145,3 +145,73 @@
 		}
 	}
 }
+
+// TestInstancesAgreeOnASteadyNumberOfObjects guards against instances that go on with a number
+// that was told before all surveys had come, and so choose other copies than the rest.
+func TestInstancesAgreeOnASteadyNumberOfObjects(t *testing.T) {
+	id := CacheID{
+		Service: "shopfront",
+		Region:  "east",
+	}
+	cases := []struct {
+		name string
+		// told is the number of objects that a peer tells each second.
+		told []float64
+		want float64
+	}{
+		{
+			name: "all surveys come at once",
+			told: []float64{22, 67, 67, 67, 67},
+			want: 67,
+		},
+		{
+			name: "one survey comes late and lowers the number a little",
+			told: []float64{22, 73, 67, 67, 67, 67},
+			want: 67,
+		},
+		{
+			name: "one survey comes late and raises the number a little",
+			told: []float64{22, 63, 67, 67, 67, 67},
+			want: 67,
+		},
+		{
+			name: "the number has not been steady for long",
+			told: []float64{22, 73, 67, 67, 67},
+			want: 73,
+		},
+		{
+			name: "the number varies a little all the time",
+			told: []float64{300, 310, 290, 305, 298, 311, 295, 308},
+			want: 300,
+		},
+		{
+			name: "the number drifts a little all the time",
+			told: []float64{300, 302, 304, 306, 308, 310, 312, 314},
+			want: 300,
+		},
+	}
+	for _, c := range cases {
+		now := time.Unix(1000, 0)
+		told := &cache{
+			counted: enumerator.New(now),
+		}
+		plan := &Plan{
+			caches: map[CacheID]*cache{
+				id: told,
+			},
+		}
+		for _, objects := range c.told {
+			plan.ReceiveCacheNotices([]CacheNotice{
+				{
+					ID:      id,
+					Objects: objects,
+				},
+			}, now)
+			plan.UpdateCaches(now)
+			now = now.Add(time.Second)
+		}
+		if got := told.objects(); got != c.want {
+			t.Errorf("%s: got %.0f objects, want %.0f", c.name, got, c.want)
+		}
+	}
+}
