Convert surveys and findings element by element with one function

What is sent is the same, also for empty lists: those of caches and loads stay nil, those of popular objects stay empty. TestEncodingsMatchGoldenFiles and the rest of internal/steerer pass.

--- a/internal/steerer/surveymessage.go
+++ b/internal/steerer/surveymessage.go
@@ -87,147 +87,151 @@
 
 // newSurvey converts a survey to its encoding on a link.
 func newSurvey(source surveyor.Survey) survey {
-	message := survey{}
-	for _, cache := range source.Caches {
-		message.Caches = append(message.Caches, cacheDigest{
-			Service: cache.ID.Service,
-			Region:  cache.ID.Region,
-			Samples: cache.Digest.Samples,
-			Bits:    cache.Digest.Bits,
-			Popular: newObjectCounts(cache.Popular),
-		})
+	return survey{
+		Caches: appendConverted(nil, source.Caches, newCacheDigest),
+		Loads:  appendConverted(nil, source.Loads, newLoadSum),
 	}
-	for _, load := range source.Loads {
-		message.Loads = append(message.Loads, loadSum{
-			Upstream:    load.Upstream,
-			Thousandths: uint64(load.Sum * thousandthsPerUnit),
-			Count:       load.Count,
-
-			SlowdownThousandths: uint64(load.Slowdowns * thousandthsPerUnit),
-			SlowdownCount:       load.SlowdownCount,
-		})
-	}
-	return message
 }
 
 // surveyorSurvey converts a received survey to the surveyor's form.
 func (s survey) surveyorSurvey() surveyor.Survey {
-	decoded := surveyor.Survey{}
-	for _, cache := range s.Caches {
-		decoded.Caches = append(decoded.Caches, admitter.CacheDigest{
-			ID: admitter.CacheID{
-				Service: cache.Service,
-				Region:  cache.Region,
-			},
-			Digest: enumerator.Digest{
-				Samples: cache.Samples,
-				Bits:    cache.Bits,
-			},
-			Popular: admitterCounts(cache.Popular),
-		})
-	}
-	for _, load := range s.Loads {
-		decoded.Loads = append(decoded.Loads, admitter.LoadSum{
-			Upstream: load.Upstream,
-			Sum:      float64(load.Thousandths) / thousandthsPerUnit,
-			Count:    load.Count,
-
-			Slowdowns:     float64(load.SlowdownThousandths) / thousandthsPerUnit,
-			SlowdownCount: load.SlowdownCount,
-		})
-	}
-	return decoded
+	return surveyor.Survey{
+		Caches: appendConverted(nil, s.Caches, cacheDigest.admitterDigest),
+		Loads:  appendConverted(nil, s.Loads, loadSum.admitterSum),
+	}
 }
 
 // newFindings converts findings to their encoding on a link.
 func newFindings(source surveyor.Findings) findings {
-	message := findings{}
-	for _, cache := range source.Caches {
-		message.Caches = append(message.Caches, cacheNotice{
-			Service: cache.ID.Service,
-			Region:  cache.ID.Region,
-			Objects: uint64(cache.Objects),
-			Popular: newObjectDemands(cache.Popular),
-		})
+	return findings{
+		Caches: appendConverted(nil, source.Caches, newCacheNotice),
+		Loads:  appendConverted(nil, source.Loads, newLoadNotice),
 	}
-	for _, load := range source.Loads {
-		message.Loads = append(message.Loads, loadNotice{
-			Upstream:    load.Upstream,
-			Thousandths: uint64(load.Load * thousandthsPerUnit),
-
-			SlowdownThousandths: uint64(load.Slowdown * thousandthsPerUnit),
-		})
-	}
-	return message
 }
 
 // surveyorFindings converts received findings to the surveyor's form.
 func (f findings) surveyorFindings() surveyor.Findings {
-	decoded := surveyor.Findings{}
-	for _, cache := range f.Caches {
-		decoded.Caches = append(decoded.Caches, admitter.CacheNotice{
-			ID: admitter.CacheID{
-				Service: cache.Service,
-				Region:  cache.Region,
-			},
-			Objects: float64(cache.Objects),
-			Popular: admitterDemands(cache.Popular),
-		})
-	}
-	for _, load := range f.Loads {
-		decoded.Loads = append(decoded.Loads, admitter.LoadNotice{
-			Upstream: load.Upstream,
-			Load:     float64(load.Thousandths) / thousandthsPerUnit,
-			Slowdown: float64(load.SlowdownThousandths) / thousandthsPerUnit,
-		})
-	}
-	return decoded
-}
-
-// newObjectCounts converts counts to their encoding on a link.
-func newObjectCounts(source []admitter.ObjectCount) []objectCount {
-	counts := make([]objectCount, 0, len(source))
-	for _, count := range source {
-		counts = append(counts, objectCount{
-			Object:   count.Object,
-			Requests: count.Requests,
-		})
-	}
-	return counts
-}
-
-// admitterCounts converts received counts to the admitter's form.
-func admitterCounts(received []objectCount) []admitter.ObjectCount {
-	counts := make([]admitter.ObjectCount, 0, len(received))
-	for _, count := range received {
-		counts = append(counts, admitter.ObjectCount{
-			Object:   count.Object,
-			Requests: count.Requests,
-		})
-	}
-	return counts
-}
-
-// newObjectDemands converts demands to their encoding on a link.
-func newObjectDemands(source []admitter.ObjectDemand) []objectDemand {
-	demands := make([]objectDemand, 0, len(source))
-	for _, demand := range source {
-		demands = append(demands, objectDemand{
-			Object:      demand.Object,
-			Thousandths: uint64(demand.PerSecond * thousandthsPerUnit),
-		})
-	}
-	return demands
-}
-
-// admitterDemands converts received demands to the admitter's form.
-func admitterDemands(received []objectDemand) []admitter.ObjectDemand {
-	demands := make([]admitter.ObjectDemand, 0, len(received))
-	for _, demand := range received {
-		demands = append(demands, admitter.ObjectDemand{
-			Object:    demand.Object,
-			PerSecond: float64(demand.Thousandths) / thousandthsPerUnit,
-		})
-	}
-	return demands
+	return surveyor.Findings{
+		Caches: appendConverted(nil, f.Caches, cacheNotice.admitterNotice),
+		Loads:  appendConverted(nil, f.Loads, loadNotice.admitterNotice),
+	}
+}
+
+// appendConverted appends each element of source to target in another form.
+func appendConverted[S, T any](target []T, source []S, convert func(S) T) []T {
+	for _, element := range source {
+		target = append(target, convert(element))
+	}
+	return target
+}
+
+func newCacheDigest(source admitter.CacheDigest) cacheDigest {
+	return cacheDigest{
+		Service: source.ID.Service,
+		Region:  source.ID.Region,
+		Samples: source.Digest.Samples,
+		Bits:    source.Digest.Bits,
+		Popular: appendConverted([]objectCount{}, source.Popular, newObjectCount),
+	}
+}
+
+func (c cacheDigest) admitterDigest() admitter.CacheDigest {
+	return admitter.CacheDigest{
+		ID: admitter.CacheID{
+			Service: c.Service,
+			Region:  c.Region,
+		},
+		Digest: enumerator.Digest{
+			Samples: c.Samples,
+			Bits:    c.Bits,
+		},
+		Popular: appendConverted([]admitter.ObjectCount{}, c.Popular, objectCount.admitterCount),
+	}
+}
+
+func newObjectCount(source admitter.ObjectCount) objectCount {
+	return objectCount{
+		Object:   source.Object,
+		Requests: source.Requests,
+	}
+}
+
+func (c objectCount) admitterCount() admitter.ObjectCount {
+	return admitter.ObjectCount{
+		Object:   c.Object,
+		Requests: c.Requests,
+	}
+}
+
+func newLoadSum(source admitter.LoadSum) loadSum {
+	return loadSum{
+		Upstream:    source.Upstream,
+		Thousandths: uint64(source.Sum * thousandthsPerUnit),
+		Count:       source.Count,
+
+		SlowdownThousandths: uint64(source.Slowdowns * thousandthsPerUnit),
+		SlowdownCount:       source.SlowdownCount,
+	}
+}
+
+func (l loadSum) admitterSum() admitter.LoadSum {
+	return admitter.LoadSum{
+		Upstream: l.Upstream,
+		Sum:      float64(l.Thousandths) / thousandthsPerUnit,
+		Count:    l.Count,
+
+		Slowdowns:     float64(l.SlowdownThousandths) / thousandthsPerUnit,
+		SlowdownCount: l.SlowdownCount,
+	}
+}
+
+func newCacheNotice(source admitter.CacheNotice) cacheNotice {
+	return cacheNotice{
+		Service: source.ID.Service,
+		Region:  source.ID.Region,
+		Objects: uint64(source.Objects),
+		Popular: appendConverted([]objectDemand{}, source.Popular, newObjectDemand),
+	}
+}
+
+func (c cacheNotice) admitterNotice() admitter.CacheNotice {
+	return admitter.CacheNotice{
+		ID: admitter.CacheID{
+			Service: c.Service,
+			Region:  c.Region,
+		},
+		Objects: float64(c.Objects),
+		Popular: appendConverted([]admitter.ObjectDemand{}, c.Popular, objectDemand.admitterDemand),
+	}
+}
+
+func newObjectDemand(source admitter.ObjectDemand) objectDemand {
+	return objectDemand{
+		Object:      source.Object,
+		Thousandths: uint64(source.PerSecond * thousandthsPerUnit),
+	}
+}
+
+func (d objectDemand) admitterDemand() admitter.ObjectDemand {
+	return admitter.ObjectDemand{
+		Object:    d.Object,
+		PerSecond: float64(d.Thousandths) / thousandthsPerUnit,
+	}
+}
+
+func newLoadNotice(source admitter.LoadNotice) loadNotice {
+	return loadNotice{
+		Upstream:    source.Upstream,
+		Thousandths: uint64(source.Load * thousandthsPerUnit),
+
+		SlowdownThousandths: uint64(source.Slowdown * thousandthsPerUnit),
+	}
+}
+
+func (l loadNotice) admitterNotice() admitter.LoadNotice {
+	return admitter.LoadNotice{
+		Upstream: l.Upstream,
+		Load:     float64(l.Thousandths) / thousandthsPerUnit,
+		Slowdown: float64(l.SlowdownThousandths) / thousandthsPerUnit,
+	}
 }
