--- a/internal/adapter/client.go
+++ b/internal/adapter/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hemlockport/hemlockport/internal/redirector"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
@@ -76,16 +77,11 @@
 				MaxIdleConnsPerHost:    maxIdleConnections,
 				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
-			CheckRedirect: followNone,
+			CheckRedirect: redirector.FollowNone,
 		},
 	}, nil
 }
 
-// followNone makes a client return a redirect as the answer.
-func followNone(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // LongPoll returns the context for a call that waits at the platform, and how long the
 // platform is to wait: until the deadline of ctx, but not more than longest. The
 // returned context has no deadline, so that at the deadline of ctx the platform ends
--- a/internal/query/prober/prober.go
+++ b/internal/query/prober/prober.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/redirector"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
 
@@ -38,17 +39,12 @@
 				MaxIdleConnsPerHost:    1,
 				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
-			CheckRedirect: followNone,
+			// An upstream that redirects its probes is not live.
+			CheckRedirect: redirector.FollowNone,
 		},
 	}
 }
 
-// followNone makes a client return a redirect as the answer: an upstream that redirects its
-// probes is not live.
-func followNone(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // HealthChange is a change of an upstream's health.
 type HealthChange struct {
 	Upstream *admitter.Upstream
