--- a/internal/adapter/endless_test.go
+++ b/internal/adapter/endless_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hemlockport/hemlockport/internal/adapter"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -116,16 +118,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
+	var group errgroup.Group
+	t.Cleanup(func() {
+		listener.Close()
+		_ = group.Wait()
+	})
 	sent := &atomic.Int64{}
 	block := strings.Repeat(repeat, 64<<10/len(repeat))
-	go func() {
+	group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
-				return
+				return nil
 			}
-			go func() {
+			group.Go(func() error {
 				defer conn.Close()
 				_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 				_, err := io.WriteString(conn, begin)
@@ -134,8 +140,9 @@
 					count, err = io.WriteString(conn, block)
 					sent.Add(int64(count))
 				}
-			}()
+				return nil
+			})
 		}
-	}()
+	})
 	return listener.Addr().String(), sent
 }
--- a/internal/query/prober/prober_test.go
+++ b/internal/query/prober/prober_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hemlockport/hemlockport/internal/query/prober"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
@@ -126,15 +128,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
+	var group errgroup.Group
+	t.Cleanup(func() {
+		listener.Close()
+		_ = group.Wait()
+	})
 	sent = &atomic.Int64{}
 	ended := make(chan struct{})
 	block := strings.Repeat(repeat, 64<<10/len(repeat))
-	go func() {
+	group.Go(func() error {
 		defer close(ended)
 		conn, err := listener.Accept()
 		if err != nil {
-			return
+			return nil
 		}
 		defer conn.Close()
 		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
@@ -144,6 +150,7 @@
 			count, err = io.WriteString(conn, block)
 			sent.Add(int64(count))
 		}
-	}()
+		return nil
+	})
 	return listener.Addr().String(), sent, ended
 }
