Split the progress and the reports of moves from internal/steerer/moves.go

What peers tell each other of a move is in moveprogress.go, the reports to the platform in movereport.go. The tests of internal/steerer pass.

--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -2,33 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/hemlockport/hemlockport/internal/encoder"
-	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
-	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/query/retainer"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
-const (
-	// topicMove is the topic on which peers send the progress of a move.
-	topicMove = "Move"
-	// reportTurnInterval is how long each instance waits for the one before it, in the
-	// order of names, to report a move.
-	reportTurnInterval = 700 * time.Millisecond
-	// reportTimeout bounds the report of a move to the platform.
-	reportTimeout = time.Second
-)
-
 // trackedMove is a move that this instance carries out together with all others.
 // planMu guards it.
 type trackedMove struct {
@@ -68,47 +53,6 @@
 	nextReportAt time.Time
 }
 
-// progress is the message with which an instance informs its peers about a move. Its
-// evidence is all that the sender has counted since it began the move.
-type progress struct {
-	_             struct{} `cbor:",toarray"`
-	Service       string
-	To            string
-	ElapsedMillis int64
-	State         mover.State
-	Evidence      []mover.Evidence
-}
-
-var progressCodec = encoder.CBOR[progress]{}
-
-// registerMoveHandler applies the progress of moves that peers send.
-func (s *Steerer) registerMoveHandler() {
-	receive := handler.CommandFunc[progress, reporter.Empty](
-		func(ctx context.Context, received progress) (reporter.Empty, error) {
-			s.applyProgress(linker.PeerFromContext(ctx).Name, received)
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicMove, receive, progressCodec, emptyCodec)
-}
-
-func (s *Steerer) applyProgress(peer string, received progress) {
-	s.planMu.Lock()
-	defer s.planMu.Unlock()
-	m, found := s.moves[received.Service]
-	if !found || m.order.Move.To != received.To {
-		return
-	}
-	m.peerEvidence[peer] = received.Evidence
-	if began := time.Now().Add(-time.Duration(received.ElapsedMillis) * time.Millisecond); began.Before(m.beganAt) {
-		m.beganAt = began
-	}
-	if received.State != mover.Running && m.state == mover.Running {
-		s.endMove(m, received.State, "peer "+peer)
-		s.updatePlan(s.inputs.withMoves(s.movesForPlan()))
-	}
-}
-
 // applyMoves applies the moves that operators have requested. An order to another version
 // starts a new move, and a final state on the platform prevails over the one here.
 func (s *Steerer) applyMoves(entries []retainer.Entry[MoveOrder], position storer.Position) {
@@ -296,64 +240,3 @@
 		s.reportMove(ctx, m)
 	}
 }
-
-// nextProgress returns the progress to send to the peers, and false if nothing has
-// changed since the last one.
-func (m *trackedMove) nextProgress(now time.Time) (progress, bool) {
-	evidence := m.counters.evidence()
-	attempts := 0
-	for _, route := range evidence {
-		both := route.New.Plus(route.Old)
-		attempts += both.Sent + both.Requests + both.Timed
-	}
-	if attempts == m.sentAttempts && m.sentState == m.state {
-		return progress{}, false
-	}
-	m.sentAttempts = attempts
-	m.sentState = m.state
-	return m.currentProgress(now), true
-}
-
-// currentProgress returns the progress of the move.
-func (m *trackedMove) currentProgress(now time.Time) progress {
-	return progress{
-		Service:       m.order.Move.Service,
-		To:            m.order.Move.To,
-		ElapsedMillis: now.Sub(m.beganAt).Milliseconds(),
-		State:         m.state,
-		Evidence:      m.counters.evidence(),
-	}
-}
-
-func (s *Steerer) sendProgress(message progress) {
-	for other := range s.otherMembers() {
-		if err := linker.Send(s.hub, other.Incarnation, topicMove, message, progressCodec); err != nil {
-			s.log.Debug().Str("Peer", other.Name).Err(err).Msg("MoveUntold")
-		}
-	}
-}
-
-// reportDue reports whether the state on the platform, which is empty before the first
-// report, differs from the move's and it is this instance's turn to report.
-func (m *trackedMove) reportDue(now time.Time) bool {
-	return m.revision != 0 && m.order.State != m.state && !now.Before(m.nextReportAt)
-}
-
-// nextReportTurn returns the time from which it is this instance's turn to report. Each
-// linked instance that precedes it by name has reportTurnInterval before.
-func (s *Steerer) nextReportTurn(now time.Time) time.Time {
-	return now.Add(time.Duration(s.countLinkedBefore(anyHeartbeat)) * reportTurnInterval)
-}
-
-// reportMove reports the state of a move to the platform. If another instance has
-// reported first, the state on the platform prevails.
-func (s *Steerer) reportMove(ctx context.Context, m trackedMove) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	err := s.platform.ReportMove(ctx, m.order.Move, m.state, m.revision)
-	line := s.log.Info()
-	if err != nil && !errors.Is(err, storer.ErrConflict) {
-		line = s.log.Warn()
-	}
-	line.Str("Service", m.order.Move.Service).Str("State", string(m.state)).Err(err).Msg("MoveReported")
-}
