--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -49,11 +49,16 @@
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
+	return newObject(name, answer.Body, answer), nil
+}
+
+// newObject returns an object with the revision that an answer states.
+func newObject(name string, value []byte, answer Answer) storer.Object[[]byte] {
 	return storer.Object[[]byte]{
 		Name:     name,
 		Revision: revisionFromETag(answer.Header),
-		Value:    answer.Body,
-	}, nil
+		Value:    value,
+	}
 }
 
 // List returns all objects whose names start with prefix.
@@ -92,11 +97,7 @@
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
-	return storer.Object[[]byte]{
-		Name:     name,
-		Revision: revisionFromETag(answer.Header),
-		Value:    value,
-	}, nil
+	return newObject(name, value, answer), nil
 }
 
 // Delete removes an object if the condition holds.
