Pass on the refusals of an upstream that is an instance too

In the own protocol callers got 502 in place of 400, 401, 403, 404 and 429 of an instance behind another one: since its verdict NotRun beside these statuses counted as a contradiction. Only a success contradicts the verdict.

--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -66,12 +66,16 @@
 }
 
 // CheckAnswer returns a refusal for a request that the upstream has shed, with status 503 and
-// the verdict NotRun, and for an answer that contradicts this verdict. It passes all other
-// answers, whatever their status: callers go by the verdict.
+// the verdict NotRun, and for a success that has this verdict. It passes all other answers,
+// whatever their status: callers go by the verdict. An upstream that is an instance too
+// refuses requests with many statuses.
 func (Native) CheckAnswer(response *http.Response) *arbiter.Refusal {
+	sheds := response.StatusCode == http.StatusServiceUnavailable
+	succeeds := response.StatusCode < http.StatusMultipleChoices
+	hasNotRun := arbiter.ParseVerdict(response.Header.Get(HeaderVerdict)) == arbiter.NotRun
 	claims := arbiter.AnswerClaims{
-		StatesNotRun: arbiter.ParseVerdict(response.Header.Get(HeaderVerdict)) == arbiter.NotRun,
-		Refuses:      response.StatusCode == http.StatusServiceUnavailable,
+		StatesNotRun: hasNotRun && (sheds || succeeds),
+		Refuses:      sheds,
 	}
 	refusal := claims.Refusal()
 	if refusal == nil {
