--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -86,6 +86,7 @@
 	case arbiter.DeadlineExceeded:
 		return !deadlineFromCaller && u.recordTimeout(now)
 	case arbiter.NotRunUnproved:
+		u.RecordLoad(report, now)
 		return u.RecordFailedAnswer(now)
 	case arbiter.UpstreamShed:
 		u.recordAnswer()
