Give an order without an ID a connection of its own

An order without Request-Id shared a kept connection with others, where the late answer to another request without an ID cannot be told from its own.

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -277,7 +277,7 @@
 // transportFor returns the transport for a request. A request that is not idempotent
 // uses a pooled connection only if the translator detects answers to other requests.
 func (f *Forwarder) transportFor(outbound Outbound) *http.Transport {
-	if outbound.unshared || !outbound.idempotent && !f.translator.DetectsMismatches() {
+	if outbound.unshared || !outbound.idempotent && !f.translator.DetectsMismatches(outbound.header) {
 		return f.singleUse
 	}
 	return f.pooled
--- a/internal/translator/native.go
+++ b/internal/translator/native.go
@@ -110,7 +110,7 @@
 }
 
 // DetectsMismatches returns false, because answers do not identify their request.
-func (Native) DetectsMismatches() bool {
+func (Native) DetectsMismatches(http.Header) bool {
 	return false
 }
 
--- a/internal/translator/translator.go
+++ b/internal/translator/translator.go
@@ -57,10 +57,10 @@
 	RefusalStatus(refusal *arbiter.Refusal) int
 	// WriteRefusal writes the answer to a request that was refused or has failed.
 	WriteRefusal(w http.ResponseWriter, request *http.Request, refusal *arbiter.Refusal, now time.Time)
-	// DetectsMismatches reports whether CheckAnswer detects an answer to another request.
-	// If so, connections are reused for any kind of request. Otherwise a request that is
-	// not idempotent gets a connection of its own.
-	DetectsMismatches() bool
+	// DetectsMismatches reports whether CheckAnswer detects that an answer is not to the
+	// request with this header. If so, connections are reused for it even if it is not
+	// idempotent. Otherwise such a request gets a connection of its own.
+	DetectsMismatches(request http.Header) bool
 }
 
 // headersNotForwarded lists the headers that are never forwarded: those that concern one
