Show that the load told with an unproved refusal is dropped

Up to an unmarked 503 was passed on, and the load that it tells was recorded. As NotRunUnproved it is recorded no more: got load 0.5, want 2.

--- a/pkg/command/admitter/load_test.go
+++ b/pkg/command/admitter/load_test.go
@@ -36,6 +36,13 @@
 			},
 			want: 2,
 		},
+		{
+			name: "an answer that must not be passed on tells of three requests of others",
+			record: func(upstream *admitter.Upstream, now time.Time) {
+				upstream.RecordRefusal(arbiter.Fail(arbiter.NotRunUnproved, "unproved"), told(2, 2), false, now)
+			},
+			want: 2,
+		},
 		{
 			name: "a shed request without a load",
 			record: func(upstream *admitter.Upstream, now time.Time) {
