Let Shutdown wait for connections that were accepted just before it

What callers got: a connection that was accepted as the listener closed was served after Shutdown had returned: its request, also an order that was read, ended without an answer, and the process with it.

Cause: Shutdown waits for the group of connections, which Serve may still add one to after the wait has ended.

Change: the wait begins once Serve has returned.

Measured: go test -race ./internal/pipeliner -run 'TestShutdownWaits|TestServeAfter' -count=10, ok.

--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -75,9 +75,11 @@
 	connGroup errgroup.Group
 	// stopped reports that Shutdown has been called.
 	stopped atomic.Bool
-	// listenerMu guards listener, which Shutdown closes.
+	// listenerMu guards listener, which Shutdown closes, and served.
 	listenerMu sync.Mutex
 	listener   net.Listener
+	// served is closed when Serve has returned; nil before Serve.
+	served chan struct{}
 }
 
 // Option changes a default of a server.
@@ -149,8 +151,11 @@
 // Serve accepts and serves connections until Shutdown closes the listener. Then it
 // returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	s.listenerMu.Lock()
 	s.listener = listener
+	s.served = served
 	s.listenerMu.Unlock()
 	if s.stopped.Load() {
 		// Shutdown may have looked for the listener before it was stored.
@@ -226,6 +231,7 @@
 	var waiter errgroup.Group
 	waiter.Go(func() error {
 		defer close(ended)
+		s.awaitAccepted()
 		return s.connGroup.Wait()
 	})
 	select {
@@ -253,6 +259,17 @@
 	return ctx.Err()
 }
 
+// awaitAccepted waits until all connections that were accepted are in connGroup. The listener must
+// be closed.
+func (s *Server) awaitAccepted() {
+	s.listenerMu.Lock()
+	served := s.served
+	s.listenerMu.Unlock()
+	if served != nil {
+		<-served
+	}
+}
+
 func (s *Server) closeListener() {
 	s.listenerMu.Lock()
 	defer s.listenerMu.Unlock()
