Tell operators of a change in doubt that it may be in force

Operators got 503, or 422 with "refused; nothing has changed", for a change whose write was not confirmed and which may be in force. They would repeat it, or count on the earlier set.

Cause: writeResult had no case for publisher.ErrInDoubt and looked for a RefusedError, which can be joined with it, first.

--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -149,6 +149,9 @@
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, result)
+	case errors.Is(err, publisher.ErrInDoubt):
+		// Comes first, as the change may be in force although a later attempt was refused.
+		writeError(w, http.StatusBadGateway, err)
 	case errors.As(err, &refused):
 		writeErrorBody(w, http.StatusUnprocessableEntity, ErrorBody{
 			Error:  "refused; nothing has changed",
