--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -235,7 +235,7 @@
 		return Answer{}, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
 	}
 	if refusal := f.checkAnswer(response); refusal != nil {
-		if refusal.Verdict != arbiter.NotRun && !isUpstreamsOwn(refusal) {
+		if refusal.Verdict != arbiter.NotRun && !belongsToRequest(refusal) {
 			attempt.observer.closeConn()
 		}
 		response.Body.Close()
@@ -253,16 +253,16 @@
 // errBodyRead is the error of an attempt that was not made.
 var errBodyRead = arbiter.Refuse(arbiter.BodyRead, "an earlier attempt has begun to read the request's body")
 
-// isUpstreamsOwn reports whether an answer that must not be passed on comes from the upstream
-// that the request was meant for, and belongs to the request.
-func isUpstreamsOwn(refusal *arbiter.Refusal) bool {
+// belongsToRequest reports whether an answer that must not be passed on belongs to the request
+// and comes from no other upstream than the one that it was meant for.
+func belongsToRequest(refusal *arbiter.Refusal) bool {
 	return refusal.Reason == arbiter.UpstreamShed || refusal.Reason == arbiter.NotRunUnproved
 }
 
 // refusedAnswer returns the answer of an attempt that ends with a refusal. It holds a report
 // only if the answer is that of the upstream that the request was meant for.
 func (f *Forwarder) refusedAnswer(response *http.Response, refusal *arbiter.Refusal) Answer {
-	if !isUpstreamsOwn(refusal) {
+	if !belongsToRequest(refusal) {
 		return Answer{
 			Status: response.StatusCode,
 		}
--- a/internal/query/exporter/requests.go
+++ b/internal/query/exporter/requests.go
@@ -18,8 +18,10 @@
 const (
 	nameAnswered = "hemlockport_requests_answered_total"
 	nameRefused  = "hemlockport_requests_refused_total"
-	// nameFailed counts the refusals of requests that were sent, by their verdict.
-	nameFailed   = "hemlockport_requests_refused_after_attempt_total"
+	// nameRefusedAfterAttempt counts the refusals of requests for which an attempt was made, by
+	// their verdict.
+	nameRefusedAfterAttempt = "hemlockport_requests_refused_after_attempt_total"
+
 	nameRetries  = "hemlockport_request_retries_total"
 	nameAttempts = "hemlockport_request_attempts_total"
 	nameLatency  = "hemlockport_request_latency_millis"
@@ -37,8 +39,8 @@
 	attempts [len(attemptRanks)]metrics.Counter
 	// refused holds a counter for each reason of a refusal.
 	refused map[arbiter.Reason]metrics.Counter
-	// failed holds a counter for each verdict.
-	failed map[arbiter.Verdict]metrics.Counter
+	// refusedAfterAttempt holds a counter for each verdict of a refusal.
+	refusedAfterAttempt map[arbiter.Verdict]metrics.Counter
 	// latencyBuckets counts, for each bound in latencyBucketMillis, the requests that
 	// took at most that long. The last counter counts all requests.
 	latencyBuckets [len(latencyBucketMillis) + 1]metrics.Counter
@@ -52,7 +54,7 @@
 		answered:   metrics.GetOrRegisterCounter(nameAnswered, registry),
 		retries:    metrics.GetOrRegisterCounter(nameRetries, registry),
 		refused:    map[arbiter.Reason]metrics.Counter{},
-		failed:     map[arbiter.Verdict]metrics.Counter{},
+		refusedAfterAttempt: map[arbiter.Verdict]metrics.Counter{},
 		latencySum: metrics.GetOrRegisterCounter(nameLatency+"_sum", registry),
 	}
 	for i, rank := range attemptRanks {
@@ -64,8 +66,8 @@
 		counters.refused[reason] = metrics.GetOrRegisterCounter(name, registry)
 	}
 	for _, verdict := range []arbiter.Verdict{arbiter.NotRun, arbiter.MayHaveRun} {
-		name := fmt.Sprintf("%s{verdict=%q}", nameFailed, verdict)
-		counters.failed[verdict] = metrics.GetOrRegisterCounter(name, registry)
+		name := fmt.Sprintf("%s{verdict=%q}", nameRefusedAfterAttempt, verdict)
+		counters.refusedAfterAttempt[verdict] = metrics.GetOrRegisterCounter(name, registry)
 	}
 	for i, bound := range latencyBucketMillis {
 		name := fmt.Sprintf("%s_bucket{le=\"%d\"}", nameLatency, bound)
@@ -100,7 +102,7 @@
 
 // CountRefusedAfterAttempt counts one refusal of a request for which an attempt was made.
 func (r *RequestCounters) CountRefusedAfterAttempt(verdict arbiter.Verdict) {
-	if counter, found := r.failed[verdict]; found {
+	if counter, found := r.refusedAfterAttempt[verdict]; found {
 		counter.Inc(1)
 	}
 }
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -126,7 +126,8 @@
 	// or the attempt failed.
 	SentAt  time.Time
 	EndedAt time.Time
-	// Status is the HTTP status of the answer, or 0 if there was none.
+	// Status is the HTTP status of the answer, also of one that is not passed on, or 0 if there
+	// was none.
 	Status int
 	// Err is why there is no answer, or nil.
 	Err error
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -145,9 +145,7 @@
 	answer, err := r.forwarder.Send(ctx, target, outbound)
 	attempt.EndedAt = time.Now()
 	attempt.Err = err
-	if err == nil {
-		attempt.Status = answer.Response.StatusCode
-	}
+	attempt.Status = answer.Status
 	attemptEnded(attempt)
 	if answer.HasReport && upstream.RecordAdvertisement(answer.Report, attempt.SentAt, attempt.EndedAt) {
 		r.upstreamAdvertised(upstream)
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -120,9 +120,10 @@
 	return u.health.CompareAndSwap(uint32(Live), uint32(Suspect))
 }
 
-// RecordFailedAnswer records that the upstream has answered with a 5xx status other than that
-// of an expired deadline, and reports whether it was live until now. An upstream that is not probed is then suspect
-// for initialSuspicion. The time does not double, because the answer shows that the
+// RecordFailedAnswer records that the upstream has answered, and that callers cannot use the
+// answer: it has a 5xx status other than that of an expired deadline, or is not passed on. It
+// reports whether the upstream was live until now. An upstream that is not probed is then
+// suspect for initialSuspicion. The time does not double, because the answer shows that the
 // upstream is running. RecordFailedAnswer has no effect on an upstream that is probed.
 func (u *Upstream) RecordFailedAnswer(now time.Time) bool {
 	u.recordAnswer()
