--- a/internal/query/exporter/requests.go
+++ b/internal/query/exporter/requests.go
@@ -51,11 +51,11 @@
 // NewRequestCounters returns counters that are registered with a registry.
 func NewRequestCounters(registry metrics.Registry) *RequestCounters {
 	counters := &RequestCounters{
-		answered:   metrics.GetOrRegisterCounter(nameAnswered, registry),
-		retries:    metrics.GetOrRegisterCounter(nameRetries, registry),
-		refused:    map[arbiter.Reason]metrics.Counter{},
+		answered:            metrics.GetOrRegisterCounter(nameAnswered, registry),
+		retries:             metrics.GetOrRegisterCounter(nameRetries, registry),
+		refused:             map[arbiter.Reason]metrics.Counter{},
 		refusedAfterAttempt: map[arbiter.Verdict]metrics.Counter{},
-		latencySum: metrics.GetOrRegisterCounter(nameLatency+"_sum", registry),
+		latencySum:          metrics.GetOrRegisterCounter(nameLatency+"_sum", registry),
 	}
 	for i, rank := range attemptRanks {
 		name := fmt.Sprintf("%s{rank=%q}", nameAttempts, rank)
