Register handlers of one-way commands of peers with linker.Receive

Eight handlers in internal/steerer and one in usagereporter wrapped a function of the peer and its message in the same five lines. linker.Receive does this once; the answer stays an empty value with the same encoding. Tests of internal/linker, internal/steerer and usagereporter pass with -race.

--- a/internal/command/usagereporter/exchange.go
+++ b/internal/command/usagereporter/exchange.go
@@ -1,14 +1,12 @@
 package usagereporter
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/leaser"
 	"github.com/hemlockport/hemlockport/pkg/command/meter"
 	"github.com/hemlockport/hemlockport/pkg/handler"
@@ -72,25 +70,14 @@
 	recordMessageCodec = encoder.CBOR[recordMessage]{}
 	clockCodec         = encoder.CBOR[clockMessage]{}
 	recordCodec        = encoder.CBOR[leaser.Record[meter.Ledger]]{}
-	emptyCodec         = encoder.CBOR[reporter.Empty]{}
 )
 
 // registerHandlers applies the messages of peers. The handlers do not block.
 func (r *Reporter) registerHandlers() {
-	handle(r, topicCounts, countsCodec, r.receiveCounts)
-	handle(r, topicSums, countsCodec, r.receiveSums)
-	handle(r, topicRecord, recordMessageCodec, r.receiveRecord)
-	handle(r, topicClock, clockCodec, r.receiveClock)
-}
-
-func handle[C any](r *Reporter, topic string, codec handler.Codec[C], receive func(from registrar.Member, received C)) {
-	command := handler.CommandFunc[C, reporter.Empty](
-		func(ctx context.Context, received C) (reporter.Empty, error) {
-			receive(linker.PeerFromContext(ctx), received)
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(r.options.Hub, topic, command, codec, emptyCodec)
+	linker.Receive(r.options.Hub, topicCounts, countsCodec, r.receiveCounts)
+	linker.Receive(r.options.Hub, topicSums, countsCodec, r.receiveSums)
+	linker.Receive(r.options.Hub, topicRecord, recordMessageCodec, r.receiveRecord)
+	linker.Receive(r.options.Hub, topicClock, clockCodec, r.receiveClock)
 }
 
 func (r *Reporter) receiveCounts(from registrar.Member, received countsMessage) {
--- a/internal/linker/topic.go
+++ b/internal/linker/topic.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
@@ -22,6 +23,19 @@
 	hub.topics[topic] = withCodecs(command.Do, commandCodec, answerCodec)
 }
 
+// empty is the answer to a command that Receive handles.
+type empty struct{}
+
+// Receive registers a function as the handler of the commands on a topic. It is given the peer
+// that has sent the command; the answer is an empty value. Receive must be called before Run.
+func Receive[C any](hub *Hub, topic string, codec handler.Codec[C], receive func(peer registrar.Member, command C)) {
+	do := func(ctx context.Context, command C) (empty, error) {
+		receive(PeerFromContext(ctx), command)
+		return empty{}, nil
+	}
+	hub.topics[topic] = withCodecs(do, codec, encoder.CBOR[empty]{})
+}
+
 // withCodecs turns a typed function into a topic handler.
 func withCodecs[Q, R any](
 	do func(context.Context, Q) (R, error),
--- a/internal/steerer/advertisements.go
+++ b/internal/steerer/advertisements.go
@@ -1,15 +1,13 @@
 package steerer
 
 import (
-	"context"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/rationer"
-	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // topicAdvertisements is the topic on which instances tell each other what upstreams have
@@ -69,18 +67,15 @@
 
 // registerAdvertisementsHandler applies what peers have been told by upstreams.
 func (s *Steerer) registerAdvertisementsHandler() {
-	receive := handler.CommandFunc[advertisements, reporter.Empty](
-		func(ctx context.Context, received advertisements) (reporter.Empty, error) {
-			s.planMu.Lock()
-			defer s.planMu.Unlock()
-			news := s.rationer.Receive(s.plans.Load(), received.digest(), time.Now())
-			for _, upstream := range news {
-				s.logAdvertisement(upstream, "peer "+linker.PeerFromContext(ctx).Name)
-			}
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicAdvertisements, receive, advertisementsCodec, emptyCodec)
+	receive := func(peer registrar.Member, received advertisements) {
+		s.planMu.Lock()
+		defer s.planMu.Unlock()
+		news := s.rationer.Receive(s.plans.Load(), received.digest(), time.Now())
+		for _, upstream := range news {
+			s.logAdvertisement(upstream, "peer "+peer.Name)
+		}
+	}
+	linker.Receive(s.hub, topicAdvertisements, advertisementsCodec, receive)
 }
 
 // shareAdvertisements tells the peers what upstreams have said about themselves, if it is
--- a/internal/steerer/balance.go
+++ b/internal/steerer/balance.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,10 +9,8 @@
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/balancer"
-	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
@@ -194,14 +191,9 @@
 	if s.balance == nil {
 		return
 	}
-	receive := handler.CommandFunc[balanceReport, reporter.Empty](
-		func(ctx context.Context, report balanceReport) (reporter.Empty, error) {
-			peer := linker.PeerFromContext(ctx)
-			s.balance.receive(peer, report, time.Now())
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicBalance, receive, balanceCodec, emptyCodec)
+	linker.Receive(s.hub, topicBalance, balanceCodec, func(peer registrar.Member, report balanceReport) {
+		s.balance.receive(peer, report, time.Now())
+	})
 }
 
 func (b *balance) receive(peer registrar.Member, report balanceReport, now time.Time) {
--- a/internal/steerer/demand.go
+++ b/internal/steerer/demand.go
@@ -8,9 +8,7 @@
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/apportioner"
-	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
@@ -72,15 +70,11 @@
 
 // registerDemandHandler passes the demand reports of peers to the apportioner.
 func (s *Steerer) registerDemandHandler() {
-	receive := handler.CommandFunc[report, reporter.Empty](
-		func(ctx context.Context, received report) (reporter.Empty, error) {
-			s.planMu.Lock()
-			defer s.planMu.Unlock()
-			s.apportioner.Receive(s.apportionerMember(linker.PeerFromContext(ctx)), received.apportionerReport(), time.Now())
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicDemand, receive, reportCodec, emptyCodec)
+	linker.Receive(s.hub, topicDemand, reportCodec, func(peer registrar.Member, received report) {
+		s.planMu.Lock()
+		defer s.planMu.Unlock()
+		s.apportioner.Receive(s.apportionerMember(peer), received.apportionerReport(), time.Now())
+	})
 }
 
 // reportDemand measures this instance's demand, reports a change to the other instances
--- a/internal/steerer/moveprogress.go
+++ b/internal/steerer/moveprogress.go
@@ -1,14 +1,12 @@
 package steerer
 
 import (
-	"context"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
-	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // topicMove is the topic on which peers send the progress of a move.
@@ -29,13 +27,9 @@
 
 // registerMoveHandler applies the progress of moves that peers send.
 func (s *Steerer) registerMoveHandler() {
-	receive := handler.CommandFunc[progress, reporter.Empty](
-		func(ctx context.Context, received progress) (reporter.Empty, error) {
-			s.applyProgress(linker.PeerFromContext(ctx).Name, received)
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicMove, receive, progressCodec, emptyCodec)
+	linker.Receive(s.hub, topicMove, progressCodec, func(peer registrar.Member, received progress) {
+		s.applyProgress(peer.Name, received)
+	})
 }
 
 func (s *Steerer) applyProgress(peer string, received progress) {
--- a/internal/steerer/queuelevels.go
+++ b/internal/steerer/queuelevels.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"context"
 	"math"
 	"sync"
 	"time"
@@ -9,10 +8,8 @@
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
 	"github.com/hemlockport/hemlockport/internal/query/exporter"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/pkg/command/scheduler"
-	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
@@ -146,13 +143,9 @@
 
 // registerQueuesHandler applies the figures of peers.
 func (s *Steerer) registerQueuesHandler() {
-	receive := handler.CommandFunc[queueFigures, reporter.Empty](
-		func(ctx context.Context, received queueFigures) (reporter.Empty, error) {
-			s.queueBoard.receive(linker.PeerFromContext(ctx), s.self.Place, received, time.Now())
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicQueues, receive, queueFiguresCodec, emptyCodec)
+	linker.Receive(s.hub, topicQueues, queueFiguresCodec, func(peer registrar.Member, received queueFigures) {
+		s.queueBoard.receive(peer, s.self.Place, received, time.Now())
+	})
 }
 
 // receive applies the figures of a peer. Those of a member of another failure domain have no
--- a/internal/steerer/survey.go
+++ b/internal/steerer/survey.go
@@ -1,17 +1,14 @@
 package steerer
 
 import (
-	"context"
 	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/surveyor"
-	"github.com/hemlockport/hemlockport/pkg/handler"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
@@ -25,21 +22,13 @@
 
 // registerSurveyHandlers receives the surveys and the findings of peers.
 func (s *Steerer) registerSurveyHandlers() {
-	receiveSurvey := handler.CommandFunc[survey, reporter.Empty](
-		func(ctx context.Context, received survey) (reporter.Empty, error) {
-			s.receiveSurvey(linker.PeerFromContext(ctx), received.surveyorSurvey(), time.Now())
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicSurvey, receiveSurvey, surveyCodec, emptyCodec)
-	receiveFindings := handler.CommandFunc[findings, reporter.Empty](
-		func(_ context.Context, received findings) (reporter.Empty, error) {
-			s.surveyCounters.findings.Inc(1)
-			s.applyFindings(received.surveyorFindings(), time.Now())
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicFindings, receiveFindings, findingsCodec, emptyCodec)
+	linker.Receive(s.hub, topicSurvey, surveyCodec, func(peer registrar.Member, received survey) {
+		s.receiveSurvey(peer, received.surveyorSurvey(), time.Now())
+	})
+	linker.Receive(s.hub, topicFindings, findingsCodec, func(_ registrar.Member, received findings) {
+		s.surveyCounters.findings.Inc(1)
+		s.applyFindings(received.surveyorFindings(), time.Now())
+	})
 }
 
 // surveyCounters count the messages of surveys.
--- a/internal/steerer/verdicts.go
+++ b/internal/steerer/verdicts.go
@@ -1,15 +1,13 @@
 package steerer
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/linker"
-	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/pkg/command/mover"
-	"github.com/hemlockport/hemlockport/pkg/handler"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
@@ -67,19 +65,15 @@
 
 // registerVerdictsHandler applies the verdicts that peers send.
 func (s *Steerer) registerVerdictsHandler() {
-	receive := handler.CommandFunc[verdicts, reporter.Empty](
-		func(ctx context.Context, received verdicts) (reporter.Empty, error) {
-			s.planMu.Lock()
-			defer s.planMu.Unlock()
-			next := s.inputs.verdicts
-			for _, entry := range received.Verdicts {
-				next = next.With(entry.moverVerdict(), time.Now())
-			}
-			s.setVerdicts(next, "peer "+linker.PeerFromContext(ctx).Name)
-			return reporter.Empty{}, nil
-		},
-	)
-	linker.HandleCommand(s.hub, topicVerdicts, receive, verdictsCodec, emptyCodec)
+	linker.Receive(s.hub, topicVerdicts, verdictsCodec, func(peer registrar.Member, received verdicts) {
+		s.planMu.Lock()
+		defer s.planMu.Unlock()
+		next := s.inputs.verdicts
+		for _, entry := range received.Verdicts {
+			next = next.With(entry.moverVerdict(), time.Now())
+		}
+		s.setVerdicts(next, "peer "+peer.Name)
+	})
 }
 
 // recordVerdict records how a move has ended, or that its order was replaced or removed, and
