--- a/pkg/arbiter/answer.go
+++ b/pkg/arbiter/answer.go
@@ -24,9 +24,9 @@
 // refusal has the verdict NotRun only if the answer proves that.
 func (c AnswerClaims) Refusal() *Refusal {
 	switch {
-	case c.proveNotRun() && c.Misdirected:
+	case c.provesNotRun() && c.Misdirected:
 		return Refuse(UpstreamReplaced, "another upstream has the address now")
-	case c.proveNotRun():
+	case c.provesNotRun():
 		return Refuse(UpstreamShed, "the upstream has shed the request")
 	case c.Misdirected:
 		return Fail(UpstreamReplaced, "the upstream's answer says that another one has the address now, which nothing proves")
@@ -39,9 +39,9 @@
 	}
 }
 
-// proveNotRun reports whether the claims prove that the request has not run: the upstream
+// provesNotRun reports whether the claims prove that the request has not run: the upstream
 // states it with a status that refuses, or another upstream has the address and says so.
-func (c AnswerClaims) proveNotRun() bool {
+func (c AnswerClaims) provesNotRun() bool {
 	if c.StatesNotRun {
 		return c.Refuses
 	}
