--- a/internal/receiver/openorder_test.go
+++ b/internal/receiver/openorder_test.go
@@ -52,7 +52,8 @@
 // guards against a status that other programs take for a promise that the order has not run, beside
 // a verdict that says that it may have.
 func TestStatusOfOpenOrders(t *testing.T) {
-	const keysStopMillis = 150
+	// The order must reach its upstream before the keys stop.
+	const keysStopMillis = 2000
 	// stoppingSet is that of an entry whose team's keys stop when it is cut off.
 	stoppingSet := func(address string) declarer.Set {
 		return teamSet(address, "weavers").WithTeam(declarer.Team{
@@ -123,12 +124,18 @@
 			}
 			var response *http.Response
 			var group errgroup.Group
+			ended := make(chan struct{})
 			group.Go(func() error {
+				defer close(ended)
 				var err error
 				response, err = http.DefaultClient.Do(request)
 				return err
 			})
-			<-upstream.arrived
+			select {
+			case <-upstream.arrived:
+			case <-ended:
+				t.Error("the order has not arrived at its upstream")
+			}
 			if c.event != nil {
 				c.event(t, e, server, upstream.address)
 			}
