--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -65,7 +65,8 @@
 }
 
 // growReader replaces the reader by one whose buffer holds the largest head, whose size in
-// bytes is the limit, and returns false if the budget does not allow it. A head that another caller sends slowly gives way.
+// bytes is the limit, and returns false if the budget does not allow it. A head that another
+// caller sends slowly gives way.
 func (c *conn) growReader(limit int) bool {
 	size := int64(limit)
 	if !c.server.budget.Take(size) && !(c.server.closeSlowestHead(c) && c.server.budget.Take(size)) {
