--- a/internal/command/forwarder/early_test.go
+++ b/internal/command/forwarder/early_test.go
@@ -34,9 +34,7 @@
 	}
 }
 
-// TestAnswerBeforeTheEndOfTheBody guards against an answer that is replaced by a failure, because
-// it arrives while the body of its own request is still sent. A refusal that proves that the order
-// has not run is lost with it.
+// TestAnswerBeforeTheEndOfTheBody guards against an answer that is lost because it arrives while the body of its own request is still sent.
 func TestAnswerBeforeTheEndOfTheBody(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/command/forwarder/streamed_test.go
+++ b/internal/command/forwarder/streamed_test.go
@@ -157,8 +157,7 @@
 	return u.bodies
 }
 
-// TestStreamedBodyIsNotDivided guards against a request that is sent again without a part of
-// its body, because the attempt before, which was answered early, has gone on reading it.
+// TestStreamedBodyIsNotDivided guards against a request that is sent again without a part of its body, which the attempt before has read.
 func TestStreamedBodyIsNotDivided(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/command/forwarder/written_test.go
+++ b/internal/command/forwarder/written_test.go
@@ -113,8 +113,7 @@
 // errWrite is the error of a write that fails.
 var errWrite = errors.New("the write failed")
 
-// TestVerdictOfInterruptedWrite guards against the verdict NotRun for a request of which a byte
-// was sent on a kept connection, and against the verdict MayHaveRun for one of which none was.
+// TestVerdictOfInterruptedWrite guards against a wrong verdict when a write on a kept connection fails before or after its first byte.
 func TestVerdictOfInterruptedWrite(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/pipeliner/accepted_test.go
+++ b/internal/pipeliner/accepted_test.go
@@ -35,9 +35,7 @@
 	return l.Listener.Close()
 }
 
-// TestShutdownWaitsForAcceptedConnections guards against a Shutdown that returns, and with it the
-// process that ends, before a connection is served that was accepted just before: its requests
-// would be broken off.
+// TestShutdownWaitsForAcceptedConnections guards against a process that ends before it serves a connection that it has just accepted.
 func TestShutdownWaitsForAcceptedConnections(t *testing.T) {
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/pipeliner/body_test.go
+++ b/internal/pipeliner/body_test.go
@@ -12,8 +12,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// TestContinueIsNotWrittenIntoAResponse guards against an interim response in the middle of a
-// final one, because the body is read only after that one has begun.
+// TestContinueIsNotWrittenIntoAResponse guards against an interim response in the middle of a final one.
 func TestContinueIsNotWrittenIntoAResponse(t *testing.T) {
 	cases := []struct {
 		name string
@@ -66,8 +65,7 @@
 	}
 }
 
-// TestBodyOfABrokenResponseKeepsItsBuffer guards against a buffer that another connection gets
-// while the body of a request is still read from it, because the handler has panicked.
+// TestBodyOfABrokenResponseKeepsItsBuffer guards against a buffer that another connection gets while a body is still read from it.
 func TestBodyOfABrokenResponseKeepsItsBuffer(t *testing.T) {
 	ended := make(chan struct{})
 	_, first := startServer(t, func(w http.ResponseWriter, request *http.Request) {
--- a/internal/pipeliner/unsafe_test.go
+++ b/internal/pipeliner/unsafe_test.go
@@ -14,8 +14,7 @@
 	"github.com/hemlockport/hemlockport/internal/pipeliner"
 )
 
-// TestUnsafeRequestsWaitForTheConnection guards against an unsafe request that has run and counts
-// as not read, because a response before it closes the connection.
+// TestUnsafeRequestsWaitForTheConnection guards against an unsafe request that has run behind a response which closes the connection.
 func TestUnsafeRequestsWaitForTheConnection(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/receiver/full_test.go
+++ b/internal/receiver/full_test.go
@@ -12,8 +12,7 @@
 	"github.com/hemlockport/hemlockport/pkg/command/tracker"
 )
 
-// TestFullInstanceSendsNothing guards against an order that an instance with too many requests in
-// flight refuses and sends all the same.
+// TestFullInstanceSendsNothing guards against an order that a full instance refuses and sends all the same.
 func TestFullInstanceSendsNothing(t *testing.T) {
 	upstream := newHoldingUpstream(t)
 	e := newEntryWith(t, func(options *receiver.Options) {
--- a/internal/receiver/openorder_test.go
+++ b/internal/receiver/openorder_test.go
@@ -48,9 +48,7 @@
 	return server
 }
 
-// TestStatusOfOpenOrders ends an order that an upstream has, by this project's own protocol. It
-// guards against a status that other programs take for a promise that the order has not run, beside
-// a verdict that says that it may have.
+// TestStatusOfOpenOrders guards against a status that promises that an open order has not run, beside a verdict that it may have.
 func TestStatusOfOpenOrders(t *testing.T) {
 	// The order must reach its upstream before the keys stop.
 	const keysStopMillis = 1000
--- a/internal/responder/responder_test.go
+++ b/internal/responder/responder_test.go
@@ -19,8 +19,7 @@
 	"github.com/hemlockport/hemlockport/pkg/storer"
 )
 
-// TestChangeInDoubtIsNotSaidNotToHaveRun guards against an operator who repeats a change, or takes
-// it for refused, although it may be in force.
+// TestChangeInDoubtIsNotSaidNotToHaveRun guards against operators who take a change for refused that may be in force.
 func TestChangeInDoubtIsNotSaidNotToHaveRun(t *testing.T) {
 	const operatorKey = "operators"
 	refused := &publisher.RefusedError{
