Answer probes in a test only after the request

Its upstream wrote the answer as soon as it had accepted; the client takes bytes before its request for no answer. What the test demands is unchanged.

--- a/internal/query/prober/prober_test.go
+++ b/internal/query/prober/prober_test.go
@@ -1,6 +1,7 @@
 package prober_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -144,6 +145,10 @@
 		}
 		defer conn.Close()
 		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+		// An answer before the request would not count as one.
+		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return err
+		}
 		_, err = io.WriteString(conn, begin)
 		for err == nil {
 			var count int
