Take no lock for requests that do not expect 100 Continue

The mend of 100 Continue locked continueMu twice for each request, uncontended, on the path of every request. Whether the caller expects it is now kept when the request is read, and the lock is used only then.

--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -87,8 +87,9 @@
 	next.safe = (request.Method == http.MethodGet || request.Method == http.MethodHead) && !c.server.isUnsafe(request)
 	next.closesConn = request.Close
 	next.body = &watchedBody{
-		exchange: next,
-		source:   request.Body,
+		exchange:        next,
+		source:          request.Body,
+		expectsContinue: request.Header.Get("Expect") == "100-continue",
 	}
 	if request.Body == http.NoBody {
 		next.body.markDone()
@@ -255,6 +256,9 @@
 type watchedBody struct {
 	exchange *exchange
 	source   io.ReadCloser
+	// expectsContinue reports that the caller waits for 100 Continue before it sends the body.
+	// Only then is continueMu used.
+	expectsContinue bool
 	// continueMu guards continueEnded, and the connection's writer while 100 Continue is
 	// written.
 	continueMu sync.Mutex
@@ -293,7 +297,7 @@
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body
 // (RFC 9110, section 10.1.1), unless the final response has begun or the body is no longer read.
 func (b *watchedBody) sendContinue() error {
-	if b.exchange.request.Header.Get("Expect") != "100-continue" {
+	if !b.expectsContinue {
 		return nil
 	}
 	<-b.exchange.turn
@@ -318,6 +322,9 @@
 // endContinue says that 100 Continue must not be sent any more. A goroutine that the handler has
 // left may read the body while the response is written, or after the connection has closed.
 func (b *watchedBody) endContinue() {
+	if !b.expectsContinue {
+		return
+	}
 	b.continueMu.Lock()
 	defer b.continueMu.Unlock()
 	b.continueEnded = true
