Update the history of a request where its attempts are recorded

Outcome.recordAttempt and recordFailure now keep it, so that it cannot differ from the attempts and failures beside it. Behaviour is the same; the tests of receiver and arbiter pass.

--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -65,11 +65,9 @@
 	placement := a.admission.PlacementAt(upstream, now)
 	a.outcome.recordAttempt(upstream, placement)
 	a.receiver.metrics.CountAttempt(placement.Rank)
-	a.outcome.History = a.outcome.History.WithAttempt()
 	address := upstream.Address()
 	answer, err := a.receiver.sendTo(ctx, upstream, address, a.outboundFor(upstream, address), a.admission)
 	if err != nil {
-		a.outcome.History = a.outcome.History.WithResult(arbiter.VerdictOf(err))
 		upstream.Release()
 		a.recordDuration(now, err)
 		a.outcome.recordFailure(upstream, answer.Status, now, err)
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -82,6 +82,7 @@
 	o.Upstream = upstream.Declared().Name
 	o.Placement = placement
 	o.Attempts++
+	o.History = o.History.WithAttempt()
 }
 
 // FailedAttempt describes an attempt that failed, and what that says about the request.
@@ -115,6 +116,7 @@
 		failure.Reason = refusal.Reason
 	}
 	o.Failures = append(o.Failures, failure)
+	o.History = o.History.WithResult(failure.Verdict)
 }
 
 // Attempt describes one attempt to send a request to an upstream. Until it has ended, the
