Count a request's time from its arrival, not from its turn on the connection

Upstreams were given more time than callers had left: a view that waits behind an order on its connection was sent with the whole time that its caller had stated.

Cause: Receiver.ServeHTTP took the time of its call for the arrival, and pipeliner calls it when the request's turn has come.

pipeliner now notes when a request's first bytes arrived, and the deadlines of the caller and of the route count from then. After a pause in which the connection was not read, the system is asked how old the last bytes are.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -11,6 +11,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -161,6 +162,15 @@
 	return lingering.SetLinger(seconds)
 }
 
+// SyscallConn returns access to the connection's descriptor (see syscall.Conn).
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Abort closes the connection immediately, also one that lingers.
 func (c *conn) Abort() error {
 	c.closeOnce.Do(func() {})
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -135,6 +136,15 @@
 	return lingering.SetLinger(seconds)
 }
 
+// SyscallConn returns access to the connection's descriptor (see syscall.Conn).
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Close closes the connection and returns its slot.
 func (c *conn) Close() error {
 	err := net.ErrClosed
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -179,6 +179,7 @@
 			// The handler may have left a goroutine that still reads the body.
 			return
 		}
+		c.source.noteUnread(time.Now())
 		c.shrinkReader()
 		if last {
 			c.watchForClose()
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -35,6 +35,9 @@
 	// statusSet reports that the status can't change any more.
 	statusSet bool
 
+	// arrivedAt is when the request began to arrive.
+	arrivedAt time.Time
+
 	header http.Header
 	// status is the response's HTTP status; 0 until it is set.
 	status int
@@ -133,6 +136,12 @@
 	close(e.handlerDone)
 }
 
+// ArrivedAt returns when the request began to arrive, which may be long before its handler is
+// called: its head may arrive slowly, or the request wait for its turn on the connection.
+func (e *exchange) ArrivedAt() time.Time {
+	return e.arrivedAt
+}
+
 // Header returns the header of the response.
 func (e *exchange) Header() http.Header {
 	return e.header
--- a/internal/pipeliner/request.go
+++ b/internal/pipeliner/request.go
@@ -14,6 +14,7 @@
 func (c *conn) readRequest() (next *exchange, last bool) {
 	now := time.Now()
 	c.beginHead(now)
+	arrivedAt := c.source.arrivedAt
 	timeout := time.Duration(c.server.limits.Load().HeaderMillis) * time.Millisecond
 	c.source.setDeadline(now.Add(timeout))
 	scan, status, err := c.awaitHead()
@@ -46,6 +47,7 @@
 	request.RemoteAddr = c.netConn.RemoteAddr().String()
 	next = newExchange(c, request)
 	next.held = held
+	next.arrivedAt = arrivedAt
 	return next, request.Close
 }
 
--- a/internal/pipeliner/source.go
+++ b/internal/pipeliner/source.go
@@ -21,6 +21,12 @@
 	pending []byte
 	// parsing says that a head that has arrived is parsed.
 	parsing bool
+	// arrivedAt is when the last bytes that were read from the connection arrived, as far as that
+	// is known; zero before the first.
+	arrivedAt time.Time
+	// neglected says that the connection was not read for a while, so that the next bytes may
+	// have arrived long before they are read.
+	neglected bool
 	// deadline is the read deadline of the request that is being read, whose zero time
 	// means none; nil between requests.
 	deadline atomic.Pointer[time.Time]
@@ -75,6 +81,9 @@
 func (s *source) read(p []byte) (int, error) {
 	for {
 		count, err := s.conn.Read(p)
+		if count > 0 {
+			s.noteArrival(time.Now())
+		}
 		if count > 0 || !isTimeout(err) || !s.restoreDeadline() {
 			return count, err
 		}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -141,7 +141,7 @@
 		return
 	}
 	outcome := Outcome{
-		Arrived: time.Now(),
+		Arrived: arrivedAt(w, time.Now()),
 	}
 	refusal := r.serve(w, request, &outcome)
 	// What ends the request last, such as a stop or a moved key, does not know of the attempts.
@@ -181,6 +181,21 @@
 	}
 }
 
+// arrivalReporter is a response whose request may have waited before it was served.
+type arrivalReporter interface {
+	// ArrivedAt returns when the request began to arrive.
+	ArrivedAt() time.Time
+}
+
+// arrivedAt returns when the request of a response began to arrive: now, unless the response
+// tells it.
+func arrivedAt(w http.ResponseWriter, now time.Time) time.Time {
+	if reporter, ok := w.(arrivalReporter); ok {
+		return reporter.ArrivedAt()
+	}
+	return now
+}
+
 // resetter is a response that can be replaced by another one.
 type resetter interface {
 	// Reset drops what has been written, unless a part of it may have been sent to the
@@ -199,14 +214,14 @@
 // request fails, it returns why: with the reason AnswerBroken if part of the answer
 // has been written, with any other reason if nothing has been written.
 func (r *Receiver) serve(w http.ResponseWriter, request *http.Request, outcome *Outcome) *arbiter.Refusal {
-	now := outcome.Arrived
-	admissionRequest, refusal := r.readRequest(request, outcome)
+	now := time.Now()
+	admissionRequest, refusal := r.readRequest(request, outcome, now)
 	if refusal != nil {
 		return refusal
 	}
 	admission, refusal := r.admitter.Admit(admissionRequest)
 	outcome.recordAdmission(admission)
-	if stopping := r.refuseWhileStopping(admission, refusal, now); stopping != nil {
+	if stopping := r.refuseWhileStopping(admission, refusal, outcome.Arrived); stopping != nil {
 		return stopping
 	}
 	if refusal != nil && refusal.Reason != arbiter.TeamOverRate {
--- a/internal/receiver/request.go
+++ b/internal/receiver/request.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
@@ -12,14 +13,19 @@
 
 // readRequest extracts from an HTTP request what admission needs, and records the
 // request's ID in outcome.
-func (r *Receiver) readRequest(request *http.Request, outcome *Outcome) (admitter.Request, *arbiter.Refusal) {
+func (r *Receiver) readRequest(
+	request *http.Request,
+	outcome *Outcome,
+	now time.Time,
+) (admitter.Request, *arbiter.Refusal) {
 	admissionRequest := admitter.Request{
 		Host:        request.Host,
 		Path:        request.URL.Path,
 		EscapedPath: request.URL.RawPath,
 		Method:      request.Method,
 		Random:      rand.Uint64(),
-		Now:         outcome.Arrived,
+		Now:         now,
+		ArrivedAt:   outcome.Arrived,
 	}
 	metadata, refusal := r.translator.ReadMetadata(request.Header, outcome.Arrived)
 	outcome.ID = metadata.ID
--- a/pkg/command/admitter/admitter.go
+++ b/pkg/command/admitter/admitter.go
@@ -50,8 +50,10 @@
 	Object string
 	// Random distributes requests over the services of a route.
 	Random uint64
-	// Now is the time of arrival.
-	Now time.Time
+	// Now is the present time. ArrivedAt is when the request began to arrive, from which its
+	// route's timeout counts; the zero value means Now.
+	Now       time.Time
+	ArrivedAt time.Time
 	// Deadline is the deadline that the caller set, or zero.
 	Deadline time.Time
 }
@@ -352,7 +354,11 @@
 // effectiveDeadline returns the earlier of the caller's deadline and the route's.
 // fromCaller reports that it is the caller's and earlier than the route's.
 func effectiveDeadline(request Request, route declarer.Route) (deadline time.Time, fromCaller bool) {
-	routeDeadline := request.Now.Add(time.Duration(route.EffectiveTimeoutMillis()) * time.Millisecond)
+	arrivedAt := request.ArrivedAt
+	if arrivedAt.IsZero() {
+		arrivedAt = request.Now
+	}
+	routeDeadline := arrivedAt.Add(time.Duration(route.EffectiveTimeoutMillis()) * time.Millisecond)
 	if request.Deadline.IsZero() || !request.Deadline.Before(routeDeadline) {
 		return routeDeadline, false
 	}
