Keep the verdicts on versions in the platform's store

Cause: verdicts were known to the instances alone.

One object a service now holds them, those on trial included. One instance writes it for all when a move begins and ends; each reads the objects once at its start, before its first declaration comes into force, again when the store answers again, and after its return from an older copy. Peers tell verdicts when they are linked. A verdict on the order that is still listed ends its move.

--- a/internal/steerer/awaited.go
+++ b/internal/steerer/awaited.go
@@ -41,12 +41,16 @@
 }
 
 // awaitsDeclaration reports whether a declaration is not to come into force at a time, because a
-// peer has a newer one, the newest, or the peers nearby have not told yet what they have.
+// peer has a newer one, the newest, the peers nearby have not told yet what they have, or the
+// verdicts on versions have not been read.
 func (s *Steerer) awaitsDeclaration(declaration declarer.Declaration, newest uint64, now time.Time) bool {
 	if s.plans.Load().Table().RevisionNumber() != 0 {
 		return false
 	}
 	started := now.Sub(s.startedAt)
+	if s.awaitsVerdicts(newest, now) {
+		return true
+	}
 	if started < maxNearPeersWait && !s.nearPeersLinked() {
 		return true
 	}
--- a/internal/steerer/golden_test.go
+++ b/internal/steerer/golden_test.go
@@ -27,6 +27,19 @@
 				},
 			},
 		}),
+		comparer.NewCase("verdict_record.cbor", encoder.CBOR[verdictRecord]{}, verdictRecord{
+			Service:  "service",
+			Revision: 2,
+			Verdicts: []verdict{
+				{
+					Service:  "service",
+					Version:  "version",
+					State:    mover.TakenBack,
+					Era:      3,
+					Revision: 4,
+				},
+			},
+		}),
 		comparer.NewCase("advertisements.cbor", encoder.CBOR[advertisements]{}, advertisements{
 			Upstreams: []advertisement{
 				{
--- a/internal/steerer/inputs.go
+++ b/internal/steerer/inputs.go
@@ -47,6 +47,12 @@
 // withVerdicts returns a copy with other verdicts on versions, without those on versions that
 // have had no upstreams for long.
 func (i planInputs) withVerdicts(verdicts mover.Verdicts, now time.Time) planInputs {
+	i.verdicts = verdicts.WithRegistered(i.registeredIDs(), now)
+	return i
+}
+
+// registeredIDs returns the versions that have registered upstreams.
+func (i planInputs) registeredIDs() map[mover.VersionID]bool {
 	registered := map[mover.VersionID]bool{}
 	for _, registration := range i.registrations {
 		registered[mover.VersionID{
@@ -54,8 +60,7 @@
 			Version: registration.Version,
 		}] = true
 	}
-	i.verdicts = verdicts.WithRegistered(registered, now)
-	return i
+	return registered
 }
 
 // withheldVersions returns the names of the versions that must get no requests.
--- a/internal/steerer/members.go
+++ b/internal/steerer/members.go
@@ -51,6 +51,7 @@
 		s.log.Info().Str("Peer", peer.Name).Str("Incarnation", peer.Incarnation).Msg("PeerLinked")
 		// A declaration may have waited for this link.
 		s.hub.Go(s.endDeclarationWait)
+		s.hub.Go(func() { s.informLinkedPeer(peer) })
 	}
 	if heartbeat.Leaving && !previous.Leaving {
 		s.log.Info().Str("Peer", peer.Name).Msg("PeerLeaving")
@@ -210,6 +211,7 @@
 		s.adjustSpillovers(time.Now())
 		s.plans.Load().UpdateCaches(time.Now())
 		s.advanceMoves(ctx)
+		s.recordVerdicts(time.Now())
 		rounds++
 		if rounds%int(time.Second/refreshInterval) == 0 {
 			s.updateLocator()
--- a/internal/steerer/moves.go
+++ b/internal/steerer/moves.go
@@ -69,6 +69,9 @@
 			m = s.startMove(entry.Value)
 		}
 		m.updateOrder(entry, position)
+		if verdict, judged := s.inputs.verdicts.Of(m.versionID()); !found && judged && verdict.EndsOrder(entry.Revision, position) {
+			s.endMove(m, verdict.State, "verdict")
+		}
 		if state := entry.Value.State; state != "" && state != mover.Running && state != m.state {
 			s.endMove(m, state, "platform")
 		}
--- a/internal/steerer/platform.go
+++ b/internal/steerer/platform.go
@@ -46,6 +46,9 @@
 	// ReportMove writes the state of a move to the platform, unless the order has changed
 	// since the given revision of the store.
 	ReportMove func(ctx context.Context, move declarer.Move, state mover.State, revision uint64) error
+	// VerdictPrefix is the common prefix of the names of the objects in Store that hold the
+	// verdicts on versions.
+	VerdictPrefix string
 	// Evacuations holds one object for each evacuated failure domain, under the name of
 	// the failure domain.
 	Evacuations Collection[Evacuation]
--- a/internal/steerer/position.go
+++ b/internal/steerer/position.go
@@ -29,4 +29,5 @@
 	for _, reflector := range s.reflectors {
 		reflector.observeEra(position.Era)
 	}
+	s.forgetVerdictRecords()
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/borrower"
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/command/usagereporter"
+	"github.com/hemlockport/hemlockport/internal/command/verdictkeeper"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
@@ -137,6 +138,15 @@
 	// informedPeers holds the incarnations of the linked peers that have been informed of all
 	// moves and verdicts. planMu guards it.
 	informedPeers map[string]bool
+	// verdictKeeper reads and writes the records of verdicts, and verdictRecords is what is known of them.
+	verdictKeeper  *verdictkeeper.Keeper
+	verdictRecords verdictRecords
+	// verdictsRequested requests that all records be read. verdictsRead is set once they have
+	// been. firstOffer is when the first declaration was offered while they had not, in nanoseconds
+	// since the Unix epoch; 0 before.
+	verdictsRequested chan struct{}
+	verdictsRead      atomic.Bool
+	firstOffer        atomic.Int64
 	// countersByService holds the counters of the running moves by the name of their
 	// service; never nil.
 	countersByService atomic.Pointer[map[string]*moveCounters]
@@ -209,6 +219,12 @@
 		entryMissing:  make(chan struct{}, 1),
 		moves:         map[string]*trackedMove{},
 		departedUntil: map[string]time.Time{},
+		verdictKeeper: verdictkeeper.New(platform.Store, platform.VerdictPrefix),
+		verdictRecords: verdictRecords{
+			stored: map[string]verdictkeeper.Stored{},
+			turns:  map[string]time.Time{},
+		},
+		verdictsRequested: make(chan struct{}, 1),
 
 		registrationGrace: retainer.NewGrace(settings.Upstreams.LapseMillis),
 	}
@@ -283,6 +299,7 @@
 	s.registerDemandHandler()
 	s.registerMoveHandler()
 	s.registerVerdictsHandler()
+	s.registerVerdictRecordHandler()
 	s.registerAdvertisementsHandler()
 	s.registerSurveyHandlers()
 	s.registerBalanceHandler()
@@ -345,7 +362,9 @@
 		s.refreshLoop,
 		s.locatorUpdates.Run,
 		s.maintainEntry,
+		s.loadVerdicts,
 	}
+	s.requestVerdicts()
 	if s.usage != nil {
 		tasks = append(tasks, s.usage.Exchange, s.usage.Run)
 	}
--- a/internal/steerer/verdicts.go
+++ b/internal/steerer/verdicts.go
@@ -31,13 +31,16 @@
 	Revision uint64
 }
 
-var verdictsCodec = encoder.CBOR[verdicts]{}
+var (
+	verdictsCodec      = encoder.CBOR[verdicts]{}
+	verdictRecordCodec = encoder.CBOR[verdictRecord]{}
+)
 
-// newVerdicts converts verdicts to their encoding on a link.
-func newVerdicts(known mover.Verdicts) verdicts {
-	var message verdicts
-	for _, entry := range known.All() {
-		message.Verdicts = append(message.Verdicts, verdict{
+// newVerdictList converts verdicts to their encoding on a link.
+func newVerdictList(known []mover.Verdict) []verdict {
+	var list []verdict
+	for _, entry := range known {
+		list = append(list, verdict{
 			Service:  entry.Service,
 			Version:  entry.Version,
 			State:    entry.State,
@@ -45,7 +48,16 @@
 			Revision: entry.At.Revision,
 		})
 	}
-	return message
+	return list
+}
+
+// moverVerdicts converts received verdicts to the mover's form.
+func moverVerdicts(received []verdict) []mover.Verdict {
+	var list []mover.Verdict
+	for _, entry := range received {
+		list = append(list, entry.moverVerdict())
+	}
+	return list
 }
 
 // moverVerdict converts a received verdict to the mover's form.
@@ -68,26 +80,32 @@
 	linker.Receive(s.hub, topicVerdicts, verdictsCodec, func(peer registrar.Member, received verdicts) {
 		s.planMu.Lock()
 		defer s.planMu.Unlock()
-		next := s.inputs.verdicts
-		for _, entry := range received.Verdicts {
-			next = next.With(entry.moverVerdict(), time.Now())
-		}
-		s.setVerdicts(next, "peer "+peer.Name)
+		s.addVerdicts(moverVerdicts(received.Verdicts), "peer "+peer.Name)
 	})
 }
 
+// verdict returns how a move stands, as a verdict on its version.
+func (m *trackedMove) verdict() mover.Verdict {
+	return mover.Verdict{
+		VersionID: m.versionID(),
+		State:     m.state,
+		At:        m.listedAt,
+	}
+}
+
+// versionID returns the version that the move is to.
+func (m *trackedMove) versionID() mover.VersionID {
+	return mover.VersionID{
+		Service: m.order.Move.Service,
+		Version: m.order.Move.To,
+	}
+}
+
 // recordVerdict records how a move has ended, or that its order was replaced or removed, and
 // has the linked peers informed. The caller holds planMu and updates the plan.
 func (s *Steerer) recordVerdict(m *trackedMove) {
 	now := time.Now()
-	verdict := mover.Verdict{
-		VersionID: mover.VersionID{
-			Service: m.order.Move.Service,
-			Version: m.order.Move.To,
-		},
-		State: m.state,
-		At:    m.listedAt,
-	}
+	verdict := m.verdict()
 	next := s.inputs.verdicts.With(verdict, now)
 	if slices.Equal(next.All(), s.inputs.verdicts.All()) {
 		return
@@ -103,9 +121,13 @@
 		Msg("VersionJudged")
 }
 
-// setVerdicts puts verdicts into force that a peer has sent, if they withhold other versions
-// than those known. The caller holds planMu.
-func (s *Steerer) setVerdicts(next mover.Verdicts, source string) {
+// addVerdicts puts verdicts into force that a peer has sent or the store has, if they withhold
+// other versions than those known. The caller holds planMu.
+func (s *Steerer) addVerdicts(added []mover.Verdict, source string) {
+	next := s.inputs.verdicts
+	for _, verdict := range added {
+		next = next.With(verdict, time.Now())
+	}
 	before := s.inputs.withheldVersions()
 	changed := s.inputs.withVerdicts(next, time.Now())
 	withheld := changed.withheldVersions()
@@ -117,15 +139,32 @@
 	s.log.Info().Strs("Withheld", withheld).Str("Source", source).Msg("VersionsWithheld")
 }
 
-// informNewPeers sends the moves and the verdicts to the peers that have been linked since the
-// last call, or to all linked ones if there is another verdict.
-func (s *Steerer) informNewPeers(now time.Time) {
+// informLinkedPeer sends the moves and the verdicts to a peer that has just been linked, so that
+// it does not serve without them until the next check for new peers.
+func (s *Steerer) informLinkedPeer(peer registrar.Member) {
 	s.planMu.Lock()
-	message := newVerdicts(s.inputs.verdicts)
+	message, moves := s.knownOfVersions(time.Now())
+	s.planMu.Unlock()
+	s.informPeer(peer.Incarnation, message, moves)
+}
+
+// knownOfVersions returns what the peers are told of versions: the verdicts, and the progress of
+// all moves. The caller holds planMu.
+func (s *Steerer) knownOfVersions(now time.Time) (verdicts, []progress) {
 	moves := make([]progress, 0, len(s.moves))
 	for _, m := range s.moves {
 		moves = append(moves, m.currentProgress(now))
 	}
+	return verdicts{
+		Verdicts: newVerdictList(s.inputs.verdicts.All()),
+	}, moves
+}
+
+// informNewPeers sends the moves and the verdicts to the peers that have been linked since the
+// last call, or to all linked ones if there is another verdict.
+func (s *Steerer) informNewPeers(now time.Time) {
+	s.planMu.Lock()
+	message, moves := s.knownOfVersions(now)
 	var added []string
 	linked := map[string]bool{}
 	for other := range s.otherMembers() {
--- a/pkg/command/mover/verdict.go
+++ b/pkg/command/mover/verdict.go
@@ -78,6 +78,15 @@
 	return found && v.entries[at].Withheld()
 }
 
+// Of returns the verdict on a version, or false if there is none.
+func (v Verdicts) Of(id VersionID) (Verdict, bool) {
+	at, found := v.find(id)
+	if !found {
+		return Verdict{}, false
+	}
+	return v.entries[at].Verdict, true
+}
+
 // With returns the verdicts with another one, if it replaces the known one on its version.
 func (v Verdicts) With(verdict Verdict, now time.Time) Verdicts {
 	entry := retainedVerdict{
@@ -111,6 +120,42 @@
 	return v
 }
 
+// Lasting returns those verdicts on a service's versions that have to outlive the instances: on
+// versions that have registered upstreams, and those that are stored and have not been dropped
+// since. A verdict on a version whose upstreams have left is not stored again after another
+// instance has dropped it.
+func (v Verdicts) Lasting(service string, registered map[VersionID]bool, stored []Verdict) []Verdict {
+	var lasting []Verdict
+	for _, entry := range v.entries {
+		if entry.Service != service {
+			continue
+		}
+		if registered[entry.VersionID] || containsVersion(stored, entry.VersionID) {
+			lasting = append(lasting, entry.Verdict)
+		}
+	}
+	return lasting
+}
+
+// containsVersion reports whether there is a verdict on a version.
+func containsVersion(verdicts []Verdict, id VersionID) bool {
+	return slices.ContainsFunc(verdicts, func(verdict Verdict) bool { return verdict.VersionID == id })
+}
+
+// SameStates reports whether two lists, both in the order of the versions, judge the same versions
+// and in the same way.
+func SameStates(a, b []Verdict) bool {
+	return slices.EqualFunc(a, b, func(x, y Verdict) bool {
+		return x.VersionID == y.VersionID && x.State == y.State
+	})
+}
+
+// EndsOrder reports whether the verdict is on an order that the store has at a position, last
+// written at a revision of the same era: the move has ended for an instance that already knew that order.
+func (v Verdict) EndsOrder(revision uint64, position storer.Position) bool {
+	return v.State != Running && v.At.Era == position.Era && revision <= v.At.Revision
+}
+
 // find returns the index of the verdict on a version, or where it would be inserted.
 func (v Verdicts) find(id VersionID) (int, bool) {
 	return slices.BinarySearchFunc(v.entries, id, func(entry retainedVerdict, id VersionID) int {
--- a/pkg/command/mover/verdict_test.go
+++ b/pkg/command/mover/verdict_test.go
@@ -152,3 +152,115 @@
 		}
 	}
 }
+
+// TestLastingVerdicts checks which verdicts have to outlive the instances. It guards against a verdict that is not stored, and against instances that store again what another one has dropped.
+func TestLastingVerdicts(t *testing.T) {
+	now := time.Now()
+	rolledBack := mover.Verdict{
+		VersionID: mover.VersionID{
+			Service: "shop",
+			Version: "v2",
+		},
+		State: mover.TakenBack,
+	}
+	onTrial := rolledBack
+	onTrial.State = mover.Running
+	cases := []struct {
+		name       string
+		known      []mover.Verdict
+		registered bool
+		stored     []mover.Verdict
+		want       []mover.Verdict
+	}{
+		{
+			name:       "registered",
+			known:      []mover.Verdict{rolledBack},
+			registered: true,
+			want:       []mover.Verdict{rolledBack},
+		},
+		{
+			name:   "missing for a while, and stored",
+			known:  []mover.Verdict{rolledBack},
+			stored: []mover.Verdict{onTrial},
+			want:   []mover.Verdict{rolledBack},
+		},
+		{
+			name:  "missing for a while, and dropped by another instance",
+			known: []mover.Verdict{rolledBack},
+		},
+		{
+			name:   "gone, and still stored",
+			stored: []mover.Verdict{rolledBack},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var verdicts mover.Verdicts
+			for _, verdict := range c.known {
+				verdicts = verdicts.With(verdict, now)
+			}
+			registered := map[mover.VersionID]bool{
+				rolledBack.VersionID: c.registered,
+			}
+			if got := verdicts.Lasting("shop", registered, c.stored); !mover.SameStates(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+			if got := verdicts.Lasting("other", registered, nil); len(got) != 0 {
+				t.Errorf("got %v for another service, want none", got)
+			}
+		})
+	}
+}
+
+// TestVerdictEndsItsOrder checks on which order a verdict is. It guards against a version that is tried again by instances which have all started since it was rolled back, and against a later order that is taken for the earlier one.
+func TestVerdictEndsItsOrder(t *testing.T) {
+	cases := []struct {
+		name     string
+		state    mover.State
+		revision uint64
+		era      uint64
+		want     bool
+	}{
+		{
+			name:     "the order that was judged",
+			state:    mover.TakenBack,
+			revision: 20,
+			era:      1,
+			want:     true,
+		},
+		{
+			name:     "a later order",
+			state:    mover.TakenBack,
+			revision: 21,
+			era:      1,
+		},
+		{
+			name:     "after the store returned from a copy",
+			state:    mover.Done,
+			revision: 20,
+			era:      2,
+		},
+		{
+			name:     "on trial",
+			state:    mover.Running,
+			revision: 20,
+			era:      1,
+		},
+	}
+	for _, c := range cases {
+		verdict := mover.Verdict{
+			State: c.state,
+			At: storer.Position{
+				Era:      1,
+				Revision: 20,
+			},
+		}
+		position := storer.Position{
+			Era:      c.era,
+			Revision: 30,
+		}
+		if got := verdict.EndsOrder(c.revision, position); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
