Do not renew the budget of retries with each start of an instance

Cause: each start of a process had the whole reserve. The reserve also grew with the number of instances, 408 for 102 where 269 are allowed.

An instance that finds an earlier start of itself in the list begins without retries. Retries.Slack, which the deployment states, is split between the listed instances. A reserve of 0 at the first start as well was tried: TestRetryOnAnotherUpstream lost 1 to 2 of 8 requests, so it was dropped.

The budgets have a file of their own.

--- a/internal/configurer/check.go
+++ b/internal/configurer/check.go
@@ -99,6 +99,8 @@
 	v.require(ratio >= 0 && ratio <= 1, "Retries.Ratio", fmt.Sprint(ratio), "0 to 1")
 	reserve := s.Retries.Reserve
 	v.require(reserve >= 0 && reserve <= maxCount, "Retries.Reserve", fmt.Sprint(reserve), "0 to 1000000")
+	slack := s.Retries.Slack
+	v.require(slack >= 0 && slack <= maxCount, "Retries.Slack", fmt.Sprint(slack), "0 to 1000000")
 	v.checkMillis("Lookups.ValidMillis", s.Lookups.ValidMillis, 1)
 	v.checkMillis("Drain.GraceMillis", s.Drain.GraceMillis, 0)
 	v.checkMillis("Drain.LimitMillis", s.Drain.LimitMillis, 1)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -217,9 +217,13 @@
 	// Ratio is how many retries each request adds to the retry budget of its service. 0
 	// to 1; 0.1 by default.
 	Ratio float64
-	// Reserve is how many retries the budget of a service holds at its start and at most.
-	// 0 to 1000000; 20 by default.
+	// Reserve is how many retries the budget of a service holds at most, and at its start unless
+	// the platform lists an earlier start of the instance. 0 to 1000000; 20 by default.
 	Reserve int
+	// Slack, if above 0, is how many retries the budgets of all instances for a service hold at
+	// most together. Each instance holds an equal part of it, or Reserve if that is less. 0 to 1000000;
+	// 0 by default.
+	Slack int
 }
 
 // Lookups configures the answers to lookups, which name the instances that a caller
--- a/internal/steerer/roster.go
+++ b/internal/steerer/roster.go
@@ -22,13 +22,24 @@
 		s.updateWatching()
 	}
 	s.updatePeerLinks()
+	s.shareRetries(len(roster.Members()))
 	s.updateSeats()
 	s.locatorUpdates.Request()
 	s.log.Info().Int("Members", len(roster.Members())).EmbedObject(loggedPosition(roster.Position())).Msg("MembersListed")
 }
 
-// detectRestart reports whether the list holds an earlier incarnation of this instance, and
-// informs the apportioner if so.
+// shareRetries gives this instance its part of the retries that all instances may hold together.
+func (s *Steerer) shareRetries(members int) {
+	retries := s.settings.Retries
+	if retries.Slack == 0 {
+		return
+	}
+	part := float64(retries.Slack) / float64(max(members, 1))
+	s.budgets.SetReserve(min(part, float64(retries.Reserve)))
+}
+
+// detectRestart reports whether the list holds an earlier incarnation of this instance. If so, it
+// informs the apportioner, and retries have to be earned: the earlier one may have spent the reserve.
 func (s *Steerer) detectRestart(listed registrar.Roster) bool {
 	before, found := memberByName(listed, s.self.Name)
 	if !found || before.Incarnation == s.self.Incarnation {
@@ -37,6 +48,7 @@
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	s.apportioner.MarkRestarted()
+	s.budgets.Empty()
 	return true
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -61,6 +61,8 @@
 	borrower     *borrower.Borrower
 	forwarder    *forwarder.Forwarder
 	receiver     *receiver.Receiver
+	// budgets limit the retries of each service.
+	budgets *retrier.Budgets
 	// usage carries out the duty to report the usage of teams; nil if there is no such duty.
 	usage *usagereporter.Reporter
 	// queues holds the requests that wait for an upstream with room, and queueBoard what the
@@ -313,12 +315,13 @@
 		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings.Capacity).IdleUpstream),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
+	s.budgets = retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve)
 	s.openQueues()
 	s.receiver = receiver.New(receiver.Options{
 		Admitter:           admitter.New(s.plans, s.freshness),
 		Forwarder:          s.forwarder,
 		InFlight:           s.inFlight,
-		Budgets:            retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve),
+		Budgets:            s.budgets,
 		Drainer:            s.drainer,
 		Attempts:           s.settings.Retries.Attempts,
 		FinishMillis:       s.settings.Callers.FinishMillis,
--- a/pkg/command/retrier/retrier.go
+++ b/pkg/command/retrier/retrier.go
@@ -6,16 +6,12 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
 const (
-	// oneRetry is one retry in the fixed-point form of a budget.
-	oneRetry = 1000
 	// DefaultRatio is how many retries each request adds to its budget.
 	DefaultRatio = 0.1
 	// DefaultReserve is how many retries a budget holds at most.
@@ -27,80 +23,6 @@
 	maxUnsent = 2
 )
 
-// Budget limits retries to a fraction of the requests, so that retries cannot multiply an
-// overload. It is safe for many goroutines and takes no lock.
-//
-// Invariant: balance is from 0 to reserve.
-type Budget struct {
-	// The three amounts are in thousandths of a retry (see oneRetry).
-	earnedPerRequest int64
-	reserve          int64
-	balance          atomic.Int64
-}
-
-// NewBudget returns a full budget of reserve retries, to which each request adds ratio
-// retries.
-func NewBudget(ratio float64, reserve int) *Budget {
-	budget := &Budget{
-		earnedPerRequest: int64(ratio * oneRetry),
-		reserve:          int64(reserve) * oneRetry,
-	}
-	budget.balance.Store(budget.reserve)
-	return budget
-}
-
-// Earn adds the ratio of NewBudget to the budget, up to the reserve. It is called once
-// per request, not per attempt.
-func (b *Budget) Earn() {
-	for {
-		balance := b.balance.Load()
-		next := min(balance+b.earnedPerRequest, b.reserve)
-		if next == balance || b.balance.CompareAndSwap(balance, next) {
-			return
-		}
-	}
-}
-
-// Spend takes one retry out of the budget and returns true, or returns false if less than
-// one is left.
-func (b *Budget) Spend() bool {
-	for {
-		balance := b.balance.Load()
-		if balance < oneRetry {
-			return false
-		}
-		if b.balance.CompareAndSwap(balance, balance-oneRetry) {
-			return true
-		}
-	}
-}
-
-// Budgets holds a budget for each service, so that requests to one service do not earn
-// retries to another. It is safe for many goroutines.
-type Budgets struct {
-	ratio   float64
-	reserve int
-	// budgets maps the name of each service to its *Budget.
-	budgets sync.Map
-}
-
-// NewBudgets returns budgets that are all full.
-func NewBudgets(ratio float64, reserve int) *Budgets {
-	return &Budgets{
-		ratio:   ratio,
-		reserve: reserve,
-	}
-}
-
-// For returns the budget of a service, and creates it if there is none.
-func (b *Budgets) For(service string) *Budget {
-	if budget, found := b.budgets.Load(service); found {
-		return budget.(*Budget)
-	}
-	budget, _ := b.budgets.LoadOrStore(service, NewBudget(b.ratio, b.reserve))
-	return budget.(*Budget)
-}
-
 // Policy holds the conditions under which one request may be sent again.
 type Policy struct {
 	// Idempotent reports that the request may be repeated after MayHaveRun.
