--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -378,7 +378,11 @@
 	for _, task := range tasks {
 		group.Go(func() error { return task(work) })
 	}
-	s.log.Info().Str("Incarnation", s.self.Incarnation).Str("Callers", s.self.CallerAddress).Msg("Started")
+	s.log.Info().
+		Str("Incarnation", s.self.Incarnation).
+		Str("Callers", s.self.CallerAddress).
+		EmbedObject(loggedProgram{}).
+		Msg("Started")
 	return stopServing
 }
 
