--- a/internal/pipeliner/arrival.go
+++ b/internal/pipeliner/arrival.go
@@ -9,15 +9,15 @@
 // noteArrival records when the bytes arrived that have just been read.
 func (s *source) noteArrival(now time.Time) {
 	s.arrivedAt = now
-	if !s.neglected {
+	if !s.leftUnread {
 		return
 	}
-	s.neglected = false
+	s.leftUnread = false
 	s.arrivedAt = now.Add(-ageOfLastBytes(s.conn))
 }
 
 // noteUnread records whether the connection has been left unread until now. It is called before
 // the next request is read.
 func (s *source) noteUnread(now time.Time) {
-	s.neglected = now.Sub(s.arrivedAt) > maxUnreadTime
+	s.leftUnread = now.Sub(s.arrivedAt) > maxUnreadTime
 }
--- a/internal/pipeliner/source.go
+++ b/internal/pipeliner/source.go
@@ -24,9 +24,9 @@
 	// arrivedAt is when the last bytes that were read from the connection arrived, as far as that
 	// is known; zero before the first.
 	arrivedAt time.Time
-	// neglected says that the connection was not read for a while, so that the next bytes may
+	// leftUnread says that the connection was not read for a while, so that the next bytes may
 	// have arrived long before they are read.
-	neglected bool
+	leftUnread bool
 	// deadline is the read deadline of the request that is being read, whose zero time
 	// means none; nil between requests.
 	deadline atomic.Pointer[time.Time]
