Leave out reservations that make no sense

Read again as a newcomer: an object without a readable name among the recorded reservations would have ended the process (a slice out of range), one that is no record would have kept the others from being read, and a fraction that is no number would have made all parts of a limit so. None was seen outside of this review.

The name is checked, objects are decoded one by one, and Reserve takes fractions above 0 and up to 1 for reserveTime at most.

--- a/internal/steerer/reservations.go
+++ b/internal/steerer/reservations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
@@ -99,7 +100,7 @@
 		defer s.planMu.Unlock()
 		for _, entry := range received.Reservations {
 			until := now.Add(time.Duration(entry.LeftMillis) * time.Millisecond)
-			s.apportioner.Reserve(toApportioner(entry.Member, until, entry.Parts))
+			s.apportioner.Reserve(toApportioner(entry.Member, until, entry.Parts), now)
 		}
 	})
 }
@@ -109,6 +110,29 @@
 	return storer.NewTyped(s.platform.Store, reservationCodec)
 }
 
+// takeReservations takes over reservations of the store, and returns the names of those that have
+// ended.
+func (s *Steerer) takeReservations(listed []storer.Object[[]byte], now time.Time) []string {
+	s.planMu.Lock()
+	defer s.planMu.Unlock()
+	var ended []string
+	for _, object := range listed {
+		member, found := strings.CutPrefix(object.Name, s.platform.ReservationPrefix)
+		record, err := reservationCodec.Decode(object.Value)
+		if !found || err != nil {
+			s.log.Warn().Str("Object", object.Name).Err(err).Msg("ObjectUnusable")
+			continue
+		}
+		until := time.UnixMilli(record.UntilUnixMillis)
+		if member == s.self.Name || !now.Before(until) {
+			ended = append(ended, object.Name)
+			continue
+		}
+		s.apportioner.Reserve(toApportioner(member, until, record.Parts), now)
+	}
+	return ended
+}
+
 // recordReservation records in the store what is to be reserved for an instance that is about to
 // be removed, unless it has announced that it stops.
 func (s *Steerer) recordReservation(ctx context.Context, member string) error {
@@ -127,25 +151,13 @@
 }
 
 // readReservations takes over the reservations in the store. It removes those that have ended, and
-// that of this instance, which the list shows again.
+// that of this instance, which the list shows again. An object that cannot be decoded is left out.
 func (s *Steerer) readReservations(ctx context.Context) error {
-	listed, err := s.reservationStore().List(ctx, s.platform.ReservationPrefix)
+	listed, err := s.platform.Store.List(ctx, s.platform.ReservationPrefix)
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	var ended []string
-	s.planMu.Lock()
-	for _, object := range listed.Objects {
-		member := object.Name[len(s.platform.ReservationPrefix):]
-		until := time.UnixMilli(object.Value.UntilUnixMillis)
-		if member == s.self.Name || !now.Before(until) {
-			ended = append(ended, object.Name)
-			continue
-		}
-		s.apportioner.Reserve(toApportioner(member, until, object.Value.Parts))
-	}
-	s.planMu.Unlock()
+	ended := s.takeReservations(listed.Objects, time.Now())
 	for _, name := range ended {
 		if err := s.reservationStore().Delete(ctx, name, storer.Always()); err != nil && !errors.Is(err, storer.ErrNotFound) {
 			return err
--- a/pkg/command/apportioner/lease_test.go
+++ b/pkg/command/apportioner/lease_test.go
@@ -77,7 +77,7 @@
 func (c *cut) restart(i int) {
 	c.simulation.restartAmong(i, c.listed(true))
 	for _, reservation := range c.recorded {
-		c.simulation.instances[i].Reserve(reservation)
+		c.simulation.instances[i].Reserve(reservation, c.simulation.now)
 	}
 	c.setRemoved(true)
 }
--- a/pkg/command/apportioner/reservation.go
+++ b/pkg/command/apportioner/reservation.go
@@ -64,21 +64,25 @@
 	return lost && !a.left[member]
 }
 
-// Reserve takes over a reservation that another instance has made. It changes nothing if the
-// instance that it is for is a member again.
-func (a *Apportioner) Reserve(told Reservation) {
+// Reserve takes over a reservation that another instance has made, for reserveTime at most. It
+// changes nothing if the instance that it is for is a member again, and leaves out parts whose
+// fraction makes no sense.
+func (a *Apportioner) Reserve(told Reservation, now time.Time) {
 	if state, known := a.members[told.Member]; told.Member == a.self || known && state.removeAt.IsZero() {
 		return
 	}
 	next := reservation{
-		until:     told.Until,
+		until:     earliest(told.Until, now.Add(reserveTime)),
 		fractions: map[string]float64{},
 	}
 	if known, found := a.reservations[told.Member]; found {
 		next.fractions = maps.Clone(known.fractions)
-		next.until = latest(known.until, told.Until)
+		next.until = latest(known.until, next.until)
 	}
 	for _, part := range told.Parts {
+		if !(part.Fraction > 0 && part.Fraction <= 1) {
+			continue
+		}
 		next.fractions[part.Resource] = max(next.fractions[part.Resource], part.Fraction)
 	}
 	a.reservations[told.Member] = next
@@ -140,6 +144,14 @@
 	return max(left, 0)
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
