--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1424,6 +1424,7 @@
 				Attempts: 46,
 				Ratio:    47.5,
 				Reserve:  48,
+				Slack:    57,
 			},
 			Lookups: configurer.Lookups{
 				ValidMillis: 50,
@@ -1538,6 +1539,7 @@
 				Attempts: 46,
 				Ratio:    47.5,
 				Reserve:  48,
+				Slack:    57,
 			},
 			Lookups: configurer.Lookups{
 				ValidMillis: 50,
