Send no length with status 204

A caller got "Content-Length: 0" with a 204 whose upstream had sent it. RFC 9110, section 8.6, forbids the field there; a strict reader refuses it.

Cause: the fields of an answer are copied, and only the body was left out for a status that has none.

TestNoContentHasNoLength failed before: got "HTTP/1.1 204 No Content\r\nCo". An upstream's 204 with the length 0 still passes: its end is certain.

--- a/internal/pipeliner/response.go
+++ b/internal/pipeliner/response.go
@@ -101,6 +101,10 @@
 	if e.closesConn {
 		e.header.Set("Connection", "close")
 	}
+	if e.status == http.StatusNoContent {
+		// RFC 9110, section 8.6, forbids a length, even of 0.
+		e.header.Del("Content-Length")
+	}
 	w := e.conn.writer
 	status := strconv.Itoa(e.status) + " " + http.StatusText(e.status)
 	if _, err := w.WriteString("HTTP/1.1 " + status + "\r\n"); err != nil {
--- a/internal/pipeliner/server_test.go
+++ b/internal/pipeliner/server_test.go
@@ -275,6 +275,20 @@
 	}
 }
 
+// TestNoContentHasNoLength guards against a length in a response that must have none.
+func TestNoContentHasNoLength(t *testing.T) {
+	_, caller := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	send(t, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	const want = "HTTP/1.1 204 No Content\r\n\r\n"
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(caller, got); err != nil || string(got) != want {
+		t.Errorf("got %q and error %v, want %q", got, err, want)
+	}
+}
+
 // TestAbortedResponseIsIncomplete checks that a caller can't take the response of a
 // handler that panicked for a complete one.
 func TestAbortedResponseIsIncomplete(t *testing.T) {
