Refuse answers that are none by the grammar of HTTP

Callers got answers with status 000, +20 or 600, with a version 2.0, with a blank in the name of a field, with a length and chunks, or a trailer that frames the body: as answers, with the line dropped or the body read in one of two ways. Behind a 000, whose declared body is not sent, a caller took the next answer on its connection for the body.

Cause: an upstream's answer was judged after net/http had parsed it. The parser is lenient, and what it drops can't be seen afterwards. Nothing compared the status with the statuses that exist.

Change: internal/inspector checks the bytes that arrive on a connection to an upstream, line by line, before net/http reads them, by RFC 9112 and RFC 9110. A malformed line is never handed on, and the connection is closed, so a head can't become an answer. The attempt ends as AnswerMalformed with MayHaveRun: an order gets 502 and isn't sent again, an idempotent request goes to another upstream. The first part of a body in chunks is read within the attempt, which delays nothing, as the caller got the head together with it. The upstream counts as failed, the answer is counted by the part that was malformed, and the log line and explain say what was wrong, bounded and escaped, without values of fields.

TestUpstreamDiesAtEachPoint expects AnswerMalformed in place of UpstreamBroken where the protocol is switched unasked: the reason is more precise, the verdict, the status and the number of attempts are checked as before.

--- a/internal/command/forwarder/attempt.go
+++ b/internal/command/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
@@ -16,6 +17,7 @@
 	exchange   arbiter.Exchange
 	observer   connObserver
 	translator translator.Translator
+	method     string
 	// header is the header of the request, to which begin adds the metadata.
 	header   http.Header
 	metadata translator.UpstreamMetadata
@@ -29,6 +31,7 @@
 func (f *Forwarder) newAttempt(target Target, outbound Outbound) *attempt {
 	next := &attempt{
 		translator: f.translator,
+		method:     outbound.method,
 		header:     outbound.header.Clone(),
 		target:     outbound.target,
 		metadata: translator.UpstreamMetadata{
@@ -47,10 +50,16 @@
 // counts from now. The transport reads the header only after this call.
 func (a *attempt) begin(info httptrace.GotConnInfo) {
 	a.exchange.Connected()
-	a.observer.observe(info)
+	a.observer.observe(info, a.method)
 	a.translator.WriteMetadata(a.header, a.metadata, time.Now())
 }
 
+// MalformedRefusal returns the refusal of an attempt that was given a malformed answer. Whatever
+// the answer claims, the request may have run.
+func MalformedRefusal(malformed *inspector.MalformedError) *arbiter.Refusal {
+	return arbiter.Fail(arbiter.AnswerMalformed, "the upstream's answer is malformed").WithCause(malformed)
+}
+
 // refusal converts a transport's error to a refusal.
 func (a *attempt) refusal(ctx context.Context, err error) *arbiter.Refusal {
 	verdict := a.exchange.Verdict()
@@ -69,6 +78,8 @@
 	case verdict == arbiter.NotRun:
 		reason = arbiter.UpstreamUnreached
 		detail = "no connection to the upstream"
+	case a.observer.malformed() != nil:
+		return MalformedRefusal(a.observer.malformed())
 	}
 	return arbiter.Fail(reason, detail).WithVerdict(verdict).WithCause(err)
 }
--- a/internal/command/forwarder/conn.go
+++ b/internal/command/forwarder/conn.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/hemlockport/hemlockport/internal/inspector"
 )
 
 // readerWaitTimeout bounds the wait until a reused connection is known to hold no
@@ -22,7 +24,7 @@
 // otherwise the transport would take an answer that has already arrived for the
 // answer to this request.
 type guardedConn struct {
-	net.Conn
+	*inspector.Conn
 	// readerWaiting is set while the reader waits for bytes. waitBegun receives a signal
 	// each time the reader begins to wait.
 	readerWaiting atomic.Bool
@@ -37,17 +39,22 @@
 	writes atomic.Uint64
 }
 
+// newGuardedConn returns a guarded connection over another one.
+func newGuardedConn(conn net.Conn) *guardedConn {
+	return &guardedConn{
+		Conn:      inspector.NewConn(conn),
+		waitBegun: make(chan struct{}, 1),
+	}
+}
+
 // dialGuarded returns a function that dials guarded connections.
-func dialGuarded(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialGuarded(dialer *net.Dialer) inspector.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{
-			Conn:      conn,
-			waitBegun: make(chan struct{}, 1),
-		}, nil
+		return newGuardedConn(conn), nil
 	}
 }
 
@@ -106,35 +113,51 @@
 // connObserver records the connection that a request was given, and how many writes
 // the connection had carried before.
 type connObserver struct {
-	conn         *guardedConn
+	// inspected is the connection, or nil before there is one, and guarded the same one if
+	// it is guarded.
+	inspected    *inspector.Conn
+	guarded      *guardedConn
 	writesBefore uint64
 	// reused reports that the connection has carried another request before.
 	reused bool
 }
 
-// observe records the connection, if it is a guarded one.
-func (o *connObserver) observe(info httptrace.GotConnInfo) {
-	guarded, ok := info.Conn.(*guardedConn)
-	if !ok {
-		return
+// observe records the connection that a request with a method was given.
+func (o *connObserver) observe(info httptrace.GotConnInfo, method string) {
+	switch conn := info.Conn.(type) {
+	case *inspector.Conn:
+		o.inspected = conn
+	case *guardedConn:
+		o.inspected = conn.Conn
+		o.guarded = conn
+		conn.begins.Store(true)
+		o.writesBefore = conn.writes.Load()
+		o.reused = info.Reused
+	}
+	if o.inspected != nil {
+		o.inspected.Expect(method)
 	}
-	o.conn = guarded
-	guarded.begins.Store(true)
-	o.writesBefore = guarded.writes.Load()
-	o.reused = info.Reused
 }
 
 // closeConn closes the connection, so that no other request is sent on it.
 func (o *connObserver) closeConn() {
-	if o.conn != nil {
-		o.conn.Close()
+	if o.inspected != nil {
+		o.inspected.Close()
+	}
+}
+
+// malformed returns what was wrong with an answer on the connection, or nil.
+func (o *connObserver) malformed() *inspector.MalformedError {
+	if o.inspected == nil {
+		return nil
 	}
+	return o.inspected.Malformed()
 }
 
-// nothingWritten reports whether nothing has been sent on the connection since the request
+// nothingWritten reports whether nothing has been sent on a guarded connection since the request
 // was given it. An answer that has arrived then was not asked for.
 func (o *connObserver) nothingWritten() bool {
-	return o.conn != nil && o.conn.writes.Load() == o.writesBefore
+	return o.guarded != nil && o.guarded.writes.Load() == o.writesBefore
 }
 
 // unsent reports whether a reused connection had ended before a byte of the request was sent.
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
@@ -116,7 +117,7 @@
 	dialer := &net.Dialer{
 		Timeout: time.Duration(settings.dialMillis) * time.Millisecond,
 	}
-	dial := dialer.DialContext
+	dial := inspector.NewDialer(dialer.DialContext).DialContext
 	if reuse {
 		dial = dialGuarded(dialer)
 	}
@@ -213,6 +214,17 @@
 	// the request. Report is then what it tells of itself.
 	HasReport bool
 	Report    registrar.Report
+	// conn is the connection of an answer that may be passed on.
+	conn *inspector.Conn
+}
+
+// Malformed returns why reading the response's body has failed if the body is malformed, and nil
+// if it has failed for another reason.
+func (a Answer) Malformed() *inspector.MalformedError {
+	if a.conn == nil {
+		return nil
+	}
+	return a.conn.Malformed()
 }
 
 // Send makes one attempt to send a request and returns the answer. The caller must
@@ -247,6 +259,7 @@
 		Status:    response.StatusCode,
 		HasReport: true,
 		Report:    f.translator.ReadReport(response, time.Now()),
+		conn:      attempt.observer.inspected,
 	}, nil
 }
 
@@ -339,9 +352,6 @@
 	if refusal := f.translator.CheckAnswer(response); refusal != nil {
 		return refusal
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return arbiter.Fail(arbiter.UpstreamBroken, "the upstream switched protocols unasked")
-	}
 	if endsWithConnection(response) {
 		return arbiter.Fail(arbiter.UpstreamBroken, "the answer has no end mark, so that one cut short would look whole")
 	}
--- a/internal/command/forwarder/sent_test.go
+++ b/internal/command/forwarder/sent_test.go
@@ -228,13 +228,10 @@
 			if err != nil {
 				return nil, err
 			}
-			return &guardedConn{
-				Conn: &brokenConn{
-					Conn: conn,
-					sent: c.sent,
-				},
-				waitBegun: make(chan struct{}, 1),
-			}, nil
+			return newGuardedConn(&brokenConn{
+				Conn: conn,
+				sent: c.sent,
+			}), nil
 		}
 		outbound := newOutbound(t, http.MethodGet, "")
 		answer, err := sender.Send(t.Context(), upstream.target, outbound)
--- a/internal/command/forwarder/written_test.go
+++ b/internal/command/forwarder/written_test.go
@@ -100,10 +100,7 @@
 			Conn: conn,
 		}
 		last.Store(hooked)
-		return &guardedConn{
-			Conn:      hooked,
-			waitBegun: make(chan struct{}, 1),
-		}, nil
+		return newGuardedConn(hooked), nil
 	}
 }
 
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -138,6 +138,10 @@
 			got:  string(arbiter.UpstreamBroken),
 			want: "UpstreamBroken",
 		},
+		{
+			got:  string(arbiter.AnswerMalformed),
+			want: "AnswerMalformed",
+		},
 		{
 			got:  string(arbiter.UpstreamFailed),
 			want: "UpstreamFailed",
@@ -1274,6 +1278,7 @@
 							Status:      49,
 							Reason:      arbiter.UpstreamReplaced,
 							Verdict:     "verdict",
+							Detail:      "detail",
 						},
 					},
 				},
@@ -1330,6 +1335,7 @@
 					Status:      49,
 					Reason:      arbiter.UpstreamReplaced,
 					Verdict:     "verdict",
+					Detail:      "detail",
 				},
 			},
 		}),
--- a/internal/query/explainer/attempts.go
+++ b/internal/query/explainer/attempts.go
@@ -26,6 +26,9 @@
 
 // describeFailure says how an attempt ended and, after the verdict NotRun, what proves it.
 func describeFailure(failure Failure) string {
+	if failure.Detail != "" {
+		return fmt.Sprintf("failed after %d ms (%s, %s)", failure.TookMillis, failure.Reason, failure.Detail)
+	}
 	if failure.Status != 0 {
 		return fmt.Sprintf("was answered %d after %d ms (%s)", failure.Status, failure.TookMillis, failure.Reason)
 	}
--- a/internal/query/explainer/explainer.go
+++ b/internal/query/explainer/explainer.go
@@ -168,7 +168,7 @@
 		return fmt.Sprintf("%s had no declaration yet%s.", end.Instance, ageSuffix(beliefs, "Started"))
 	case arbiter.DeadlineExceeded:
 		return explainDeadline(end)
-	case arbiter.UpstreamBroken, arbiter.UpstreamUnreached, arbiter.UpstreamFailed, arbiter.UpstreamReplaced,
+	case arbiter.UpstreamBroken, arbiter.AnswerMalformed, arbiter.UpstreamUnreached, arbiter.UpstreamFailed, arbiter.UpstreamReplaced,
 		arbiter.UpstreamShed, arbiter.NotRunUnproved, arbiter.ConnectionEnded, arbiter.AnswerBroken:
 		return fmt.Sprintf("%s, the last of %d, failed it: %s%s; the request %s.", end.Upstream, end.Attempts, end.Detail, causeSuffix(end), verdictPhrases[end.Verdict])
 	case arbiter.CallerGone:
--- a/internal/query/explainer/explainer_test.go
+++ b/internal/query/explainer/explainer_test.go
@@ -36,6 +36,7 @@
 // attemptsLog holds lines with the failed attempts of a request.
 const attemptsLog = `{"Instance":"front-corby-1","Request":"e30","Service":"seda15a","Upstream":"i-bb","Attempts":2,"Status":0,"CallerStatus":503,"Failures":[{"Upstream":"i-aa","AfterMillis":1,"TookMillis":30,"Status":421,"Reason":"UpstreamReplaced","Verdict":"NotRun"},{"Upstream":"i-bb","AfterMillis":31,"TookMillis":12,"Status":0,"Reason":"UpstreamUnreached","Verdict":"NotRun"}],"Verdict":"NotRun","Reason":"UpstreamUnreached","Detail":"no connection to the upstream","time":"2026-12-06T19:45:26.00Z","message":"Refused"}
 {"Instance":"front-corby-1","Request":"e31","Service":"seda15a","Upstream":"i-aa","Attempts":1,"Status":0,"CallerStatus":502,"Failures":[{"Upstream":"i-aa","AfterMillis":1,"TookMillis":30,"Status":0,"Reason":"UpstreamBroken","Verdict":"MayHaveRun"}],"Verdict":"MayHaveRun","Reason":"UpstreamBroken","Detail":"the upstream broke the connection","time":"2026-12-06T19:45:27.00Z","message":"Refused"}
+{"Instance":"front-corby-1","Request":"e32","Service":"seda15a","Upstream":"i-aa","Attempts":1,"Status":0,"CallerStatus":502,"Failures":[{"Upstream":"i-aa","AfterMillis":1,"TookMillis":3,"Status":0,"Reason":"AnswerMalformed","Verdict":"MayHaveRun","Detail":"malformed answer: the status is not a number from 100 to 599 between blanks: \"HTTP/1.1 000 OK\""}],"Verdict":"MayHaveRun","Reason":"AnswerMalformed","Detail":"the upstream's answer is malformed","time":"2026-12-06T19:45:28.00Z","message":"Refused"}
 `
 
 // recordedForeign is how many lines of recordedLog must be skipped.
@@ -116,6 +117,11 @@
 			request: "e31",
 			cause:   "Attempt 1, sent to i-aa after 1 ms, got no answer within 30 ms (UpstreamBroken): it may have run. The caller got 502.",
 		},
+		{
+			name:    "a malformed answer",
+			request: "e32",
+			cause:   "Attempt 1, sent to i-aa after 1 ms, failed after 3 ms (AnswerMalformed, malformed answer: the status is not a number from 100 to 599 between blanks: \"HTTP/1.1 000 OK\"): it may have run. The caller got 502.",
+		},
 		{
 			name:    "the only copy had no room",
 			request: "e21",
--- a/internal/query/explainer/line.go
+++ b/internal/query/explainer/line.go
@@ -72,6 +72,8 @@
 	Status  int            `json:"Status"`
 	Reason  arbiter.Reason `json:"Reason"`
 	Verdict string         `json:"Verdict"`
+	// Detail says what was wrong with a malformed answer; empty after any other failure.
+	Detail string `json:"Detail,omitempty"`
 }
 
 // Log holds the lines that one or more instances logged.
--- a/internal/query/exporter/requests.go
+++ b/internal/query/exporter/requests.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 )
 
@@ -22,6 +23,10 @@
 	// their verdict.
 	nameRefusedAfterAttempt = "hemlockport_requests_refused_after_attempt_total"
 
+	// nameMalformed counts the malformed answers of upstreams, also those of attempts after which
+	// the request was sent again, by the part of the answer that was malformed.
+	nameMalformed = "hemlockport_malformed_answers_total"
+
 	nameRetries  = "hemlockport_request_retries_total"
 	nameAttempts = "hemlockport_request_attempts_total"
 	nameLatency  = "hemlockport_request_latency_millis"
@@ -41,6 +46,8 @@
 	refused map[arbiter.Reason]metrics.Counter
 	// refusedAfterAttempt holds a counter for each verdict of a refusal.
 	refusedAfterAttempt map[arbiter.Verdict]metrics.Counter
+	// malformed holds a counter for each part of an answer.
+	malformed map[inspector.Part]metrics.Counter
 	// latencyBuckets counts, for each bound in latencyBucketMillis, the requests that
 	// took at most that long. The last counter counts all requests.
 	latencyBuckets [len(latencyBucketMillis) + 1]metrics.Counter
@@ -55,6 +62,7 @@
 		retries:             metrics.GetOrRegisterCounter(nameRetries, registry),
 		refused:             map[arbiter.Reason]metrics.Counter{},
 		refusedAfterAttempt: map[arbiter.Verdict]metrics.Counter{},
+		malformed:           map[inspector.Part]metrics.Counter{},
 		latencySum:          metrics.GetOrRegisterCounter(nameLatency+"_sum", registry),
 	}
 	for i, rank := range attemptRanks {
@@ -69,6 +77,10 @@
 		name := fmt.Sprintf("%s{verdict=%q}", nameRefusedAfterAttempt, verdict)
 		counters.refusedAfterAttempt[verdict] = metrics.GetOrRegisterCounter(name, registry)
 	}
+	for _, part := range inspector.Parts() {
+		name := fmt.Sprintf("%s{part=%q}", nameMalformed, part)
+		counters.malformed[part] = metrics.GetOrRegisterCounter(name, registry)
+	}
 	for i, bound := range latencyBucketMillis {
 		name := fmt.Sprintf("%s_bucket{le=\"%d\"}", nameLatency, bound)
 		counters.latencyBuckets[i] = metrics.GetOrRegisterCounter(name, registry)
@@ -107,6 +119,13 @@
 	}
 }
 
+// CountMalformedAnswer counts one answer of an upstream of which a part was malformed.
+func (r *RequestCounters) CountMalformedAnswer(part inspector.Part) {
+	if counter, found := r.malformed[part]; found {
+		counter.Inc(1)
+	}
+}
+
 // CountRetry counts one retry of a request.
 func (r *RequestCounters) CountRetry() {
 	r.retries.Inc(1)
--- a/internal/receiver/attempts.go
+++ b/internal/receiver/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/registrar"
 )
 
 // attempts holds the attempts to send one request.
@@ -74,23 +75,37 @@
 		return heldAnswer{}, a.fail(upstream, address, err)
 	}
 	a.lastAnswer = heldAnswer{
-		response: answer.Response,
+		Answer:   answer,
 		upstream: upstream,
 		sentAt:   now,
 	}
-	if a.receiver.isFailure(answer.Response) {
+	if a.receiver.isFailure(answer.Status) {
 		a.recordDuration(now, errAnswerFailed)
 		a.recordFailedAnswer(upstream, answer.Status)
 		a.outcome.recordFailure(upstream, answer.Status, now, errAnswerFailed)
 		return a.lastAnswer, a.fail(upstream, address, errAnswerFailed)
 	}
 	answeredAt := time.Now()
+	if refusal := a.lastAnswer.readAhead(); refusal != nil {
+		a.discardMalformed(refusal)
+		return heldAnswer{}, a.fail(upstream, address, refusal)
+	}
 	upstream.RecordSuccess(answeredAt)
 	a.admission.RecordDuration(answeredAt.Sub(now))
 	a.outcome.AnswerLoad = upstream.Load(answeredAt)
 	return a.lastAnswer, nil
 }
 
+// discardMalformed discards the last answer, whose body is malformed, and records the failure.
+func (a *attempts) discardMalformed(refusal *arbiter.Refusal) {
+	malformed := a.lastAnswer
+	a.lastAnswer = heldAnswer{}
+	malformed.discard()
+	a.recordDuration(malformed.sentAt, refusal)
+	a.receiver.recordFailure(malformed.upstream, refusal, registrar.Report{}, a.admission.DeadlineFromCaller)
+	a.outcome.recordFailure(malformed.upstream, malformed.Status, malformed.sentAt, refusal)
+}
+
 // recordDuration records how long a failed attempt took, unless the upstream has not run the
 // request: that says nothing about how long an answer takes.
 func (a *attempts) recordDuration(sentAt time.Time, err error) {
@@ -163,6 +178,6 @@
 
 // isFailure reports whether an answer counts as a failed attempt: it has a 5xx status, and
 // RetryFailures is set.
-func (r *Receiver) isFailure(response *http.Response) bool {
-	return r.retryFailures && response.StatusCode >= http.StatusInternalServerError
+func (r *Receiver) isFailure(status int) bool {
+	return r.retryFailures && status >= http.StatusInternalServerError
 }
--- a/internal/receiver/exchange_test.go
+++ b/internal/receiver/exchange_test.go
@@ -82,7 +82,7 @@
 			name:    "switches protocols",
 			script:  replyWith("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"),
 			verdict: arbiter.MayHaveRun,
-			reason:  arbiter.UpstreamBroken,
+			reason:  arbiter.AnswerMalformed,
 		},
 		{
 			name: "stops answering",
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
@@ -99,6 +100,9 @@
 	Reason arbiter.Reason
 	// Verdict says whether the request may have run in this attempt.
 	Verdict arbiter.Verdict
+	// Detail says what was wrong with a malformed answer; empty after any other failure. Its
+	// length is bounded, and the bytes of the answer in it are escaped.
+	Detail string
 }
 
 // recordFailure records an attempt that has failed with err. The status is that of the
@@ -115,6 +119,10 @@
 	if errors.As(err, &refusal) {
 		failure.Reason = refusal.Reason
 	}
+	var malformed *inspector.MalformedError
+	if errors.As(err, &malformed) {
+		failure.Detail = malformed.Error()
+	}
 	o.Failures = append(o.Failures, failure)
 	o.History = o.History.WithResult(failure.Verdict)
 }
--- a/internal/receiver/relay.go
+++ b/internal/receiver/relay.go
@@ -22,6 +22,56 @@
 	},
 }
 
+// bodyPart is a part of an answer's body in a pooled buffer. The zero value has no buffer.
+type bodyPart struct {
+	buffer *[]byte
+	// count is the number of bytes of the part, and err the error of the read that got it.
+	count int
+	err   error
+}
+
+// newBodyPart returns an empty part. It must be released.
+func newBodyPart() bodyPart {
+	return bodyPart{
+		buffer: relayBuffers.Get().(*[]byte),
+	}
+}
+
+// isRead reports whether the part holds what was read.
+func (p bodyPart) isRead() bool {
+	return p.count > 0 || p.err != nil
+}
+
+// isFull reports whether the buffer has no more room.
+func (p bodyPart) isFull() bool {
+	return p.count == len(*p.buffer)
+}
+
+// extend reads more of a body into the part, which must not be full.
+func (p *bodyPart) extend(body io.Reader) {
+	var count int
+	count, p.err = body.Read((*p.buffer)[p.count:])
+	p.count += count
+}
+
+// next replaces the part by the next one of a body.
+func (p *bodyPart) next(body io.Reader) {
+	p.count = 0
+	p.extend(body)
+}
+
+// bytes returns the bytes of the part.
+func (p bodyPart) bytes() []byte {
+	return (*p.buffer)[:p.count]
+}
+
+// release returns the buffer to its pool.
+func (p bodyPart) release() {
+	if p.buffer != nil {
+		relayBuffers.Put(p.buffer)
+	}
+}
+
 // errAnswerBroken is the error of a request whose answer cannot be completed after its
 // header was written, because the upstream or the caller has failed.
 var errAnswerBroken = arbiter.Fail(arbiter.AnswerBroken, "the answer broke off after it had begun")
@@ -31,14 +81,17 @@
 // truncated, relay returns a refusal with the reason AnswerBroken. Upon that ServeHTTP writes
 // the refusal if nothing of the answer has been sent to the caller, and otherwise aborts the
 // caller's connection, so that a truncated answer never looks complete.
-func relay(w http.ResponseWriter, response *http.Response) *arbiter.Refusal {
-	buffer := relayBuffers.Get().(*[]byte)
-	defer relayBuffers.Put(buffer)
+func relay(w http.ResponseWriter, answer heldAnswer) *arbiter.Refusal {
+	response, part := answer.Response, answer.ahead
+	if part.buffer == nil {
+		part = newBodyPart()
+		defer part.release()
+	}
 	if length := response.ContentLength; length >= 0 && length <= relayBufferBytes {
-		return relaySmall(w, response, *buffer)
+		return relaySmall(w, response, *part.buffer)
 	}
 	writeHeader(w, response)
-	if err := copyBody(w, response, *buffer); err != nil {
+	if err := copyBody(w, response, part); err != nil {
 		return errAnswerBroken.WithCause(err)
 	}
 	for name, values := range response.Trailer {
@@ -84,29 +137,32 @@
 	w.WriteHeader(response.StatusCode)
 }
 
-// copyBody copies the answer's body to the caller. If the length is unknown, it
-// flushes after each read, so that a streamed answer reaches the caller without
-// delay.
-func copyBody(w http.ResponseWriter, response *http.Response, buffer []byte) error {
+// copyBody copies the answer's body to the caller, of which the part has been read if it is not
+// empty. If the length is unknown, it flushes after each read, so that a streamed answer reaches
+// the caller without delay.
+func copyBody(w http.ResponseWriter, response *http.Response, part bodyPart) error {
 	streaming := response.ContentLength < 0
 	connection := http.NewResponseController(w)
+	if !part.isRead() {
+		part.next(response.Body)
+	}
 	for {
-		count, readErr := response.Body.Read(buffer)
-		if count > 0 {
-			if _, err := w.Write(buffer[:count]); err != nil {
+		if part.count > 0 {
+			if _, err := w.Write(part.bytes()); err != nil {
 				return err
 			}
 		}
-		if readErr == io.EOF {
+		if part.err == io.EOF {
 			return nil
 		}
-		if readErr != nil {
-			return readErr
+		if part.err != nil {
+			return part.err
 		}
-		if streaming && count > 0 {
+		if streaming && part.count > 0 {
 			if err := connection.Flush(); err != nil {
 				return err
 			}
 		}
+		part.next(response.Body)
 	}
 }
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
@@ -35,19 +37,26 @@
 	}
 	outbound := forwarder.NewOutbound(request, body, admission.Team(), admission.Idempotent, admission.Deadline)
 	answer, err := r.sendWithRetries(ctx, outbound, admission, outcome)
-	if answer.response == nil {
+	if answer.Response == nil {
 		return r.refundIfNotRun(admission, err)
 	}
 	defer answer.discard()
-	outcome.Status = answer.response.StatusCode
-	translator.StripNotForwarded(answer.response.Header)
-	r.translator.RewriteAnswer(answer.response.Header)
-	refusal = relay(w, answer.response)
+	outcome.Status = answer.Status
+	translator.StripNotForwarded(answer.Response.Header)
+	r.translator.RewriteAnswer(answer.Response.Header)
+	refusal = relay(w, answer)
 	now := time.Now()
 	r.drainer.Record(admission.Route.Declared.Name, now.Sub(answer.sentAt), now)
-	if refusal != nil {
-		r.recordFailure(answer.upstream, refusal, registrar.Report{}, admission.DeadlineFromCaller)
+	if refusal == nil {
+		return nil
+	}
+	failure := refusal
+	if malformed := answer.Malformed(); malformed != nil {
+		failure = forwarder.MalformedRefusal(malformed)
+		outcome.recordFailure(answer.upstream, answer.Status, answer.sentAt, failure)
+		refusal = refusal.WithCause(malformed)
 	}
+	r.recordFailure(answer.upstream, failure, registrar.Report{}, admission.DeadlineFromCaller)
 	return refusal
 }
 
@@ -80,19 +89,41 @@
 // heldAnswer is an answer together with the upstream whose slot it holds until it is
 // discarded. The zero value means that there is no answer.
 type heldAnswer struct {
-	response *http.Response
+	forwarder.Answer
 	upstream *admitter.Upstream
 	// sentAt is when the attempt began that got the answer.
 	sentAt time.Time
+	// ahead is what readAhead has read of the body.
+	ahead bodyPart
+}
+
+// readAhead reads the first part of a body of unknown length. It returns a refusal if that part
+// is malformed, so that the request can still be sent to another upstream. Nothing is delayed: the
+// caller gets the head together with the first part.
+func (a *heldAnswer) readAhead() *arbiter.Refusal {
+	if a.Response.ContentLength >= 0 {
+		return nil
+	}
+	a.ahead = newBodyPart()
+	a.ahead.next(a.Response.Body)
+	// After a malformed line no more bytes come, so these reads do not wait.
+	for a.ahead.err == nil && !a.ahead.isFull() && a.Malformed() != nil {
+		a.ahead.extend(a.Response.Body)
+	}
+	if a.ahead.err == nil || a.ahead.err == io.EOF || a.Malformed() == nil {
+		return nil
+	}
+	return forwarder.MalformedRefusal(a.Malformed())
 }
 
 // discard closes the answer's body, whether or not it was read, and releases the
 // upstream's slot.
 func (a heldAnswer) discard() {
-	if a.response == nil {
+	if a.Response == nil {
 		return
 	}
-	a.response.Body.Close()
+	a.ahead.release()
+	a.Response.Body.Close()
 	a.upstream.Release()
 }
 
@@ -171,6 +202,10 @@
 	if !errors.As(err, &refusal) {
 		return
 	}
+	var malformed *inspector.MalformedError
+	if errors.As(err, &malformed) {
+		r.metrics.CountMalformedAnswer(malformed.Part)
+	}
 	if upstream.RecordRefusal(refusal, report, deadlineFromCaller, time.Now()) {
 		r.upstreamSuspected(upstream, refusal)
 	}
--- a/internal/steerer/counters.go
+++ b/internal/steerer/counters.go
@@ -126,7 +126,7 @@
 		return failed
 	}
 	switch refusal.Reason {
-	case arbiter.UpstreamBroken, arbiter.NotRunUnproved:
+	case arbiter.UpstreamBroken, arbiter.AnswerMalformed, arbiter.NotRunUnproved:
 		return failed
 	case arbiter.UpstreamReplaced:
 		if refusal.Verdict == arbiter.NotRun {
--- a/internal/steerer/requestlog.go
+++ b/internal/steerer/requestlog.go
@@ -130,13 +130,17 @@
 // MarshalZerologArray adds an object for each attempt.
 func (f failures) MarshalZerologArray(array *zerolog.Array) {
 	for _, attempt := range f.attempts {
-		array.Dict(zerolog.Dict().
+		fields := zerolog.Dict().
 			Str("Upstream", attempt.Upstream).
 			Int64("AfterMillis", attempt.SentAt.Sub(f.arrived).Milliseconds()).
 			Int64("TookMillis", attempt.EndedAt.Sub(attempt.SentAt).Milliseconds()).
 			Int("Status", attempt.Status).
 			Str("Reason", string(attempt.Reason)).
-			Str("Verdict", attempt.Verdict.String()))
+			Str("Verdict", attempt.Verdict.String())
+		if attempt.Detail != "" {
+			fields = fields.Str("Detail", attempt.Detail)
+		}
+		array.Dict(fields)
 	}
 }
 
--- a/pkg/arbiter/refusal.go
+++ b/pkg/arbiter/refusal.go
@@ -62,6 +62,9 @@
 	// UpstreamBroken means that the upstream broke the connection, or that its answer is
 	// not valid.
 	UpstreamBroken Reason = "UpstreamBroken"
+	// AnswerMalformed means that the upstream's answer is none by the grammar of its protocol.
+	// What it says about the request counts for nothing.
+	AnswerMalformed Reason = "AnswerMalformed"
 	// UpstreamFailed means that an upstream answered with a 5xx status and a later attempt
 	// got no answer.
 	UpstreamFailed Reason = "UpstreamFailed"
@@ -105,6 +108,7 @@
 		ConnectionEnded,
 		UpstreamShed,
 		UpstreamBroken,
+		AnswerMalformed,
 		UpstreamFailed,
 		UpstreamReplaced,
 		NotRunUnproved,
--- a/pkg/command/admitter/health.go
+++ b/pkg/command/admitter/health.go
@@ -81,7 +81,7 @@
 	case arbiter.UpstreamUnreached:
 		u.failedDials.Add(1)
 		return u.recordFailure(now)
-	case arbiter.UpstreamBroken, arbiter.UpstreamReplaced:
+	case arbiter.UpstreamBroken, arbiter.AnswerMalformed, arbiter.UpstreamReplaced:
 		return u.recordFailure(now)
 	case arbiter.DeadlineExceeded:
 		return !deadlineFromCaller && u.recordTimeout(now)
