Judge an answer by what of it would be passed on

Callers got a 200 without its Request-Id or its signature: an upstream in trouble had named these fields in Connection. They look like the answer of something in between, or to another request.

Cause: the fields that belong to one connection were removed after the translator had checked the answer, so it saw more than the caller did.

Change: the forwarder removes them first. An answer that takes its own ID or signature away is then refused as one that lacks it, as before for an answer without them. Fields that a protocol doesn't need are still dropped.

Evidence: two rows of the table, eight cases of TestMalformedAnswersReachNoCaller and TestMalformedAnswersBetweenPipelinedRequests, failed before; all pass now.

--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -246,6 +246,8 @@
 		// The request may have run: the transport may have begun to send it meanwhile.
 		return Answer{}, arbiter.Fail(arbiter.UpstreamBroken, "the upstream answered before it was asked").WithCause(errUnsolicited)
 	}
+	// The answer is judged by what of it would be passed on.
+	translator.StripNotForwarded(response.Header)
 	if refusal := f.checkAnswer(response); refusal != nil {
 		if refusal.Verdict != arbiter.NotRun && !belongsToRequest(refusal) {
 			attempt.observer.closeConn()
--- a/internal/receiver/send.go
+++ b/internal/receiver/send.go
@@ -9,7 +9,6 @@
 
 	"github.com/hemlockport/hemlockport/internal/command/forwarder"
 	"github.com/hemlockport/hemlockport/internal/inspector"
-	"github.com/hemlockport/hemlockport/internal/translator"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -42,7 +41,6 @@
 	}
 	defer answer.discard()
 	outcome.Status = answer.Status
-	translator.StripNotForwarded(answer.Response.Header)
 	r.translator.RewriteAnswer(answer.Response.Header)
 	refusal = relay(w, answer)
 	now := time.Now()
