Take no malformed answer for the proof that a request has not run

An order was sent again to another upstream after an answer whose head refused it, and whose chunks or trailer were malformed. Such an answer proves nothing: the order may run twice.

Cause: the body of a refusal wasn't read, so only its head was checked.

Change: the body of a refusal in chunks is read, at most 4 KiB, before the refusal counts. If it is malformed, the attempt ends as AnswerMalformed with MayHaveRun. A refusal with a length, as upstreams send it, has no part behind its head that could be malformed, and is not read, as before. Cut off or stalled bodies change nothing: the head is whole and states the proof.

Evidence: "a shed request with a malformed chunk" of TestMalformedAnswersReachNoCaller and TestMalformedAnswerIsTheUpstreamsFault failed before, POST and GET; all pass now.

--- a/internal/command/forwarder/attempt.go
+++ b/internal/command/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -60,6 +61,22 @@
 	return arbiter.Fail(arbiter.AnswerMalformed, "the upstream's answer is malformed").WithCause(malformed)
 }
 
+// maxRefusalBytes bounds how much is read of the body of an answer that refuses the request.
+const maxRefusalBytes = 4 << 10
+
+// checkBody returns the refusal that an answer's head stands for, unless the answer has chunks and
+// a malformed one: then it proves nothing.
+func (a *attempt) checkBody(response *http.Response, refusal *arbiter.Refusal) *arbiter.Refusal {
+	if refusal == nil || refusal.Verdict != arbiter.NotRun || response.ContentLength >= 0 {
+		return refusal
+	}
+	_, err := io.CopyN(io.Discard, response.Body, maxRefusalBytes)
+	if err == nil || err == io.EOF || a.observer.malformed() == nil {
+		return refusal
+	}
+	return MalformedRefusal(a.observer.malformed())
+}
+
 // refusal converts a transport's error to a refusal.
 func (a *attempt) refusal(ctx context.Context, err error) *arbiter.Refusal {
 	verdict := a.exchange.Verdict()
--- a/internal/command/forwarder/forwarder.go
+++ b/internal/command/forwarder/forwarder.go
@@ -248,7 +248,7 @@
 	}
 	// The answer is judged by what of it would be passed on.
 	translator.StripNotForwarded(response.Header)
-	if refusal := f.checkAnswer(response); refusal != nil {
+	if refusal := attempt.checkBody(response, f.checkAnswer(response)); refusal != nil {
 		if refusal.Verdict != arbiter.NotRun && !belongsToRequest(refusal) {
 			attempt.observer.closeConn()
 		}
--- a/internal/receiver/malformed_test.go
+++ b/internal/receiver/malformed_test.go
@@ -41,6 +41,14 @@
 		Fields:     "Hemlockport-Verdict: NotRun\r\nX Quilt: 1\r\nContent-Length: 0\r\n",
 		Fate:       malformer.WeRefuse,
 	},
+	{
+		Name:       "a shed request with a malformed chunk",
+		StatusLine: "HTTP/1.1 503 Shed\r\n",
+		Fields:     "Hemlockport-Verdict: NotRun\r\n" + malformer.ChunkedField,
+		Body:       "0\r\nX Quilt: 1\r\n\r\n",
+		Fate:       malformer.WeRefuse,
+		BehindHead: true,
+	},
 }
 
 // answerWith returns a script that gives one answer to all requests.
@@ -176,8 +184,13 @@
 				if failure.Reason != arbiter.AnswerMalformed || failure.Verdict != arbiter.MayHaveRun || !strings.HasPrefix(failure.Detail, "malformed answer: ") {
 					t.Errorf("got failure %+v, want %s, %s and a detail", failure, arbiter.AnswerMalformed, arbiter.MayHaveRun)
 				}
-				if got := <-suspected; got != arbiter.AnswerMalformed {
-					t.Errorf("the upstream is suspect for %s, want %s", got, arbiter.AnswerMalformed)
+				select {
+				case got := <-suspected:
+					if got != arbiter.AnswerMalformed {
+						t.Errorf("the upstream is suspect for %s, want %s", got, arbiter.AnswerMalformed)
+					}
+				default:
+					t.Error("the upstream is not suspect")
 				}
 				if got := countMalformed(registry); got != 1 {
 					t.Errorf("got %d malformed answers counted, want 1", got)
