Let no malformed answer of the store settle a call

A write that the store answered with status 000 or 101, or with a length and chunks, counted as confirmed, with an empty body; 404 or 409 with a malformed field counted as the proof that an object is not there or that a write has not happened. So a lease could look taken, or a verdict recorded, that was not.

Cause: every status below 300 was a success, and what net/http drops from a head was not looked at, as on the way to upstreams.

Change: the store's client, which serves the calls, lists and watches of both platforms, dials by internal/inspector. A malformed answer is ErrUnavailable, and leaves open whether a write has happened.

TestWellFormedAnswersSettleCalls holds that nothing else is refused.

--- a/internal/adapter/client.go
+++ b/internal/adapter/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/redirector"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -72,11 +73,10 @@
 		token:    token,
 		classify: classify,
 		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            dialer.DialContext,
+			Transport: inspector.NewDialer(dialer.DialContext).Equip(&http.Transport{
 				MaxIdleConnsPerHost:    maxIdleConnections,
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}),
 			CheckRedirect: redirector.FollowNone,
 		},
 	}, nil
