Take no malformed answer to a probe for a sign of life

An upstream in trouble counted as live because the status of its malformed answer was 200.

Cause: a probe looked at the status of the parsed head alone.

Change: probes dial by internal/inspector and read the body, at most 4 KiB. A body that is cut off or stalls makes the upstream suspect, as no answer does. One that goes on beyond 4 KiB is left unread, as before.

--- a/internal/query/prober/prober.go
+++ b/internal/query/prober/prober.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/redirector"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
 )
@@ -19,8 +22,10 @@
 	healthPath = "/health"
 	// probeTimeout is the timeout of one probe.
 	probeTimeout = time.Second
-	// maxHeaderBytes bounds the header of an answer, in bytes. Its body is not read.
+	// maxHeaderBytes bounds the header of an answer, in bytes, and maxBodyBytes how much of its
+	// body is read. Only whether the body is well formed counts.
 	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 4 << 10
 	// maxConcurrentProbes limits the number of concurrent probes.
 	maxConcurrentProbes = 16
 )
@@ -32,13 +37,14 @@
 
 // New returns a prober.
 func New() *Prober {
+	dialer := &net.Dialer{}
 	return &Prober{
 		client: &http.Client{
 			Timeout: probeTimeout,
-			Transport: &http.Transport{
+			Transport: inspector.NewDialer(dialer.DialContext).Equip(&http.Transport{
 				MaxIdleConnsPerHost:    1,
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}),
 			// An upstream that redirects its probes is not live.
 			CheckRedirect: redirector.FollowNone,
 		},
@@ -91,6 +97,9 @@
 		return admitter.Suspect, ctx.Err() == nil
 	}
 	defer response.Body.Close()
+	if _, err = io.CopyN(io.Discard, response.Body, maxBodyBytes); err != nil && err != io.EOF {
+		return admitter.Suspect, ctx.Err() == nil
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 		return admitter.Live, true
