Show operators and callers of trials no malformed answer

An operator's change counted as accepted after a malformed 200 with a revision, and as refused after a malformed 422; a look-up printed a malformed answer; the caller of trials reported one as an answer.

Cause: as on the way to upstreams, what net/http drops was not looked at.

Change: the operators' client, the look-up command and the caller of trials dial by internal/inspector, with TLS too. Only answers that an operator reads through a proxy by https can't be checked, since the proxy gets an encrypted tunnel.

--- a/internal/commander/queries.go
+++ b/internal/commander/queries.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/loader"
 	"github.com/hemlockport/hemlockport/internal/operator"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
@@ -164,7 +165,10 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{
+		Transport: inspector.NewTransport(request.URL.Scheme),
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/launcher/caller.go
+++ b/internal/launcher/caller.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/receiver"
 	"github.com/hemlockport/hemlockport/internal/standin/upstreamer"
 	"github.com/hemlockport/hemlockport/internal/translator"
@@ -53,11 +55,12 @@
 
 // NewCaller returns a caller that shares no connections with other callers.
 func NewCaller(service, key string) *Caller {
+	dialer := &net.Dialer{}
 	return &Caller{
 		Service: service,
 		Key:     key,
 		client: &http.Client{
-			Transport: &http.Transport{},
+			Transport: inspector.NewDialer(dialer.DialContext).Equip(&http.Transport{}),
 		},
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
@@ -34,15 +35,16 @@
 // New returns a client for the operators' listener at address, which is an IP address
 // with a port, or a URL. The key authenticates the operator.
 func New(address, key string) *Client {
-	base := address
-	if parsed, err := url.Parse(address); err != nil || parsed.Host == "" {
-		base = "http://" + address
+	base, scheme := "http://"+address, "http"
+	if parsed, err := url.Parse(address); err == nil && parsed.Host != "" {
+		base, scheme = address, parsed.Scheme
 	}
 	return &Client{
 		base: base,
 		key:  key,
 		client: &http.Client{
-			Timeout: callTimeout,
+			Timeout:   callTimeout,
+			Transport: inspector.NewTransport(scheme),
 		},
 	}
 }
