Open no link between instances by a malformed answer

A link opened by an answer to its handshake that had a blank in the name of a field. The proof of the secret follows inside the link, so no stranger got in.

Change: the hub dials by internal/inspector, with and without TLS. It is the one client that asks to switch the protocol; behind the 101 nothing is checked.

Evidence: one of three cases of TestMalformedHandshakeOpensNoLink failed before; two were refused already and stay as tests. The relay of the tests got a way to change what it forwards; its other uses forward the same bytes as before.

--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/coder/websocket"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
@@ -101,6 +103,7 @@
 
 // New returns a hub. It keeps no links before Run is called.
 func New(options Options) *Hub {
+	dialer := &net.Dialer{}
 	scheme := "ws"
 	if options.TLS != nil {
 		scheme = "wss"
@@ -111,10 +114,10 @@
 		clock:  options.Clock,
 		scheme: scheme,
 		client: &http.Client{
-			Transport: &http.Transport{
+			Transport: inspector.NewDialer(dialer.DialContext).WithUpgrades().Equip(&http.Transport{
 				TLSClientConfig:        options.TLS,
 				MaxResponseHeaderBytes: maxHandshakeBytes,
-			},
+			}),
 		},
 		currentHeartbeat: options.Heartbeat,
 		onHeartbeat:      options.OnHeartbeat,
--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -1,6 +1,7 @@
 package linker_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -150,10 +151,18 @@
 type relay struct {
 	net.Listener
 	silent chan struct{}
+	// edit changes the bytes that come from the target.
+	edit func([]byte) []byte
 }
 
 // newRelay starts a relay that forwards to the target address.
 func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	return newEditingRelay(t, target, func(data []byte) []byte { return data })
+}
+
+// newEditingRelay starts a relay that changes what comes from the target address.
+func newEditingRelay(t *testing.T, target string, edit func([]byte) []byte) *relay {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.255.255.254:0")
 	if err != nil {
@@ -162,7 +171,9 @@
 	r := &relay{
 		Listener: listener,
 		silent:   make(chan struct{}),
+		edit:     edit,
 	}
+	keep := func(data []byte) []byte { return data }
 	var group errgroup.Group
 	group.Go(func() error {
 		for {
@@ -179,15 +190,15 @@
 				near.Close()
 				far.Close()
 			})
-			group.Go(func() error { return r.forward(near, far) })
-			group.Go(func() error { return r.forward(far, near) })
+			group.Go(func() error { return r.forward(near, far, keep) })
+			group.Go(func() error { return r.forward(far, near, r.edit) })
 		}
 	})
 	t.Cleanup(func() { listener.Close() })
 	return r
 }
 
-func (r *relay) forward(from io.Reader, to io.Writer) error {
+func (r *relay) forward(from io.Reader, to io.Writer, edit func([]byte) []byte) error {
 	buffer := make([]byte, 4096)
 	for {
 		count, err := from.Read(buffer)
@@ -199,12 +210,52 @@
 			continue
 		default:
 		}
-		if _, err = to.Write(buffer[:count]); err != nil {
+		if _, err = to.Write(edit(buffer[:count])); err != nil {
 			return nil
 		}
 	}
 }
 
+// TestMalformedHandshakeOpensNoLink guards against a link that opens by an answer which is none.
+func TestMalformedHandshakeOpensNoLink(t *testing.T) {
+	cases := []struct {
+		name string
+		// before is replaced by after in the answer.
+		before string
+		after  string
+	}{
+		{
+			name:   "a blank in a name",
+			before: "\r\nUpgrade:",
+			after:  "\r\nX Quilt: 1\r\nUpgrade:",
+		},
+		{
+			name:   "two blanks before the status",
+			before: "HTTP/1.1 101",
+			after:  "HTTP/1.1  101",
+		},
+		{
+			name:   "a length",
+			before: "\r\nUpgrade:",
+			after:  "\r\nContent-Length: 5\r\nUpgrade:",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			dialing, accepting := startNode(t, "a", secret), startNode(t, "b", secret)
+			proxy := newEditingRelay(t, accepting.address, func(data []byte) []byte {
+				return bytes.Replace(data, []byte(c.before), []byte(c.after), 1)
+			})
+			dialing.hub.SetPeers([]string{proxy.Addr().String()}, true)
+			// One second is long enough for several attempts to dial.
+			<-time.After(time.Second)
+			if len(dialing.hub.Peers())+len(accepting.hub.Peers()) != 0 {
+				t.Error("got a link, want none")
+			}
+		})
+	}
+}
+
 // TestBothEndsCloseASilentLink guards against links that stay up when a device between
 // the two ends drops the traffic of their connection without closing it. Both ends must
 // close the link within the silence timeout.
