List no instance by a malformed or failed health answer

The stand-in of the platform listed an instance whose health answer was malformed, or had status 500 and a body that could be decoded.

Cause: it decoded the body whatever the head said.

Change: it dials by internal/inspector, and wants status 200.

--- a/internal/standin/platformer/instances.go
+++ b/internal/standin/platformer/instances.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/inspector"
 	"github.com/hemlockport/hemlockport/internal/memstorer"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/command/retrier"
@@ -34,7 +36,8 @@
 	return &InstancePoller{
 		store: store,
 		client: &http.Client{
-			Timeout: pollInterval,
+			Timeout:   pollInterval,
+			Transport: inspector.NewTransport("http"),
 		},
 		listed: map[string]storer.Instance{},
 	}
@@ -88,5 +91,8 @@
 	if err != nil {
 		return responder.Health{}, err
 	}
+	if response.StatusCode != http.StatusOK {
+		return responder.Health{}, fmt.Errorf("health of the instance at %s: status %d", address, response.StatusCode)
+	}
 	return encoder.JSON[responder.Health]{}.Decode(body)
 }
