Confirm no write by an answer without a revision

A write counted as confirmed by an answer of the store that lacked the object's revision, such as {} or null, or by an ETag that is no revision. The object then had the revision 0, and the next conditional write no condition.

Cause: what couldn't be read became 0, although the store's revisions start above 0 and package storer says that an object's is never 0.

Lists and watches without one were refused already.

Found while going through all places that read answers.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/pkg/arbiter"
 	"github.com/hemlockport/hemlockport/pkg/storer"
@@ -41,24 +43,30 @@
 
 // Get returns one object, or storer.ErrNotFound.
 func (a *Adapter) Get(ctx context.Context, name string) (storer.Object[[]byte], error) {
-	answer, err := a.client.Call(ctx, Call{
+	call := Call{
 		Method:   http.MethodGet,
 		Path:     objectPath(name),
 		Deadline: time.Now().Add(callTimeout),
-	})
+	}
+	answer, err := a.client.Call(ctx, call)
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
-	return newObject(name, answer.Body, answer), nil
+	return newObject(name, answer.Body, call, answer)
 }
 
-// newObject returns an object with the revision that an answer states.
-func newObject(name string, value []byte, answer Answer) storer.Object[[]byte] {
+// newObject returns an object with the revision that the answer to a call states. Without one the
+// answer settles nothing.
+func newObject(name string, value []byte, call Call, answer Answer) (storer.Object[[]byte], error) {
+	revision := revisionFromETag(answer.Header)
+	if revision == 0 {
+		return storer.Object[[]byte]{}, call.newError(arbiter.MayHaveRun, eris.Wrap(storer.ErrUnavailable, "no revision in the answer"))
+	}
 	return storer.Object[[]byte]{
 		Name:     name,
-		Revision: revisionFromETag(answer.Header),
+		Revision: revision,
 		Value:    value,
-	}
+	}, nil
 }
 
 // List returns all objects whose names start with prefix.
@@ -87,17 +95,18 @@
 	value []byte,
 	condition storer.Condition,
 ) (storer.Object[[]byte], error) {
-	answer, err := a.client.Call(ctx, Call{
+	call := Call{
 		Method:   http.MethodPut,
 		Path:     objectPath(name),
 		Body:     value,
 		Header:   conditionHeader(condition),
 		Deadline: time.Now().Add(callTimeout),
-	})
+	}
+	answer, err := a.client.Call(ctx, call)
 	if err != nil {
 		return storer.Object[[]byte]{}, err
 	}
-	return newObject(name, value, answer), nil
+	return newObject(name, value, call, answer)
 }
 
 // Delete removes an object if the condition holds.
@@ -174,6 +183,7 @@
 	return PathObjects + "/" + strings.Join(segments, "/")
 }
 
+// revisionFromETag returns the revision in the ETag of an answer, or 0 if there is none.
 func revisionFromETag(header http.Header) uint64 {
 	text, err := strconv.Unquote(header.Get("ETag"))
 	if err != nil {
--- a/internal/adapter/malformed_test.go
+++ b/internal/adapter/malformed_test.go
@@ -83,3 +83,27 @@
 		})
 	}
 }
+
+// TestAnswerWithoutRevisionSettlesNothing guards against a write that counts as confirmed by an answer that lacks the
+// revision, on which the next conditional write would have no condition.
+func TestAnswerWithoutRevisionSettlesNothing(t *testing.T) {
+	for _, tag := range []string{"", "ETag: \"0\"\r\n", "ETag: \"quilt\"\r\n", "ETag: 7\r\n"} {
+		t.Run(tag, func(t *testing.T) {
+			answer := malformer.Answer{
+				Fields: tag + malformer.LengthField,
+				Body:   malformer.Body,
+			}
+			store, err := adapter.New("http://"+malformer.Start(t, answer), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = store.Put(t.Context(), "Head", []byte("1"), storer.Absent())
+			if !errors.Is(err, storer.ErrUnavailable) || storer.OutcomeKnown(err) {
+				t.Errorf("Put: got error %v, want %v with an open outcome", err, storer.ErrUnavailable)
+			}
+			if _, err = store.Get(t.Context(), "Head"); !errors.Is(err, storer.ErrUnavailable) {
+				t.Errorf("Get: got error %v, want %v", err, storer.ErrUnavailable)
+			}
+		})
+	}
+}
