--- a/internal/adapter/malformed_test.go
+++ b/internal/adapter/malformed_test.go
@@ -41,31 +41,18 @@
 // confirmation of a write, or as the proof that a write has not happened or that an object does
 // not exist.
 func TestMalformedAnswerSettlesNoCall(t *testing.T) {
-	statusLines := []string{
-		"",
-		"HTTP/1.1 404 Not Found",
-		"HTTP/1.1 409 Conflict",
-	}
-	for _, answer := range malformer.Refused() {
-		for _, statusLine := range statusLines {
-			if answer.StatusLine != "" && statusLine != "" {
-				continue
-			}
-			if statusLine != "" {
-				answer = answer.WithStatusLine(statusLine)
-			}
-			for _, method := range []string{http.MethodPut, http.MethodPost, http.MethodDelete, http.MethodGet} {
-				t.Run(answer.Name+"/"+statusLine+"/"+method, func(t *testing.T) {
-					t.Parallel()
-					err := callMalformed(t, method, answer)
-					if !errors.Is(err, storer.ErrUnavailable) {
-						t.Fatalf("got error %v, want %v", err, storer.ErrUnavailable)
-					}
-					if method != http.MethodGet && storer.OutcomeKnown(err) {
-						t.Errorf("got error %v with a known outcome, want one that leaves it open", err)
-					}
-				})
-			}
+	for _, answer := range malformer.RefusedWith("HTTP/1.1 404 Not Found", "HTTP/1.1 409 Conflict") {
+		for _, method := range []string{http.MethodPut, http.MethodPost, http.MethodDelete, http.MethodGet} {
+			t.Run(answer.Name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				err := callMalformed(t, method, answer)
+				if !errors.Is(err, storer.ErrUnavailable) {
+					t.Fatalf("got error %v, want %v", err, storer.ErrUnavailable)
+				}
+				if method != http.MethodGet && storer.OutcomeKnown(err) {
+					t.Errorf("got error %v with a known outcome, want one that leaves it open", err)
+				}
+			})
 		}
 	}
 }
--- a/internal/operator/malformed_test.go
+++ b/internal/operator/malformed_test.go
@@ -12,22 +12,14 @@
 // TestMalformedAnswerSettlesNoChange guards against a malformed answer that an operator takes for the acceptance
 // of a change, or for its refusal.
 func TestMalformedAnswerSettlesNoChange(t *testing.T) {
-	const refusal = "HTTP/1.1 422 Unprocessable Content"
-	for _, answer := range malformer.Refused() {
-		for _, statusLine := range []string{"", refusal} {
-			if answer.StatusLine != "" && statusLine != "" {
-				continue
+	for _, answer := range malformer.RefusedWith("HTTP/1.1 422 Unprocessable Content") {
+		t.Run(answer.Name, func(t *testing.T) {
+			address := malformer.Start(t, answer.WithContent(`{"Revision":7}`))
+			_, err := operator.New(address, "key").Change(t.Context(), publisher.Change{})
+			var answered *operator.StatusError
+			if err == nil || errors.As(err, &answered) {
+				t.Errorf("got error %v, want one that no answer was read", err)
 			}
-			if statusLine != "" {
-				answer = answer.WithStatusLine(statusLine)
-			}
-			t.Run(answer.Name+"/"+statusLine, func(t *testing.T) {
-				_, err := operator.New(malformer.Start(t, answer.WithContent(`{"Revision":7}`)), "key").Change(t.Context(), publisher.Change{})
-				var answered *operator.StatusError
-				if err == nil || errors.As(err, &answered) {
-					t.Errorf("got error %v, want one that no answer was read", err)
-				}
-			})
-		}
+		})
 	}
 }
--- a/internal/standin/malformer/malformer.go
+++ b/internal/standin/malformer/malformer.go
@@ -126,6 +126,22 @@
 	})
 }
 
+// RefusedWith returns the malformed answers of the table, and behind them those that have no status
+// line of their own again with each of the status lines.
+func RefusedWith(statusLines ...string) []Answer {
+	refused := Refused()
+	all := refused
+	for _, line := range statusLines {
+		for _, answer := range refused {
+			if answer.StatusLine == "" {
+				answer.Name += ", " + line
+				all = append(all, answer.WithStatusLine(line))
+			}
+		}
+	}
+	return all
+}
+
 // Start starts a server until the test ends that gives one answer on each connection, which it
 // then closes, and returns its address.
 func Start(t testing.TB, answer Answer) string {
--- a/internal/standin/malformer/table.go
+++ b/internal/standin/malformer/table.go
@@ -110,84 +110,68 @@
 
 // fieldLines are about the names and values of fields (RFC 9110, section 5; RFC 9112, section 5).
 var fieldLines = []Answer{
-	passingFields("an empty value", "X-Quilt:\r\n", ""),
-	passingFields("blanks and tabs around a value", "X-Quilt: \t 1 \t \r\n", ""),
-	passingFields("a tab and a byte above 127 in a value", "X-Quilt: \xe9\t1\r\n", ""),
-	passingFields("all characters that a name may have", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", ""),
-	passingFields("a field twice", "X-Quilt: 1\r\nX-Quilt: 2\r\n", "its values make one list"),
-	refusedFields("a blank in a name", "X Quilt: 1\r\n", WeRefuse),
-	refusedFields("a blank behind a name", "X-Quilt : 1\r\n", WeRefuse),
-	refusedFields("a tab behind a name", "X-Quilt\t: 1\r\n", LibraryRefuses),
-	refusedFields("a tab in a name", "X\tQuilt: 1\r\n", LibraryRefuses),
-	refusedFields("no name", ": 1\r\n", LibraryRefuses),
-	refusedFields("no colon", "X-Quilt\r\n", LibraryRefuses),
-	refusedFields("a folded line", "X-Quilt: 1\r\n 2\r\n", WeRefuse),
-	refusedFields("a line folded with a tab", "X-Quilt: 1\r\n\t2\r\n", WeRefuse),
-	refusedFields("a line of blanks", "X-Quilt: 1\r\n  \r\n", WeRefuse),
-	refusedFields("a blank before the first name", " X-Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a NUL in a name", "X\x00Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a control byte in a name", "X\x01Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a DEL in a name", "X\x7fQuilt: 1\r\n", LibraryRefuses),
-	refusedFields("a carriage return in a name", "X\rQuilt: 1\r\n", LibraryRefuses),
-	refusedFields("a byte above 127 in a name", "X\xe9Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a parenthesis in a name", "X(Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a slash in a name", "X/Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a quote in a name", "X\"Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a brace in a name", "X{Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("an at sign in a name", "X@Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a semicolon in a name", "X;Quilt: 1\r\n", LibraryRefuses),
-	refusedFields("a NUL in a value", "X-Quilt: 1\x002\r\n", LibraryRefuses),
-	refusedFields("a control byte in a value", "X-Quilt: 1\x012\r\n", LibraryRefuses),
-	refusedFields("an escape in a value", "X-Quilt: 1\x1b2\r\n", LibraryRefuses),
-	refusedFields("a DEL in a value", "X-Quilt: 1\x7f2\r\n", LibraryRefuses),
-	refusedFields("a carriage return in a value", "X-Quilt: 1\r2\r\n", LibraryRefuses),
-	refusedFields("a vertical tab in a value", "X-Quilt: 1\x0b2\r\n", LibraryRefuses),
-	refusedFields("a carriage return behind a value", "X-Quilt: 1\r\r\n", LibraryRefuses),
-	refusedFields("a blank behind the name of the encoding", "Content-Encoding : gzip\r\n", WeRefuse),
-	refusedFields("a blank behind the name of the type", "Content-Type : text/html\r\n", WeRefuse),
+	withFields("an empty value", "X-Quilt:\r\n", Passes),
+	withFields("blanks and tabs around a value", "X-Quilt: \t 1 \t \r\n", Passes),
+	withFields("a tab and a byte above 127 in a value", "X-Quilt: \xe9\t1\r\n", Passes),
+	withFields("all characters that a name may have", "!#$%&'*+-.^_`|~09azAZ: 1\r\n", Passes),
+	withFields("a field twice", "X-Quilt: 1\r\nX-Quilt: 2\r\n", Passes).because("its values make one list"),
+	withFields("a blank in a name", "X Quilt: 1\r\n", WeRefuse),
+	withFields("a blank behind a name", "X-Quilt : 1\r\n", WeRefuse),
+	withFields("a tab behind a name", "X-Quilt\t: 1\r\n", LibraryRefuses),
+	withFields("a tab in a name", "X\tQuilt: 1\r\n", LibraryRefuses),
+	withFields("no name", ": 1\r\n", LibraryRefuses),
+	withFields("no colon", "X-Quilt\r\n", LibraryRefuses),
+	withFields("a folded line", "X-Quilt: 1\r\n 2\r\n", WeRefuse),
+	withFields("a line folded with a tab", "X-Quilt: 1\r\n\t2\r\n", WeRefuse),
+	withFields("a line of blanks", "X-Quilt: 1\r\n  \r\n", WeRefuse),
+	withFields("a blank before the first name", " X-Quilt: 1\r\n", LibraryRefuses),
+	withFields("a NUL in a name", "X\x00Quilt: 1\r\n", LibraryRefuses),
+	withFields("a control byte in a name", "X\x01Quilt: 1\r\n", LibraryRefuses),
+	withFields("a DEL in a name", "X\x7fQuilt: 1\r\n", LibraryRefuses),
+	withFields("a carriage return in a name", "X\rQuilt: 1\r\n", LibraryRefuses),
+	withFields("a byte above 127 in a name", "X\xe9Quilt: 1\r\n", LibraryRefuses),
+	withFields("a parenthesis in a name", "X(Quilt: 1\r\n", LibraryRefuses),
+	withFields("a slash in a name", "X/Quilt: 1\r\n", LibraryRefuses),
+	withFields("a quote in a name", "X\"Quilt: 1\r\n", LibraryRefuses),
+	withFields("a brace in a name", "X{Quilt: 1\r\n", LibraryRefuses),
+	withFields("an at sign in a name", "X@Quilt: 1\r\n", LibraryRefuses),
+	withFields("a semicolon in a name", "X;Quilt: 1\r\n", LibraryRefuses),
+	withFields("a NUL in a value", "X-Quilt: 1\x002\r\n", LibraryRefuses),
+	withFields("a control byte in a value", "X-Quilt: 1\x012\r\n", LibraryRefuses),
+	withFields("an escape in a value", "X-Quilt: 1\x1b2\r\n", LibraryRefuses),
+	withFields("a DEL in a value", "X-Quilt: 1\x7f2\r\n", LibraryRefuses),
+	withFields("a carriage return in a value", "X-Quilt: 1\r2\r\n", LibraryRefuses),
+	withFields("a vertical tab in a value", "X-Quilt: 1\x0b2\r\n", LibraryRefuses),
+	withFields("a carriage return behind a value", "X-Quilt: 1\r\r\n", LibraryRefuses),
+	withFields("a blank behind the name of the encoding", "Content-Encoding : gzip\r\n", WeRefuse),
+	withFields("a blank behind the name of the type", "Content-Type : text/html\r\n", WeRefuse),
 }
 
-// passingFields returns a well-formed answer with further fields.
-func passingFields(name, fields, why string) Answer {
-	return Answer{
-		Name:   name,
-		Fields: fields + LengthField,
-		Body:   Body,
-		Fate:   Passes,
-		Why:    why,
-	}
-}
-
-// refusedFields returns a malformed answer with further fields.
-func refusedFields(name, fields string, fate Fate) Answer {
-	return Answer{
-		Name:   name,
-		Fields: fields + LengthField,
-		Body:   Body,
-		Fate:   fate,
-	}
+// withFields returns an answer with further fields.
+func withFields(name, fields string, fate Fate) Answer {
+	return framed(name, fields+LengthField, Body, fate)
 }
 
 // connectionFields are about fields that belong to one connection (RFC 9110, section 7.6.1).
 var connectionFields = []Answer{
-	passingFields("Connection: close", "Connection: close\r\n", ""),
-	passingFields("a field for this connection", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n", "the field is dropped"),
-	passingFields("empty elements of a list", "Connection: , close,,\r\n", "RFC 9110, section 5.6.1"),
-	passingFields("Keep-Alive", "Keep-Alive: timeout=5\r\n", "the field is dropped"),
-	passingFields("Upgrade, offered", "Connection: upgrade\r\nUpgrade: quilt\r\n", "the field is dropped"),
-	refusedFields("an option of two words", "Connection: keep alive\r\n", WeRefuse),
-	refusedFields("a quoted option", "Connection: \"close\"\r\n", WeRefuse),
-	refusedFields("the length for this connection", "Connection: Content-Length\r\n", WeRefuse),
-	refusedFields("the encoding for this connection", "Connection: content-encoding\r\nContent-Encoding: gzip\r\n", WeRefuse),
-	refusedFields("the type for this connection", "Connection: close, Content-Type\r\nContent-Type: text/html\r\n", WeRefuse),
-	refusedFields("Cache-Control for this connection", "Connection: Cache-Control\r\nCache-Control: no-store\r\n", WeRefuse),
+	withFields("Connection: close", "Connection: close\r\n", Passes),
+	withFields("a field for this connection", "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n", Passes).because("the field is dropped"),
+	withFields("empty elements of a list", "Connection: , close,,\r\n", Passes).because("RFC 9110, section 5.6.1"),
+	withFields("Keep-Alive", "Keep-Alive: timeout=5\r\n", Passes).because("the field is dropped"),
+	withFields("Upgrade, offered", "Connection: upgrade\r\nUpgrade: quilt\r\n", Passes).because("the field is dropped"),
+	withFields("an option of two words", "Connection: keep alive\r\n", WeRefuse),
+	withFields("a quoted option", "Connection: \"close\"\r\n", WeRefuse),
+	withFields("the length for this connection", "Connection: Content-Length\r\n", WeRefuse),
+	withFields("the encoding for this connection", "Connection: content-encoding\r\nContent-Encoding: gzip\r\n", WeRefuse),
+	withFields("the type for this connection", "Connection: close, Content-Type\r\nContent-Type: text/html\r\n", WeRefuse),
+	withFields("Cache-Control for this connection", "Connection: Cache-Control\r\nCache-Control: no-store\r\n", WeRefuse),
 }
 
 // framings are about what marks the end of the body (RFC 9112, section 6).
 var framings = []Answer{
-	framedPass("the same length twice", LengthField+LengthField, "RFC 9110, section 8.6, allows to take it as one"),
-	framedPass("a length with a zero before it", "Content-Length: 026\r\n", ""),
-	framedPass("a length with blanks around it", "Content-Length: \t26 \r\n", ""),
+	framed("the same length twice", LengthField+LengthField, Body, Passes).because("RFC 9110, section 8.6, allows to take it as one"),
+	framed("a length with a zero before it", "Content-Length: 026\r\n", Body, Passes),
+	framed("a length with blanks around it", "Content-Length: \t26 \r\n", Body, Passes),
 	{
 		Name:   "chunks",
 		Fields: ChunkedField,
@@ -230,18 +214,7 @@
 		because("one cut short would look whole"),
 }
 
-// framedPass returns an answer whose body ends as the fields say, and that passes.
-func framedPass(name, fields, why string) Answer {
-	return Answer{
-		Name:   name,
-		Fields: fields,
-		Body:   Body,
-		Fate:   Passes,
-		Why:    why,
-	}
-}
-
-// framed returns an answer with fields that frame its body, and that is refused.
+// framed returns an answer with fields that frame its body.
 func framed(name, fields, body string, fate Fate) Answer {
 	return Answer{
 		Name:   name,
