Wait at most 100 ms for the end of a refusal in chunks

Since the bodies of refusals in chunks are read, one that stalled kept its order until the deadline: 503 after 2.0 s in place of an answer by another upstream.

Cause: the read ended with the request's context only.

Change: the connection is closed after 100 ms, and the refusal counts by its head, which is whole.

Evidence: "stalls" of TestUnfinishedRefusalIsAProof failed before, as above; both cases pass now.

--- a/internal/command/forwarder/attempt.go
+++ b/internal/command/forwarder/attempt.go
@@ -61,8 +61,12 @@
 	return arbiter.Fail(arbiter.AnswerMalformed, "the upstream's answer is malformed").WithCause(malformed)
 }
 
-// maxRefusalBytes bounds how much is read of the body of an answer that refuses the request.
-const maxRefusalBytes = 4 << 10
+const (
+	// maxRefusalBytes bounds how much is read of the body of an answer that refuses the request.
+	maxRefusalBytes = 4 << 10
+	// refusalTimeout bounds how long that may take, since the request waits to be sent again.
+	refusalTimeout = 100 * time.Millisecond
+)
 
 // checkBody returns the refusal that an answer's head stands for, unless the answer has chunks and
 // a malformed one: then it proves nothing.
@@ -70,6 +74,8 @@
 	if refusal == nil || refusal.Verdict != arbiter.NotRun || response.ContentLength >= 0 {
 		return refusal
 	}
+	timer := time.AfterFunc(refusalTimeout, a.observer.closeConn)
+	defer timer.Stop()
 	_, err := io.CopyN(io.Discard, response.Body, maxRefusalBytes)
 	if err == nil || err == io.EOF || a.observer.malformed() == nil {
 		return refusal
--- a/internal/receiver/malformed_test.go
+++ b/internal/receiver/malformed_test.go
@@ -200,6 +200,44 @@
 	}
 }
 
+// TestUnfinishedRefusalIsAProof guards against an order that waits for the end of a refusal, or is not sent again, if
+// the refusal stalls or breaks off behind a head that is whole.
+func TestUnfinishedRefusalIsAProof(t *testing.T) {
+	const (
+		refusal = "HTTP/1.1 503 Shed\r\nHemlockport-Verdict: NotRun\r\n" + malformer.ChunkedField + "\r\n5\r\nqui"
+		// longest is less than the service's timeout, 2 s, by which every request ends.
+		longest = time.Second
+	)
+	cases := []struct {
+		name   string
+		stalls bool
+	}{
+		{
+			name:   "stalls",
+			stalls: true,
+		},
+		{
+			name: "breaks off",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			shedding := newScriptedUpstream(t, func(_ testing.TB, conn net.Conn, requests *bufio.Reader) {
+				malformer.Serve(requests, conn, func(*http.Request) (string, bool) { return refusal, c.stalls })
+			})
+			sound := newScriptedUpstream(t, answerWith(malformer.Answer{}))
+			entry := newEntry(t, shedding.address, sound.address)
+			for shedding.received.Load() == 0 {
+				begun := time.Now()
+				received, err := entry.sendOnWire(t, http.MethodPost)
+				if took := time.Since(begun); err != nil || received.Status != http.StatusOK || took > longest {
+					t.Fatalf("got status %d and error %v after %v, want 200 within %v", received.Status, err, took, longest)
+				}
+			}
+		})
+	}
+}
+
 // sendUntilMalformed sends requests until one has got a malformed answer, and returns its outcome.
 func (e *entry) sendUntilMalformed(t *testing.T, method string, outcomes <-chan receiver.Outcome) receiver.Outcome {
 	t.Helper()
