--- a/internal/receiver/malformed_test.go
+++ b/internal/receiver/malformed_test.go
@@ -200,6 +200,30 @@
 	}
 }
 
+// TestMalformedAnswersOfAllAttempts checks that a later attempt that gets a malformed answer ends as a first one.
+func TestMalformedAnswersOfAllAttempts(t *testing.T) {
+	answer := malformer.Answer{}.WithStatusLine("HTTP/1.1 000 OK")
+	first, second := newScriptedUpstream(t, answerWith(answer)), newScriptedUpstream(t, answerWith(answer))
+	registry := metrics.NewRegistry()
+	outcomes := make(chan receiver.Outcome, 1)
+	entry := newEntryWith(t, func(options *receiver.Options) {
+		options.Metrics = exporter.NewRequestCounters(registry)
+		options.RequestEnded = func(outcome receiver.Outcome) { outcomes <- outcome }
+	}, first.address, second.address)
+	received, err := entry.sendOnWire(t, http.MethodGet)
+	if err != nil || received.Status != http.StatusBadGateway {
+		t.Errorf("got status %d and error %v, want 502", received.Status, err)
+	}
+	outcome := <-outcomes
+	if outcome.Attempts < 2 || len(outcome.Failures) != outcome.Attempts || outcome.Refusal.Reason != arbiter.AnswerMalformed {
+		t.Errorf("got %d attempts with the failures %+v and the refusal %v, want several, all of them malformed",
+			outcome.Attempts, outcome.Failures, outcome.Refusal)
+	}
+	if got := countMalformed(registry); got != int64(outcome.Attempts) {
+		t.Errorf("got %d malformed answers counted, want %d", got, outcome.Attempts)
+	}
+}
+
 // TestUnfinishedRefusalIsAProof guards against an order that waits for the end of a refusal, or is not sent again, if
 // the refusal stalls or breaks off behind a head that is whole.
 func TestUnfinishedRefusalIsAProof(t *testing.T) {
--- a/internal/standin/malformer/malformer.go
+++ b/internal/standin/malformer/malformer.go
@@ -68,6 +68,8 @@
 	Status int
 	// PassedBody is the body with which an answer passes, if it is not Body; "-" means none.
 	PassedBody string
+	// HasMoreBehind reports that other bytes follow the answer.
+	HasMoreBehind bool
 	// BehindHead reports that the head is well formed, so that a part of the answer may reach
 	// the caller before the fault is read.
 	BehindHead bool
