Correct what the bound of a line is compared with

The comment said that no reader of this program accepts a longer head. The operators' client and the look-up command have net/http's default bound, which is higher; only the heads of upstreams and stores are bounded at the same size. No behaviour changes; the tests of internal/inspector pass.

--- a/internal/inspector/checker.go
+++ b/internal/inspector/checker.go
@@ -29,12 +29,13 @@
 	stageUnframed
 )
 
-// maxLineBytes bounds a line of a head, in bytes. No reader of this program accepts a longer
-// head.
-const maxLineBytes = 64 << 10
-
-// maxKeptBytes bounds the memory that an idle connection keeps for lines, in bytes.
-const maxKeptBytes = 1 << 10
+const (
+	// maxLineBytes bounds a line, in bytes. The heads of upstreams and stores are bounded at the
+	// same size.
+	maxLineBytes = 64 << 10
+	// maxKeptBytes bounds the memory that an idle connection keeps for lines, in bytes.
+	maxKeptBytes = 1 << 10
+)
 
 // Checker checks the bytes of the answers on one connection in the order in which they arrive. The
 // zero value expects the first answer. It must be used by one goroutine at a time.
