Make the tests of links that must not open dial for certain

TestMalformedHandshakeOpensNoLink named the address once, and the hub passes addresses over until it runs. A case in which nothing is changed must link, so the test can't pass without a dial again.

Both are stricter; no check or bound is changed.

--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -19,8 +19,12 @@
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
 
-// waitLimit bounds each wait for a link to open or close.
-const waitLimit = 10 * time.Second
+const (
+	// waitLimit bounds each wait for a link to open or close.
+	waitLimit = 10 * time.Second
+	// dialLimit is long enough for several attempts to dial.
+	dialLimit = time.Second
+)
 
 var numberCodec = encoder.CBOR[int]{}
 
@@ -82,10 +86,17 @@
 // awaitPeer makes the node maintain links to the addresses and reports whether it has
 // a linked peer within waitLimit.
 func (n *node) awaitPeer(t *testing.T, addresses ...string) bool {
+	t.Helper()
+	return n.awaitPeerWithin(t, waitLimit, addresses...)
+}
+
+// awaitPeerWithin is awaitPeer with another limit. It names the addresses again and again, since
+// the hub passes them over until it runs.
+func (n *node) awaitPeerWithin(t *testing.T, limit time.Duration, addresses ...string) bool {
 	t.Helper()
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
-	deadline := time.Now().Add(waitLimit)
+	deadline := time.Now().Add(limit)
 	for time.Now().Before(deadline) {
 		n.hub.SetPeers(addresses, false)
 		if len(n.hub.Peers()) > 0 {
@@ -136,12 +147,7 @@
 
 func TestWrongSecretGetsNoLink(t *testing.T) {
 	dialing, accepting := dialOrder(startNode(t, "a", secret), startNode(t, "b", "another secret 0"))
-	dialing.hub.SetPeers([]string{accepting.address}, false)
-	// One second is long enough for several attempts to dial.
-	timer := time.NewTimer(time.Second)
-	defer timer.Stop()
-	<-timer.C
-	if len(dialing.hub.Peers())+len(accepting.hub.Peers()) != 0 {
+	if dialing.awaitPeerWithin(t, dialLimit, accepting.address) || len(accepting.hub.Peers()) != 0 {
 		t.Fatal("got a link between nodes with different secrets, want none")
 	}
 }
@@ -223,7 +229,12 @@
 		// before is replaced by after in the answer.
 		before string
 		after  string
+		links  bool
 	}{
+		{
+			name:  "nothing, so that the link opens",
+			links: true,
+		},
 		{
 			name:   "a blank in a name",
 			before: "\r\nUpgrade:",
@@ -246,11 +257,13 @@
 			proxy := newEditingRelay(t, accepting.address, func(data []byte) []byte {
 				return bytes.Replace(data, []byte(c.before), []byte(c.after), 1)
 			})
-			dialing.hub.SetPeers([]string{proxy.Addr().String()}, true)
-			// One second is long enough for several attempts to dial.
-			<-time.After(time.Second)
-			if len(dialing.hub.Peers())+len(accepting.hub.Peers()) != 0 {
-				t.Error("got a link, want none")
+			limit := dialLimit
+			if c.links {
+				limit = waitLimit
+			}
+			links := dialing.awaitPeerWithin(t, limit, proxy.Addr().String())
+			if links != c.links || !links && len(accepting.hub.Peers()) != 0 {
+				t.Errorf("got a link: %t, want %t", links, c.links)
 			}
 		})
 	}
