Test answers inside TLS, and shorten what the last read found

Clients with TLS got a dial function of our own with no test of its own: TestAnswersInsideTLSAreChecked holds that a sound answer passes, a malformed one is refused inside TLS, and a server that isn't trusted stays refused.

--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -243,6 +246,72 @@
 	}
 }
 
+// TestAnswersInsideTLSAreChecked checks that an equipped transport looks at the answers inside TLS, not at its
+// records, and trusts the same servers as before.
+func TestAnswersInsideTLSAreChecked(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		answer := malformer.Answer{}
+		if request.URL.Path == "/malformed" {
+			answer = answer.WithStatusLine("HTTP/1.1 000 OK")
+		}
+		_, _ = io.WriteString(conn, answer.Bytes(""))
+	}))
+	t.Cleanup(server.Close)
+	trusting := server.Client().Transport.(*http.Transport).TLSClientConfig
+	cases := []struct {
+		name   string
+		config *tls.Config
+		path   string
+		// isWanted reports whether the error is the one that the request has to end with.
+		isWanted func(err error) bool
+	}{
+		{
+			name:     "a sound answer",
+			config:   trusting,
+			path:     "/sound",
+			isWanted: func(err error) bool { return err == nil },
+		},
+		{
+			name:     "a malformed answer",
+			config:   trusting,
+			path:     "/malformed",
+			isWanted: func(err error) bool { return errors.Is(err, inspector.ErrStatus) },
+		},
+		{
+			name: "a server that is not trusted",
+			path: "/sound",
+			isWanted: func(err error) bool {
+				var untrusted x509.UnknownAuthorityError
+				return errors.As(err, &untrusted)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			transport := inspector.NewDialer((&net.Dialer{}).DialContext).Equip(&http.Transport{
+				TLSClientConfig: c.config,
+			})
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+c.path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := transport.RoundTrip(request)
+			if err == nil {
+				response.Body.Close()
+			}
+			if !c.isWanted(err) {
+				t.Errorf("got error %v, want another end", err)
+			}
+		})
+	}
+}
+
 // TestUpgradesAreAllowedWhereAsked checks that another protocol follows 101 only for a client that asks for one.
 func TestUpgradesAreAllowedWhereAsked(t *testing.T) {
 	const answer = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: quilt\r\n\r\nframes\x00\r\n"
--- a/internal/standin/malformer/received.go
+++ b/internal/standin/malformer/received.go
@@ -33,8 +33,11 @@
 func Read(reader *bufio.Reader, method string) (Received, error) {
 	for {
 		received, err := readHead(reader)
-		if err != nil || received.Status >= http.StatusOK {
-			return received.withBody(reader, method, err)
+		if err != nil {
+			return received, err
+		}
+		if received.Status >= http.StatusOK {
+			return received.withBody(reader, method)
 		}
 	}
 }
@@ -76,11 +79,8 @@
 	}
 }
 
-// withBody returns a copy with the body, unless the head could not be read.
-func (r Received) withBody(reader *bufio.Reader, method string, err error) (Received, error) {
-	if err != nil {
-		return r, err
-	}
+// withBody returns a copy with the body, which follows on the connection.
+func (r Received) withBody(reader *bufio.Reader, method string) (Received, error) {
 	lengths, codings := r.Header["Content-Length"], r.Header["Transfer-Encoding"]
 	hasNone := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
 	switch {
@@ -89,7 +89,8 @@
 	case hasNone, method == http.MethodHead:
 		return r, nil
 	case len(codings) == 1 && len(lengths) == 0 && codings[0] == "chunked":
-		r.Body, err = readChunks(reader)
+		body, err := readChunks(reader)
+		r.Body = body
 		return r, err
 	case len(codings) == 0 && len(lengths) == 1:
 		length, err := strconv.ParseUint(lengths[0], 10, 31)
