Give tests one place that writes certificates

The crowds at listeners with TLS need the certificate that the tests of internal/server write. No check changes; go test ./internal/server passes.

--- a/internal/server/tls_test.go
+++ b/internal/server/tls_test.go
@@ -2,25 +2,17 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hemlockport/hemlockport/internal/certifier"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/launcher"
 	"github.com/hemlockport/hemlockport/internal/memstorer"
@@ -36,48 +28,6 @@
 	linkTimeout = 20 * time.Second
 )
 
-// writeCertificate writes a self-signed certificate for the loopback address.
-func writeCertificate(t *testing.T) (certificateFile, keyFile string) {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	signed, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	dir := t.TempDir()
-	certificateFile = filepath.Join(dir, "certificate.pem")
-	keyFile = filepath.Join(dir, "key.pem")
-	writePEM(t, certificateFile, "CERTIFICATE", signed)
-	writePEM(t, keyFile, "PRIVATE KEY", private)
-	return certificateFile, keyFile
-}
-
-func writePEM(t *testing.T, name, kind string, data []byte) {
-	t.Helper()
-	block := &pem.Block{
-		Type:  kind,
-		Bytes: data,
-	}
-	if err := os.WriteFile(name, pem.EncodeToMemory(block), 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func startInstance(t *testing.T, group *errgroup.Group, ctx context.Context, settings configurer.Settings) *server.Server {
 	t.Helper()
 	instance, err := server.New(settings, zerolog.Nop())
@@ -92,7 +42,7 @@
 // listeners have certificates. The instances must link with each other; callers with TLS
 // must get an answer of the instance, and callers without TLS status 400.
 func TestPeersLinkOverTLSAndCallersNeedTLS(t *testing.T) {
-	certificateFile, keyFile := writeCertificate(t)
+	certificateFile, keyFile := certifier.Write(t)
 	platform := httptest.NewServer(platformer.New(memstorer.New()))
 	t.Cleanup(platform.Close)
 	settings := configurer.Defaults()
@@ -148,16 +98,10 @@
 
 func checkCallerTLS(t *testing.T, certificateFile, address string) {
 	t.Helper()
-	trusted, err := os.ReadFile(certificateFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM(trusted)
 	secured := &http.Client{
 		Transport: &http.Transport{
 			TLSClientConfig: &tls.Config{
-				RootCAs: pool,
+				RootCAs: certifier.Pool(t, certificateFile),
 			},
 		},
 	}
