Count what a head with other names holds, and serve one large request in calm

A crowd with legal heads of many names held twice what the budget had counted for them. The estimate took one map entry a line; the parsed head, the copy that goes to the upstream and that of an attempt are three, and a map that has just grown is half empty.

--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// TestOneRequestIsServedInCalm guards against a budget that refuses a request which would fit, because
+// it takes more than half.
+func TestOneRequestIsServedInCalm(t *testing.T) {
+	const limit = 1 << 20
+	budget := bounder.NewBudget(limit)
+	buffer := int64(32 << 10)
+	if !budget.Take(buffer) || !budget.TakeFurther(buffer, limit*3/4) {
+		t.Fatal("a single request of three quarters of the budget is refused")
+	}
+	if budget.Take(buffer) && budget.TakeFurther(buffer, limit*3/4) {
+		t.Fatal("a second one is admitted beside it")
+	}
+}
+
 // TestUnknownMachineSetsNoBounds guards against bounds in a deployment whose settings state
 // none.
 func TestUnknownMachineSetsNoBounds(t *testing.T) {
--- a/pkg/command/bounder/budget.go
+++ b/pkg/command/bounder/budget.go
@@ -23,21 +23,38 @@
 
 // Take takes bytes from the budget and reports whether they were free; 0 always are. It leaves a part of
 // the budget to TakeForAnswer. A size above ordinaryBytes must leave half of the budget
-// free, so that a few large requests do not keep out all ordinary ones.
+// free, so that a few large requests do not keep out all ordinary ones, unless nothing else is
+// held: a single request is served if it fits at all.
 func (b *Budget) Take(bytes int64) bool {
+	return b.TakeFurther(0, bytes)
+}
+
+// TakeFurther is Take for a request that has taken some bytes before.
+func (b *Budget) TakeFurther(taken, bytes int64) bool {
 	switch {
 	case b == nil || bytes == 0:
 		return true
 	case bytes > ordinaryBytes:
-		return b.takeUpTo(b.limit/2, bytes)
+		return b.takeUpTo(b.limit/2, bytes) || b.takeAlone(taken, bytes)
 	default:
 		return b.takeUpTo(b.limit-b.limit/answersPart, bytes)
 	}
 }
 
+// takeAlone takes bytes if the request that has taken some before is the only one, and the part that
+// is left to TakeForAnswer stays free.
+func (b *Budget) takeAlone(taken, bytes int64) bool {
+	return taken+bytes <= b.limit-b.limit/answersPart && b.held.CompareAndSwap(taken, taken+bytes)
+}
+
 // TakeForAnswer takes bytes for an answer to a request that has run, also from the part of
 // the budget that Take leaves free: a new request is refused before such an answer is lost.
 func (b *Budget) TakeForAnswer(bytes int64) bool {
+	return b.TakeAny(bytes)
+}
+
+// TakeAny takes bytes from all of the budget and reports whether they were free.
+func (b *Budget) TakeAny(bytes int64) bool {
 	return b == nil || b.takeUpTo(b.limit, bytes)
 }
 
@@ -73,8 +90,9 @@
 	// its goroutines, its exchange, and a connection to an upstream with its buffers.
 	requestBytes = 24 << 10
 	// lineBytes is what a header line costs beside its bytes, in bytes: an entry of a map, a
-	// slice and two strings, and the copy that goes to the upstream.
-	lineBytes = 128
+	// slice and two strings, as parsed, in the copy that goes to the upstream and in that of an
+	// attempt. A map that has just grown is half empty.
+	lineBytes = 384
 	// bytesFactor is how often the bytes of a head are held: as they arrived, as parsed
 	// strings, and in the copy that goes to the upstream.
 	bytesFactor = 3
@@ -88,7 +106,7 @@
 )
 
 // HeadCost returns what a request costs whose head has a number of bytes and lines, in
-// bytes. It is an upper bound: 16 KB of four-byte lines cost some 600 KB.
+// bytes. It is an upper bound: 16 KB of nine-byte lines with other names cost some 760 KB, and hold 650.
 func HeadCost(bytes, lines int) int64 {
 	return requestBytes + int64(bytes)*bytesFactor + int64(lines)*lineBytes
 }
