Grow the buffer of a head in steps

With a declaration that allows heads of 1,000,000 bytes, any head above 4 KB took a buffer of 1,000,000 bytes from the budget, so that a few callers with heads of 5 KB could take all of it. A buffer grows from 32 KB by factors of four now, up to the limit, and each step is taken from the budget. Only buffers of 32 KB are kept for the next head: what is kept does not count in the budget.

TestLargestDeclaredHeads passed before and passes; it checks memory and the ordinary request afterwards, not how many callers are served. The tests of internal/pipeliner pass.

--- a/internal/pipeliner/head.go
+++ b/internal/pipeliner/head.go
@@ -64,17 +64,24 @@
 	}
 }
 
-// growReader replaces the reader by one whose buffer holds the largest head, whose size in
-// bytes is the limit, and returns false if the budget does not allow it. A head that another
-// caller sends slowly gives way.
+const (
+	// largeBufferBytes is the size of the first buffer of a head that the small one does not take,
+	// in bytes, and growthFactor how many times larger each further one is.
+	largeBufferBytes = 32 << 10
+	growthFactor     = 4
+)
+
+// growReader replaces the reader by one with the next larger buffer, of at most limit bytes, and
+// returns false if the budget does not allow it. A head that another caller sends slowly gives
+// way.
 func (c *conn) growReader(limit int) bool {
-	size := int64(limit)
-	if !c.server.budget.Take(size) && !(c.server.closeSlowestHead(c) && c.server.budget.Take(size)) {
+	size := min(max(largeBufferBytes, c.reader.Size()*growthFactor), limit)
+	take := func() bool { return c.server.budget.TakeFurther(c.largeBytes.Load(), int64(size)) }
+	if !take() && !(c.server.closeSlowestHead(c) && take()) {
 		return false
 	}
-	// The previous buffer is a large one too if the limit has been raised meanwhile.
-	c.server.budget.Return(c.largeBytes.Swap(size))
-	c.moveReader(c.server.largeBuffer(limit))
+	c.server.budget.Return(c.largeBytes.Swap(int64(size)))
+	c.moveReader(c.server.largeBuffer(size))
 	return true
 }
 
@@ -86,7 +93,7 @@
 	}
 	large := c.reader
 	c.moveReader(readBuffers.Get().(*bufio.Reader))
-	c.server.largeBuffers.Put(large)
+	c.server.keepLarge(large)
 	c.returnLarge()
 }
 
@@ -125,7 +132,7 @@
 		readBuffers.Put(c.reader)
 		return
 	}
-	c.server.largeBuffers.Put(c.reader)
+	c.server.keepLarge(c.reader)
 }
 
 // takeForHead takes what a complete head costs from the budget. While the budget is used up
@@ -134,17 +141,17 @@
 // to be refused.
 func (c *conn) takeForHead(scan headScan) int64 {
 	cost := bounder.HeadCost(scan.scanned, scan.lines)
-	budget := c.server.budget
-	if budget.Take(cost) {
+	take := func() bool { return c.server.budget.TakeFurther(c.largeBytes.Load(), cost) }
+	if take() {
 		return cost
 	}
 	if c.last.written != nil {
 		<-c.last.written
-		if budget.Take(cost) {
+		if take() {
 			return cost
 		}
 	}
-	if c.server.closeSlowestHead(c) && budget.Take(cost) {
+	if c.server.closeSlowestHead(c) && take() {
 		return cost
 	}
 	return 0
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -58,7 +58,7 @@
 	onEvent func(Event)
 	// isUnsafe reports whether a GET or HEAD without a body is unsafe; never nil.
 	isUnsafe func(*http.Request) bool
-	// largeBuffers holds readers whose buffer takes the largest head.
+	// largeBuffers holds readers whose buffers have largeBufferBytes.
 	largeBuffers sync.Pool
 
 	// requestsCtx is the parent context of all requests; abort cancels it.
@@ -140,14 +140,25 @@
 	s.limits.Store(&limits)
 }
 
-// largeBuffer returns a reader whose buffer holds a head of the given size, in bytes.
+// largeBuffer returns a reader whose buffer has the given size, in bytes.
 func (s *Server) largeBuffer(size int) *bufio.Reader {
-	if large, ok := s.largeBuffers.Get().(*bufio.Reader); ok && large.Size() >= size {
+	if size != largeBufferBytes {
+		return bufio.NewReaderSize(nil, size)
+	}
+	if large, ok := s.largeBuffers.Get().(*bufio.Reader); ok {
 		return large
 	}
 	return bufio.NewReaderSize(nil, size)
 }
 
+// keepLarge keeps a reader with a large buffer for the next head. Larger ones are not kept: what is
+// kept does not count in the budget.
+func (s *Server) keepLarge(large *bufio.Reader) {
+	if large.Size() == largeBufferBytes {
+		s.largeBuffers.Put(large)
+	}
+}
+
 // Serve accepts and serves connections until Shutdown closes the listener. Then it
 // returns nil.
 func (s *Server) Serve(listener net.Listener) error {
