Hand connections over to other protocols in the pipelined server

Links between instances are WebSocket connections, so their listener needs a server that hands connections over. That of net/http parses a head while it arrives and bounds neither connections nor bytes; the pipelined server does, but could not hand over. A request with Upgrade goes to the handler with an http.Hijacker, once the writer of the connection has ended. Until the handler calls Keep, the peer has shown nothing: the connection gives way to others like one with an unfinished head, and what its head costs stays taken.

TestUpgrades and TestUpgradesGiveWayUntilKept. No listener uses it yet.

--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -55,9 +55,12 @@
 	openExchanges atomic.Int64
 	// last is what is kept of the exchange that has started last. Only readRequests uses it.
 	last predecessor
-	// readerInUse reports that reader may be in use after the connection has closed, so
-	// that its buffer can't be reused.
+	// readerInUse reports that reader, and writer after an upgrade, may be in use after the
+	// connection has closed, so that their buffers can't be reused.
 	readerInUse atomic.Bool
+	// upgraded is the exchange whose request asks for another protocol, or nil. Only readRequests
+	// and serve use it.
+	upgraded *exchange
 	// stopping reports that the connection closes: after the responses to the requests that
 	// have started or, if there are none, after one last attempt to read a request.
 	stopping atomic.Bool
@@ -118,9 +121,20 @@
 	close(c.queue)
 	// The goroutines return no errors.
 	_ = group.Wait()
+	if c.upgraded != nil {
+		c.serveUpgrade(c.upgraded)
+	}
 	c.cancel()
 	c.close()
 	c.putReader()
+	c.putWriter()
+}
+
+// putWriter returns the writer's buffer to its pool at the end of the connection.
+func (c *conn) putWriter() {
+	if c.upgraded != nil && c.readerInUse.Load() {
+		return
+	}
 	c.writer.Reset(nil)
 	writeBuffers.Put(c.writer)
 }
@@ -163,12 +177,17 @@
 		}
 		// An unsafe request starts only after the responses to all requests before it,
 		// and the next request starts only after the response to the unsafe one.
-		if c.last.written != nil && (!next.safe || !c.last.safe) {
+		isUpgrade := c.server.isUpgrade(next.request)
+		if c.last.written != nil && (!next.safe || !c.last.safe || isUpgrade) {
 			<-c.last.written
 		}
 		// The response to a request that starts once the connection is stopping, or an
 		// earlier one, closes the connection.
 		last = last || c.stopping.Load()
+		if isUpgrade && c.ctx.Err() == nil && !c.stopping.Load() {
+			c.upgraded = next
+			return
+		}
 		if c.ctx.Err() != nil || !c.startExchange(next, group) {
 			next.release()
 			return
--- a/internal/pipeliner/response.go
+++ b/internal/pipeliner/response.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"bufio"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -105,12 +106,16 @@
 		// RFC 9110, section 8.6, forbids a length, even of 0.
 		e.header.Del("Content-Length")
 	}
-	w := e.conn.writer
-	status := strconv.Itoa(e.status) + " " + http.StatusText(e.status)
-	if _, err := w.WriteString("HTTP/1.1 " + status + "\r\n"); err != nil {
+	return writeHead(e.conn.writer, e.status, e.header, e.trailers())
+}
+
+// writeHead writes a status line and a header without some of its fields.
+func writeHead(w *bufio.Writer, status int, header http.Header, except map[string]bool) error {
+	line := strconv.Itoa(status) + " " + http.StatusText(status)
+	if _, err := w.WriteString("HTTP/1.1 " + line + "\r\n"); err != nil {
 		return err
 	}
-	if err := e.header.WriteSubset(w, e.trailers()); err != nil {
+	if err := header.WriteSubset(w, except); err != nil {
 		return err
 	}
 	_, err := w.WriteString("\r\n")
--- a/internal/pipeliner/server.go
+++ b/internal/pipeliner/server.go
@@ -58,6 +58,8 @@
 	onEvent func(Event)
 	// isUnsafe reports whether a GET or HEAD without a body is unsafe; never nil.
 	isUnsafe func(*http.Request) bool
+	// upgrades says that requests for other protocols are passed on (see WithUpgrades).
+	upgrades bool
 	// largeBuffers holds readers whose buffers have largeBufferBytes.
 	largeBuffers sync.Pool
 
