Bound the listeners of peers and operators like those of callers

Strangers can connect to the listeners of peers and of operators before they show a secret or a key. net/http served them without a bound on connections or bytes: 600 connections with legal heads of four-byte lines took 163.4 MB of a machine of 64, and all of its descriptors, so that callers and links found none.

Both listeners are opened, bounded and served by internal/fronter now, as those of callers, look-ups and readiness are, with a part of the descriptors and of the memory of their own. A link keeps its connection once the peer has shown the secret; before that it gives way. internal/server and internal/steerer opened and served their listeners twice in like ways; both use fronter.Open and ServeUntil, and a local cluster opens its ports by the settings.

Machine.Bounds divides the whole memory: the program, garbage that has not been collected, connections with TLS and with the kernel's buffers, kept connections to upstreams, and what the listeners hold; callers' requests get the rest. TestPartsAddUpToLessThanTheMachine and TestDescriptorsAddUp check the sums for the smallest machine that the settings take and for those of the deployments. On 64 MB with 600 descriptors callers keep 150 connections and get 5.9 MB for requests, 20 before; on 136 MB with 2,870 they get 483 connections, 1,001 before. TestBoundsFollowTheMachine counts two more listeners against the same three quarters of the memory.

Settings.Machine shows what bounds the instance; so far Capacity alone fills it.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -53,7 +53,7 @@
 	defer signals.stop()
 	logWriter := newNonBlockingWriter(s.stdout)
 	defer logWriter.flush()
-	limitMemory(settings.Capacity)
+	limitMemory(settings)
 	instance, err := newInstance(s, settings, logWriter)
 	if err != nil {
 		return err
--- a/internal/configurer/read.go
+++ b/internal/configurer/read.go
@@ -36,6 +36,7 @@
 		settings = next
 		faults = append(faults, nextFaults...)
 	}
+	settings.Machine = Machine{}
 	settings, fileFaults := settings.withSecretsFromFiles()
 	faults = append(faults, fileFaults...)
 	faults = append(faults, settings.validate()...)
--- a/internal/configurer/settings.go
+++ b/internal/configurer/settings.go
@@ -38,6 +38,7 @@
 	Affinity  Affinity
 	Teams     Teams
 	Capacity  Capacity
+	Machine   Machine
 	Duty      Duty
 	Queue     Queue
 }
--- a/internal/encoder/golden_test.go
+++ b/internal/encoder/golden_test.go
@@ -1471,6 +1471,12 @@
 				MemoryMB:    73.5,
 				Descriptors: 74.5,
 			},
+			Machine: configurer.Machine{
+				MemoryMB:          1.5,
+				MemorySource:      "memory source",
+				Descriptors:       2.5,
+				DescriptorsSource: "descriptors source",
+			},
 			Duty: configurer.Duty{
 				Address:        "address",
 				WindowSeconds:  68.5,
@@ -1586,6 +1592,12 @@
 				MemoryMB:    73.5,
 				Descriptors: 74.5,
 			},
+			Machine: configurer.Machine{
+				MemoryMB:          1.5,
+				MemorySource:      "memory source",
+				Descriptors:       2.5,
+				DescriptorsSource: "descriptors source",
+			},
 			Duty: configurer.Duty{
 				Address:        "address",
 				WindowSeconds:  68.5,
--- a/internal/fronter/events.go
+++ b/internal/fronter/events.go
@@ -23,6 +23,7 @@
 // to time. It is safe for concurrent use and takes no lock.
 type events struct {
 	listener string
+	registry metrics.Registry
 	log      zerolog.Logger
 	// counters holds a counter for each event.
 	counters map[pipeliner.Event]metrics.Counter
@@ -30,19 +31,26 @@
 	loggedAt atomic.Int64
 }
 
-func newEvents(options Options) *events {
+func newEvents(listener string, registry metrics.Registry, log zerolog.Logger) *events {
 	created := &events{
-		listener: options.Name,
-		log:      options.Log,
+		listener: listener,
+		registry: registry,
+		log:      log,
 		counters: map[pipeliner.Event]metrics.Counter{},
 	}
 	for _, event := range append(pipeliner.Events(), refusedConnection) {
-		name := fmt.Sprintf("hemlockport_bounds_total{listener=%q,event=%q}", options.Name, event)
-		created.counters[event] = metrics.GetOrRegisterCounter(name, options.Registry)
+		name := fmt.Sprintf("hemlockport_bounds_total{listener=%q,event=%q}", listener, event)
+		created.counters[event] = metrics.GetOrRegisterCounter(name, registry)
 	}
 	return created
 }
 
+// gauge registers a gauge of the listener.
+func (e *events) gauge(name string, value func() int64) {
+	// The names are unique, so that registering them does not fail.
+	_ = e.registry.Register(fmt.Sprintf("%s{listener=%q}", name, e.listener), metrics.NewFunctionalGauge(value))
+}
+
 // add counts an event. The first one, and then the first one after logMillis, writes
 // a line with the counts so far. A refusal of one request because of its own form counts
 // without a line.
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -4,13 +4,11 @@
 package fronter
 
 import (
+	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/http"
 
-	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/closer"
@@ -42,50 +40,44 @@
 	events      *events
 }
 
-// Options says what a listener may hold, and where it reports to.
-type Options struct {
-	// Name names the listener in log lines and metrics.
-	Name string
-	// Share is what the listener may hold.
-	Share bounder.Share
-	// ReceiveBytes is the size of the kernel's receive buffer of a connection, in bytes; 0
-	// leaves it to the kernel.
-	ReceiveBytes int
-	Registry     metrics.Registry
-	Log          zerolog.Logger
-}
-
-// New returns a listener that wraps one that is open.
-func New(opened net.Listener, options Options) *Listener {
-	events := newEvents(options)
-	connections := gatekeeper.New(opened, options.Share.Connections, options.ReceiveBytes, func() { events.add(refusedConnection) })
-	lingering := closer.New(connections).WithMaxLingering(options.Share.Connections / lingeringPart)
-	budget := bounder.NewBudget(options.Share.HeldBytes)
-	// The names are unique, so that registering them does not fail.
-	_ = options.Registry.Register(
-		fmt.Sprintf("hemlockport_held_bytes{listener=%q}", options.Name),
-		metrics.NewFunctionalGauge(budget.Held),
-	)
-	_ = options.Registry.Register(
-		fmt.Sprintf("hemlockport_connections{listener=%q}", options.Name),
-		metrics.NewFunctionalGauge(func() int64 { return int64(connections.Open()) }),
-	)
-	return &Listener{
+// newListener returns a listener that wraps one that is open.
+func newListener(opened net.Listener, spec Spec, events *events) *Listener {
+	connections := gatekeeper.New(opened, spec.Share.Connections, spec.Share.BufferBytes, func() { events.add(refusedConnection) })
+	lingering := closer.New(connections).WithMaxLingering(spec.Share.Connections / lingeringPart)
+	created := &Listener{
 		Lingering:   lingering,
 		served:      lingering,
 		connections: connections,
-		budget:      budget,
+		budget:      bounder.NewBudget(spec.Share.HeldBytes),
 		events:      events,
 	}
+	if spec.TLS != nil {
+		created.served = tls.NewListener(lingering, spec.TLS)
+	}
+	events.gauge("hemlockport_held_bytes", created.budget.Held)
+	events.gauge("hemlockport_connections", func() int64 { return int64(connections.Open()) })
+	return created
 }
 
-// WithTLS returns a copy that is served over TLS, unless the configuration is nil.
-func (l *Listener) WithTLS(config *tls.Config) *Listener {
-	secured := *l
-	if config != nil {
-		secured.served = tls.NewListener(l.Lingering, config)
-	}
-	return &secured
+// Addr returns the address that the listener is open at.
+func (l *Listener) Addr() net.Addr {
+	return l.served.Addr()
+}
+
+// ServeUntil serves a handler in a goroutine of the group until work ends.
+func (l *Listener) ServeUntil(
+	work context.Context,
+	group *errgroup.Group,
+	handler http.Handler,
+	settings configurer.Callers,
+	onPanic func(reason any),
+	opts ...pipeliner.Option,
+) {
+	server := l.Serve(group, handler, settings, onPanic, opts...)
+	context.AfterFunc(work, func() {
+		// The error says that work has ended, which is why the server is closed.
+		_ = server.Shutdown(work)
+	})
 }
 
 // Serve serves a handler in a goroutine of the group, until the server that it returns is
@@ -115,22 +107,3 @@
 	group.Go(func() error { return server.Serve(l.served) })
 	return server
 }
-
-// BoundsOf returns the bounds for a machine with a capacity.
-func BoundsOf(capacity configurer.Capacity) bounder.Bounds {
-	machine := bounder.Machine{
-		MemoryMB:    int(capacity.MemoryMB),
-		Descriptors: int(capacity.Descriptors),
-	}
-	return machine.Bounds()
-}
-
-// MaxInFlight returns how many requests run at the same time: as many as the settings say,
-// and no more than the machine has descriptors for.
-func MaxInFlight(settings configurer.Settings) int {
-	limit := settings.Callers.MaxInFlight
-	if bound := BoundsOf(settings.Capacity).InFlight; bound > 0 {
-		limit = min(limit, bound)
-	}
-	return limit
-}
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -309,6 +309,9 @@
 // own over the shared store, so that it can be partitioned alone.
 func (c *Cluster) startInstance(place string, number int) error {
 	settings := configurer.Defaults()
+	settings.Callers.Listen = anyPort
+	settings.Peers.Listen = anyPort
+	settings.Operators.Listen = anyPort
 	settings.Name = fmt.Sprintf("%s-%d", place, number)
 	settings.Place = place
 	settings.Peers.Secret = peerSecret
@@ -322,11 +325,7 @@
 	settings.Upstreams.ProbeMillis = 100
 	settings.Drain.GraceMillis = 200
 	settings.Drain.LimitMillis = 5000
-	listeners, err := listenAll()
-	if err != nil {
-		return err
-	}
-	instanceServer, err := server.NewWithListeners(settings, c.log, listeners)
+	instanceServer, err := server.New(settings, c.log)
 	if err != nil {
 		return err
 	}
@@ -348,21 +347,11 @@
 	return nil
 }
 
-// listenAll opens a loopback port for each of an instance's listeners.
-func listenAll() (server.Listeners, error) {
-	var listeners server.Listeners
-	for _, field := range []*net.Listener{&listeners.Callers, &listeners.Peers, &listeners.Operators} {
-		listener, err := listenLoopback()
-		if err != nil {
-			return listeners, err
-		}
-		*field = listener
-	}
-	return listeners, nil
-}
+// anyPort is an address at any free port of the loopback interface.
+const anyPort = "127.0.0.1:0"
 
 // listenLoopback listens on a free port of the loopback interface.
 func listenLoopback() (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort)
 	return listener, eris.Wrap(err, "listen on a loopback port")
 }
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -303,9 +303,18 @@
 		_ = conn.Close(websocket.StatusPolicyViolation, "handshake failed")
 		return
 	}
+	if kept, ok := w.(keeper); ok && !kept.Keep() {
+		return
+	}
 	h.serve(request.Context(), conn, peer)
 }
 
+// keeper is a response whose connection gives way to others until it is kept.
+type keeper interface {
+	// Keep returns false if the connection has given way.
+	Keep() bool
+}
+
 func (h *Hub) linkTo(incarnation string) (*link, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,7 +67,7 @@
 
 	// self describes this instance. Its seat is not set here; the roster has it.
 	self      registrar.Member
-	listeners servedListeners
+	listeners listeners
 	store     storer.Store
 	lister    storer.Lister
 	plans     *holder.Cell[admitter.Plan]
@@ -124,33 +123,22 @@
 // New returns an instance and opens its listeners. The settings must have been
 // checked.
 func New(settings configurer.Settings, log zerolog.Logger) (*Server, error) {
-	opened, err := listen(settings)
-	if err != nil {
-		return nil, err
-	}
-	return NewWithListeners(settings, log, opened)
-}
-
-// NewWithListeners returns an instance on listeners that are already open. It closes
-// them if it fails.
-func NewWithListeners(settings configurer.Settings, log zerolog.Logger, opened Listeners) (*Server, error) {
 	registry := metrics.NewRegistry()
-	secured, err := addTLS(settings, opened, registry, log.With().Str("instance", settings.Name).Logger())
+	opened, err := openListeners(settings, registry, log.With().Str("instance", settings.Name).Logger())
 	if err != nil {
-		opened.close()
 		return nil, err
 	}
 	platform, err := adapter.New(settings.Platform.Address, settings.Platform.Token)
 	if err != nil {
-		opened.close()
+		fronter.Close(opened.callers, opened.peers, opened.operators)
 		return nil, eris.Wrap(err, "Platform.Address")
 	}
 	self := registrar.Member{
 		Incarnation:   settings.Name + "-" + rand.Text(),
 		Name:          settings.Name,
 		Place:         settings.Place,
-		CallerAddress: opened.Callers.Addr().String(),
-		PeerAddress:   opened.Peers.Addr().String(),
+		CallerAddress: opened.callers.Addr().String(),
+		PeerAddress:   opened.peers.Addr().String(),
 	}
 	clock := timestamper.New(time.Now)
 	budgeted := budgeter.New(platform, budgeter.Budget{
@@ -164,7 +152,7 @@
 		recorder:  recorder.New(settings.Name, clock, recorder.DefaultCapacity),
 		registry:  registry,
 		self:      self,
-		listeners: secured,
+		listeners: opened,
 		store:     budgeted,
 		lister:    budgeted,
 		plans:     holder.New[admitter.Plan](),
@@ -203,7 +191,7 @@
 	s.forwarder = forwarder.New(
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
-		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings.Capacity).IdleUpstream),
+		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings).IdleUpstream),
 	)
 	s.receiver = receiver.New(receiver.Options{
 		Admitter:          admitter.New(s.plans, s.freshness),
@@ -299,10 +287,3 @@
 	s.recorder.Record(kind, object, detail)
 	s.log.Info().Str("object", object).Str("detail", detail).Msg(kind)
 }
-
-// Listeners are the open listeners of an instance, without TLS.
-type Listeners struct {
-	Callers   net.Listener
-	Peers     net.Listener
-	Operators net.Listener
-}
--- a/internal/steerer/listeners.go
+++ b/internal/steerer/listeners.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"log"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/hemlockport/hemlockport/internal/binder"
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/linker"
@@ -21,71 +16,41 @@
 	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
-	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
 
 // metricsPath is the path at which collectors read the metrics.
 const metricsPath = "/metrics"
 
-// listeners are the open listeners of an instance. Strangers reach all but those of peers
-// and operators.
+// listeners are the open listeners of an instance.
 type listeners struct {
 	callers   *fronter.Listener
 	lookups   *fronter.Listener
 	readiness *fronter.Listener
-	peers     net.Listener
-	operators net.Listener
+	peers     *fronter.Listener
+	operators *fronter.Listener
 }
 
 // openListeners opens the listeners at the addresses in the settings.
 func openListeners(settings configurer.Settings, registry metrics.Registry, log zerolog.Logger) (listeners, error) {
-	var opened listeners
-	var callers, lookups, readiness net.Listener
-	err := binder.Open(
-		binder.Binding{
-			Setting:  "Callers.Listen",
-			Address:  settings.Callers.Listen,
-			Listener: &callers,
-		},
-		binder.Binding{
-			Setting:  "Peers.Listen",
-			Address:  settings.Peers.Listen,
-			Listener: &opened.peers,
-		},
-		binder.Binding{
-			Setting:  "Operators.Listen",
-			Address:  settings.Operators.Listen,
-			Listener: &opened.operators,
-		},
-		binder.Binding{
-			Setting:  "Lookups.Listen",
-			Address:  settings.Lookups.Listen,
-			Listener: &lookups,
-		},
-		binder.Binding{
-			Setting:  "Readiness.Listen",
-			Address:  settings.Readiness.Listen,
-			Listener: &readiness,
-		},
+	bounds := fronter.BoundsOf(settings)
+	opened, err := fronter.Open(registry, log,
+		fronter.CallersSpec(settings, bounds),
+		fronter.LookupsSpec(settings, bounds),
+		fronter.ReadinessSpec(settings, bounds),
+		fronter.PeersSpec(settings, bounds),
+		fronter.OperatorsSpec(settings, bounds),
 	)
 	if err != nil {
-		return opened, err
+		return listeners{}, err
 	}
-	bounds := fronter.BoundsOf(settings.Capacity)
-	front := func(name string, listener net.Listener, share bounder.Share) *fronter.Listener {
-		return fronter.New(listener, fronter.Options{
-			Name:         name,
-			Share:        share,
-			ReceiveBytes: bounds.ReceiveBytes,
-			Registry:     registry,
-			Log:          log,
-		})
-	}
-	opened.callers = front("callers", callers, bounds.Callers)
-	opened.lookups = front("lookups", lookups, bounds.Lookups)
-	opened.readiness = front("readiness", readiness, bounds.Readiness)
-	return opened, nil
+	return listeners{
+		callers:   opened[0],
+		lookups:   opened[1],
+		readiness: opened[2],
+		peers:     opened[3],
+		operators: opened[4],
+	}, nil
 }
 
 // startListeners serves all listeners. The function that it returns stops serving
@@ -94,37 +59,31 @@
 func (s *Steerer) startListeners(group *errgroup.Group, work context.Context) func(context.Context) {
 	s.callerServer = s.listeners.callers.Serve(group, s.receiver, s.settings.Callers, s.logPanic,
 		pipeliner.WithUnsafe(s.receiver.IsUnsafe))
-	lookups := s.platform.NewLookupHandler(s.lookup)
-	lookupServer := s.listeners.lookups.Serve(group, lookups, s.settings.Callers, s.logPanic)
-	readiness := s.platform.NewReadinessHandler(s.ready)
-	readinessServer := s.listeners.readiness.Serve(group, readiness, s.settings.Callers, s.logPanic)
-	context.AfterFunc(work, func() {
-		// The error says that work has ended, which is why the servers are closed.
-		_ = lookupServer.Shutdown(work)
-		_ = readinessServer.Shutdown(work)
-	})
-	linkMux := http.NewServeMux()
-	linkMux.Handle("GET "+linker.Path, s.hub)
-	metricsMux := http.NewServeMux()
-	metricsMux.HandleFunc("GET "+metricsPath, s.serveMetrics)
-	metricsMux.Handle("GET "+responder.PathRoute, responder.RouteHandler(previewer.New(s.settings.Name, admitter.New(s.plans, s.freshness))))
 	endpoints := []struct {
+		listener *fronter.Listener
 		handler  http.Handler
-		listener net.Listener
+		opts     []pipeliner.Option
 	}{
 		{
-			handler:  linkMux,
+			listener: s.listeners.lookups,
+			handler:  s.platform.NewLookupHandler(s.lookup),
+		},
+		{
+			listener: s.listeners.readiness,
+			handler:  s.platform.NewReadinessHandler(s.ready),
+		},
+		{
 			listener: s.listeners.peers,
+			handler:  s.linkHandler(),
+			opts:     []pipeliner.Option{pipeliner.WithUpgrades()},
 		},
 		{
-			handler:  metricsMux,
 			listener: s.listeners.operators,
+			handler:  s.operatorHandler(),
 		},
 	}
 	for _, endpoint := range endpoints {
-		server := s.httpServer(endpoint.handler)
-		binder.Serve(group, server, endpoint.listener)
-		context.AfterFunc(work, func() { server.Close() })
+		endpoint.listener.ServeUntil(work, group, endpoint.handler, s.settings.Callers, s.logPanic, endpoint.opts...)
 	}
 	return func(ctx context.Context) {
 		if err := s.callerServer.Shutdown(ctx); err != nil {
@@ -134,6 +93,21 @@
 	}
 }
 
+// linkHandler returns the handler of links from peers.
+func (s *Steerer) linkHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+linker.Path, s.hub)
+	return mux
+}
+
+// operatorHandler returns the handler of what operators and collectors of metrics ask.
+func (s *Steerer) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, s.serveMetrics)
+	mux.Handle("GET "+responder.PathRoute, responder.RouteHandler(previewer.New(s.settings.Name, admitter.New(s.plans, s.freshness))))
+	return mux
+}
+
 // The largest limits that raiseLimits takes over from a declaration.
 const (
 	maxDeclaredHeaderBytes = 1_000_000
@@ -166,14 +140,3 @@
 		s.log.Warn().Err(err).Msg("MetricsUnsent")
 	}
 }
-
-func (s *Steerer) httpServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: time.Duration(s.settings.Callers.HeaderMillis) * time.Millisecond,
-		MaxHeaderBytes:    s.settings.Callers.MaxHeaderBytes,
-		IdleTimeout:       time.Duration(s.settings.Callers.IdleMillis) * time.Millisecond,
-		// The log holds only changes of state; broken connections are counted instead.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -312,7 +312,7 @@
 		forwarder.WithDialMillis(s.settings.Upstreams.DialMillis),
 		forwarder.WithConnections(s.settings.Upstreams.MaxConnections),
 		forwarder.WithIdleMillis(s.settings.Upstreams.IdleMillis),
-		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings.Capacity).IdleUpstream),
+		forwarder.WithIdleConnections(fronter.BoundsOf(s.settings).IdleUpstream),
 		forwarder.WithTranslator(s.platform.Translator),
 	)
 	s.budgets = retrier.NewBudgets(s.settings.Retries.Ratio, s.settings.Retries.Reserve)
