Bound the kernel's buffers from the start of a connection

Bytes that were received and not read count on the platform, and no bound held for them: the receive buffer was set once a connection had been accepted, so that those in the backlog of up to 4,096 kept the kernel's size, of up to 32 MB here, and the send buffer was not bounded at all. Beside 42 MB of resident memory the kernel held up to 317.7 MB for a crowd at all listeners (one line without end).

Both buffers are set on the listener, before it listens, so that each connection inherits them, also one that nobody has accepted.

--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -42,7 +42,7 @@
 
 // newListener returns a listener that wraps one that is open.
 func newListener(opened net.Listener, spec Spec, events *events) *Listener {
-	connections := gatekeeper.New(opened, spec.Share.Connections, spec.Share.BufferBytes, func() { events.add(refusedConnection) })
+	connections := gatekeeper.New(opened, spec.Share.Connections, func() { events.add(refusedConnection) })
 	lingering := closer.New(connections).WithMaxLingering(spec.Share.Connections / lingeringPart)
 	created := &Listener{
 		Lingering:   lingering,
--- a/internal/fronter/open.go
+++ b/internal/fronter/open.go
@@ -86,8 +86,10 @@
 	bindings := make([]binder.Binding, 0, len(specs))
 	for _, spec := range specs {
 		bindings = append(bindings, binder.Binding{
-			Setting: spec.Setting,
-			Address: spec.Address,
+			Setting:     spec.Setting,
+			Address:     spec.Address,
+			BufferBytes: spec.Share.BufferBytes,
+			Backlog:     spec.Share.Backlog,
 		})
 	}
 	opened, err := binder.Open(bindings...)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -17,8 +17,6 @@
 	net.Listener
 	// slots holds an item for each open connection.
 	slots chan struct{}
-	// receiveBytes is the size of the kernel's receive buffer of a connection, or 0.
-	receiveBytes int
 	// makeRoom is called when there are too many connections; nil before OnFull.
 	makeRoom atomic.Pointer[MakeRoom]
 	// refused is called for each connection that is refused.
@@ -30,13 +28,11 @@
 type MakeRoom func() bool
 
 // New returns a listener that wraps another one. It allows at most the given number of
-// connections, and any number if it is 0. If receiveBytes is not 0, it is the size of the
-// kernel's receive buffer of each connection.
-func New(listener net.Listener, connections, receiveBytes int, refused func()) *Listener {
+// connections, and any number if it is 0.
+func New(listener net.Listener, connections int, refused func()) *Listener {
 	limited := &Listener{
-		Listener:     listener,
-		receiveBytes: receiveBytes,
-		refused:      refused,
+		Listener: listener,
+		refused:  refused,
 	}
 	if connections > 0 {
 		limited.slots = make(chan struct{}, connections)
@@ -61,10 +57,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := accepted.(*net.TCPConn); ok && l.receiveBytes > 0 {
-			// An error means that the connection has failed.
-			_ = tcp.SetReadBuffer(l.receiveBytes)
-		}
 		if l.slots == nil {
 			return accepted, nil
 		}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	var refused atomic.Int64
-	listener := gatekeeper.New(inner, 2, 32<<10, func() { refused.Add(1) })
+	listener := gatekeeper.New(inner, 2, func() { refused.Add(1) })
 	accepted := make(chan net.Conn, 8)
 	var group errgroup.Group
 	group.Go(func() error {
--- a/internal/pipeliner/http10_test.go
+++ b/internal/pipeliner/http10_test.go
@@ -22,7 +22,7 @@
 func TestBrokenResponseWithoutChunks(t *testing.T) {
 	plain := func(opened net.Listener) net.Listener { return opened }
 	wrapped := func(opened net.Listener) net.Listener {
-		return closer.New(gatekeeper.New(opened, 10, 0, func() {}))
+		return closer.New(gatekeeper.New(opened, 10, func() {}))
 	}
 	cases := []struct {
 		name string
