Bound what the frames of all links hold

A peer that knows the secret could make an instance hold any number of frames of up to 8 MB: each call runs in a goroutine of its own, and nothing counted them. A frame that finds no room ends its link, and the peer dials again.

--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hemlockport/hemlockport/internal/inspector"
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 	"github.com/hemlockport/hemlockport/pkg/registrar"
 	"github.com/hemlockport/hemlockport/pkg/timestamper"
 )
@@ -62,6 +63,9 @@
 	OnChange func(peer registrar.Member, before, heartbeat Heartbeat)
 	// OnLinkLost is called when a link has closed.
 	OnLinkLost func(peer registrar.Member)
+	// FrameBytes bounds what the frames received on all links hold until they have been handled, in
+	// bytes; 0 if nothing does.
+	FrameBytes int64
 }
 
 // Hub maintains the links of one instance. It is safe for concurrent use.
@@ -75,6 +79,8 @@
 	onHeartbeat      func(heartbeat Heartbeat)
 	onChange         func(peer registrar.Member, before, heartbeat Heartbeat)
 	onLinkLost       func(peer registrar.Member)
+	// frames bounds what received frames hold; nil if nothing does.
+	frames *bounder.Budget
 	// topics holds the handler of each topic. It doesn't change after Run is called.
 	topics map[string]topicHandler
 
@@ -123,6 +129,7 @@
 		onHeartbeat:      options.OnHeartbeat,
 		onChange:         options.OnChange,
 		onLinkLost:       options.OnLinkLost,
+		frames:           bounder.NewBudget(options.FrameBytes),
 		topics:           map[string]topicHandler{},
 		links:            map[string]*link{},
 		linksByAddress:   map[string]*link{},
--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -39,6 +39,12 @@
 // startNode runs a hub with the topic Double, which doubles a number and returns an
 // error for a negative one.
 func startNode(t *testing.T, name, secret string) *node {
+	t.Helper()
+	return startBounded(t, name, secret, 0)
+}
+
+// startBounded is startNode with a bound on what received frames hold, in bytes.
+func startBounded(t *testing.T, name, secret string, frameBytes int64) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -60,6 +66,7 @@
 		OnHeartbeat: func(linker.Heartbeat) {},
 		OnChange:    func(_ registrar.Member, _, _ linker.Heartbeat) {},
 		OnLinkLost:  func(peer registrar.Member) { started.lost <- peer.Name },
+		FrameBytes:  frameBytes,
 	})
 	double := handler.QueryFunc[int, int](func(_ context.Context, number int) (int, error) {
 		if number < 0 {
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -168,12 +168,13 @@
 func (l *link) readLoop(ctx context.Context, group *errgroup.Group) error {
 	for {
 		l.receiveTimer.Reset(l.receiveTimeout())
-		frame, err := receive(context.Background(), l.conn, frameCodec)
+		frame, held, err := l.receiveFrame(context.Background())
 		if err != nil {
+			held.release()
 			return err
 		}
 		l.hub.clock.Observe(frame.Stamp)
-		if err = l.handleFrame(ctx, group, frame); err != nil {
+		if err = l.handleFrame(ctx, group, frame, held); err != nil {
 			return err
 		}
 	}
@@ -189,24 +190,33 @@
 	return max(silenceTimeout, time.Duration(float64(heartbeat.EveryMillis)*silentHeartbeats)*time.Millisecond)
 }
 
-func (l *link) handleFrame(ctx context.Context, group *errgroup.Group, frame Frame) error {
+// handleFrame handles a frame, and releases what it holds once it has been handled.
+func (l *link) handleFrame(ctx context.Context, group *errgroup.Group, frame Frame, held *heldBytes) error {
 	switch frame.Kind {
 	case KindHeartbeat:
+		defer held.release()
 		return l.handleHeartbeat(frame)
 	case KindCall:
-		group.Go(func() error { return l.answerCall(ctx, frame) })
+		group.Go(func() error {
+			defer held.release()
+			return l.answerCall(ctx, frame)
+		})
 	case KindSend:
 		group.Go(func() error {
+			defer held.release()
 			// The sender of a one-way command expects no answer, so the error is dropped.
 			_, _ = l.hub.handleTopic(withPeer(ctx, l.peer), frame.Topic, frame.Body)
 			return nil
 		})
 	case KindAnswer:
+		defer held.release()
 		if answers, found := l.pending.LoadAndDelete(frame.ID); found {
 			answers.(chan Frame) <- frame
 		}
+	default:
+		// A newer version may send unknown kinds, which are ignored.
+		held.release()
 	}
-	// Unknown kinds are ignored: a newer version may send them.
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -183,6 +183,7 @@
 		OnHeartbeat: s.heartbeatReceived,
 		OnChange:    s.peerChanged,
 		OnLinkLost:  s.peerLost,
+		FrameBytes:  fronter.BoundsOf(s.settings).FrameBytes,
 	})
 	s.registerTopics()
 	s.timeliner = timeliner.New(s.hub, s.recorder)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -297,6 +297,7 @@
 		OnHeartbeat: s.heartbeatReceived,
 		OnChange:    s.peerChanged,
 		OnLinkLost:  s.peerLost,
+		FrameBytes:  fronter.BoundsOf(s.settings).FrameBytes,
 	})
 	s.registerDemandHandler()
 	s.registerMoveHandler()
