Bound what the commands of operators hold

An operator with the key could send any number of commands of up to 16 MB at a time. A command that finds no room gets 503 with Retry-After and is not executed; on a machine that is too small for it, it stays refused.

TestCommandsAreBounded: without the bound all four commands are executed.

--- /dev/null
+++ b/internal/responder/command_test.go
@@ -0,0 +1,84 @@
+package responder_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/hemlockport/hemlockport/internal/responder"
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
+	"github.com/hemlockport/hemlockport/pkg/command/publisher"
+	"github.com/hemlockport/hemlockport/pkg/declarer"
+	"github.com/hemlockport/hemlockport/pkg/handler"
+)
+
+// TestCommandsAreBounded guards against an operator whose commands make the instance run out of
+// memory: one that finds no room is refused before its body is read and is not executed.
+func TestCommandsAreBounded(t *testing.T) {
+	const operatorKey = "the-operators-key"
+	executed := 0
+	change := func(context.Context, publisher.Change) (publisher.Accepted, error) {
+		executed++
+		return publisher.Accepted{}, nil
+	}
+	budget := bounder.NewBudget(30_000)
+	front := responder.New(responder.Options{
+		KeyHash: declarer.HashKey(operatorKey),
+		Change:  handler.CommandFunc[publisher.Change, publisher.Accepted](change),
+		Changes: budget,
+	})
+	cases := []struct {
+		name   string
+		body   string
+		length int64
+		status int
+	}{
+		{
+			name:   "inside the bound",
+			body:   "{}" + strings.Repeat(" ", 5000),
+			length: 5002,
+			status: http.StatusOK,
+		},
+		{
+			name:   "above the bound",
+			body:   "{}" + strings.Repeat(" ", 20_000),
+			length: 20_002,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "of unknown length",
+			body:   "{}",
+			length: -1,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "after refusals",
+			body:   "{}",
+			length: 2,
+			status: http.StatusOK,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			request := httptest.NewRequest(http.MethodPost, responder.PathChange, strings.NewReader(c.body))
+			request.ContentLength = c.length
+			request.Header.Set("Authorization", "Bearer "+operatorKey)
+			recorded := httptest.NewRecorder()
+			front.ServeHTTP(recorded, request)
+			if recorded.Code != c.status {
+				t.Errorf("got status %d, want %d", recorded.Code, c.status)
+			}
+			if refused := recorded.Code == http.StatusServiceUnavailable; refused != (recorded.Header().Get("Retry-After") != "") {
+				t.Errorf("got the header %v, want Retry-After only with a refusal", recorded.Header())
+			}
+			if held := budget.Held(); held != 0 {
+				t.Errorf("got %d bytes held at the end, want 0", held)
+			}
+		})
+	}
+	if executed != 2 {
+		t.Errorf("got %d commands executed, want 2", executed)
+	}
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -7,7 +7,6 @@
 import (
 	"crypto/subtle"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -18,6 +17,7 @@
 	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/query/timeliner"
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/handler"
@@ -37,9 +37,6 @@
 	PathMetrics  = "/metrics"
 )
 
-// maxChangeBytes bounds the encoded size of a command, in bytes.
-const maxChangeBytes = 16 << 20
-
 // Health is the answer to a health check of the platform.
 type Health struct {
 	// Incarnation identifies the process.
@@ -69,12 +66,15 @@
 	Timeline handler.Query[merger.Filter, timeliner.Timeline]
 	Route    handler.Query[previewer.Question, previewer.Answer]
 	Registry metrics.Registry
+	// Changes bounds what the bodies of commands hold together while they are executed; nil if
+	// nothing does.
+	Changes *bounder.Budget
 }
 
 // New returns the HTTP handler of the operators' front end.
 func New(options Options) http.Handler {
 	protected := http.NewServeMux()
-	protected.Handle("POST "+PathChange, commandHandler(options.Change))
+	protected.Handle("POST "+PathChange, commandHandler(options.Change, options.Changes))
 	protected.Handle("GET "+PathObjects, queryHandler(options.Objects, decodeSelection))
 	protected.Handle("GET "+PathStatus, queryHandler(options.Status, decodeEmpty))
 	protected.Handle("GET "+PathTimeline, queryHandler(options.Timeline, decodeFilter))
@@ -111,24 +111,6 @@
 	})
 }
 
-// commandHandler decodes the JSON body of a request and executes it as a command.
-func commandHandler[C, R any](handle handler.Command[C, R]) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxChangeBytes))
-		if err != nil {
-			writeError(w, http.StatusRequestEntityTooLarge, err)
-			return
-		}
-		decoded, err := encoder.JSON[C]{}.Decode(body)
-		if err != nil {
-			writeError(w, http.StatusBadRequest, err)
-			return
-		}
-		result, err := handle.Do(request.Context(), decoded)
-		writeResult(w, result, err)
-	})
-}
-
 // queryHandler executes a query, whose parameters decode reads from the request.
 func queryHandler[Q, R any](handle handler.Query[Q, R], decode func(*http.Request) (Q, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"time"
 
+	"github.com/hemlockport/hemlockport/internal/fronter"
 	"github.com/hemlockport/hemlockport/internal/query/previewer"
 	"github.com/hemlockport/hemlockport/internal/query/reporter"
 	"github.com/hemlockport/hemlockport/internal/responder"
 	"github.com/hemlockport/hemlockport/pkg/command/admitter"
+	"github.com/hemlockport/hemlockport/pkg/command/bounder"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 	"github.com/hemlockport/hemlockport/pkg/handler"
@@ -26,6 +28,7 @@
 		Timeline: s.timeliner,
 		Route:    previewer.New(s.self.Name, admitter.New(s.plans, s.freshness)),
 		Registry: s.registry,
+		Changes:  bounder.NewBudget(fronter.BoundsOf(s.settings).ChangeBytes),
 	}
 }
 
