Bound the memory where the settings state no machine

serve and try had no bound at all unless the settings stated the machine, so that a newcomer's process grew with the crowd: up to 1,011.1 MB (serve, 600 connections at each listener) and 514.9 MB (try).

Settings.Machine holds what Capacity states or else what the process may use: 256 MB, or less if its control group or the system has less (automemlimit, a library for that), and as many descriptors as its limit allows. A control group may hold other processes too, so that more than 256 MB has to be stated. The instances of try divide it among them.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/encoder"
 	"github.com/hemlockport/hemlockport/internal/server"
+	"github.com/hemlockport/hemlockport/internal/sizer"
 	"github.com/hemlockport/hemlockport/internal/steerer"
 	"github.com/hemlockport/hemlockport/platform"
 )
@@ -30,14 +31,14 @@
 // Run runs an entry instance until a signal stops it.
 func (c *serveCommand) Run(s *invocation) error {
 	if c.PrintSettings && c.Settings == "" {
-		return printSettings(s, c.Output, configurer.Defaults())
+		return printSettings(s, c.Output, configurer.Defaults().WithMachine(sizer.Process()))
 	}
 	if c.Settings == "" {
 		return &usageError{
 			message: "--settings FILE is missing; --print-settings prints all settings with their defaults",
 		}
 	}
-	settings, err := configurer.ReadFile(c.Settings, c.MoreSettings)
+	settings, err := c.readSettings()
 	var invalid *configurer.InvalidError
 	if errors.As(err, &invalid) {
 		return reportFaults(s, c.Output, invalid.Faults)
@@ -61,6 +62,15 @@
 	return runUntilSignalled(s, instance, signals, c.reloader(instance))
 }
 
+// readSettings reads the settings and adds what the process may use.
+func (c *serveCommand) readSettings() (configurer.Settings, error) {
+	settings, err := configurer.ReadFile(c.Settings, c.MoreSettings)
+	if err != nil {
+		return settings, err
+	}
+	return settings.WithMachine(sizer.Process()), nil
+}
+
 // entryInstance is an entry instance on any platform.
 type entryInstance interface {
 	// Run serves requests until ctx ends, and then drains the instance.
@@ -90,7 +100,7 @@
 // function returns an error.
 func (c *serveCommand) reloader(target entryInstance) func() error {
 	return func() error {
-		settings, err := configurer.ReadFile(c.Settings, c.MoreSettings)
+		settings, err := c.readSettings()
 		if err != nil {
 			return err
 		}
--- a/internal/commander/try.go
+++ b/internal/commander/try.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/launcher"
 	"github.com/hemlockport/hemlockport/internal/loader"
+	"github.com/hemlockport/hemlockport/internal/sizer"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
@@ -38,7 +39,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(ctx)
-	cluster, err := launcher.Start(groupCtx, group, document, c.log(s.stderr))
+	machine := sizer.Process()
+	limitMemory(configurer.Defaults().WithMachine(machine))
+	cluster, err := launcher.Start(groupCtx, group, document, c.log(s.stderr), launcher.WithMachine(machine))
 	var refused *publisher.RefusedError
 	if errors.As(err, &refused) {
 		return reportFaults(s, c.Output, refused.Faults)
--- a/internal/launcher/cluster.go
+++ b/internal/launcher/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/hemlockport/hemlockport/internal/memstorer"
 	"github.com/hemlockport/hemlockport/internal/operator"
 	"github.com/hemlockport/hemlockport/internal/server"
+	"github.com/hemlockport/hemlockport/internal/sizer"
 	"github.com/hemlockport/hemlockport/internal/standin/platformer"
 	"github.com/hemlockport/hemlockport/internal/standin/upstreamer"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
@@ -95,7 +96,8 @@
 type Option func(settings *options)
 
 type options struct {
-	seats int
+	seats   int
+	machine configurer.Machine
 }
 
 // WithSeats declares and runs that many instances in each failure domain instead of
@@ -107,6 +109,13 @@
 	}
 }
 
+// WithMachine bounds what all instances together may use. Without it nothing does.
+func WithMachine(machine configurer.Machine) Option {
+	return func(settings *options) {
+		settings.machine = machine
+	}
+}
+
 // Start runs a local cluster for a document. Its goroutines belong to the group and
 // end when ctx does. Nothing is published yet; see Publish.
 func Start(
@@ -141,9 +150,10 @@
 	if err := cluster.startPlatform(); err != nil {
 		return nil, err
 	}
+	machine := sizer.Divide(settings.machine, len(cluster.Set.Places.Rows())*settings.seats)
 	for place := range cluster.Set.Places.All() {
 		for number := range place.Seats {
-			if err := cluster.startInstance(place.Name, number+1); err != nil {
+			if err := cluster.startInstance(place.Name, number+1, machine); err != nil {
 				return nil, err
 			}
 		}
@@ -306,9 +316,10 @@
 }
 
 // startInstance runs an instance in a failure domain. It has a fake platform of its
-// own over the shared store, so that it can be partitioned alone.
-func (c *Cluster) startInstance(place string, number int) error {
+// own over the shared store, so that it can be partitioned alone. The machine bounds what it may use.
+func (c *Cluster) startInstance(place string, number int, machine configurer.Machine) error {
 	settings := configurer.Defaults()
+	settings.Machine = machine
 	settings.Callers.Listen = anyPort
 	settings.Peers.Listen = anyPort
 	settings.Operators.Listen = anyPort
