Count handshakes, frames and commands that a bound refuses

The bounds of TLS handshakes, of frames on links and of commands had no counter, so that an operator could not see why a link ends or a command is refused. hemlockport_bounds_total has the events RefusedHandshake, RefusedFrame and RefusedCommand; the last two also write the line BoundReached. TestFramesAreBounded and TestCommandsAreBounded check that each is counted.

--- a/internal/fronter/events.go
+++ b/internal/fronter/events.go
@@ -19,6 +19,14 @@
 // many, beside those of pipeliner.
 const refusedConnection pipeliner.Event = "RefusedConnection"
 
+// The events of what comes to a listener and is bounded behind it.
+const (
+	// RefusedFrame is a link that was ended because a frame on it found no room.
+	RefusedFrame pipeliner.Event = "RefusedFrame"
+	// RefusedCommand is an operator's command that found no room.
+	RefusedCommand pipeliner.Event = "RefusedCommand"
+)
+
 // events counts what a listener does because a bound is reached, and logs it from time
 // to time. It is safe for concurrent use and takes no lock.
 type events struct {
@@ -38,7 +46,7 @@
 		log:      log,
 		counters: map[pipeliner.Event]metrics.Counter{},
 	}
-	for _, event := range append(pipeliner.Events(), refusedConnection) {
+	for _, event := range append(pipeliner.Events(), refusedConnection, RefusedFrame, RefusedCommand) {
 		name := fmt.Sprintf("hemlockport_bounds_total{listener=%q,event=%q}", listener, event)
 		created.counters[event] = metrics.GetOrRegisterCounter(name, registry)
 	}
@@ -57,7 +65,7 @@
 func (e *events) add(event pipeliner.Event) {
 	e.counters[event].Inc(1)
 	switch event {
-	case pipeliner.RefusedHeader, pipeliner.RefusedSlow, pipeliner.RefusedMalformed:
+	case pipeliner.RefusedHeader, pipeliner.RefusedSlow, pipeliner.RefusedMalformed, pipeliner.RefusedHandshake:
 		return
 	}
 	now := time.Now()
--- a/internal/fronter/fronter.go
+++ b/internal/fronter/fronter.go
@@ -64,6 +64,11 @@
 	return l.served.Addr()
 }
 
+// Count counts an event of what came to the listener.
+func (l *Listener) Count(event pipeliner.Event) {
+	l.events.add(event)
+}
+
 // ServeUntil serves a handler in a goroutine of the group until work ends.
 func (l *Listener) ServeUntil(
 	work context.Context,
--- a/internal/linker/frames_test.go
+++ b/internal/linker/frames_test.go
@@ -60,6 +60,9 @@
 			if !c.fits {
 				<-dialing.lost
 				<-accepting.lost
+				if got := accepting.refused.Load(); got != 1 {
+					t.Errorf("got %d frames counted as refused, want 1", got)
+				}
 			}
 		})
 	}
--- a/internal/linker/hub.go
+++ b/internal/linker/hub.go
@@ -66,6 +66,8 @@
 	// FrameBytes bounds what the frames received on all links hold until they have been handled, in
 	// bytes; 0 if nothing does.
 	FrameBytes int64
+	// OnRefused is called for each frame that found no room; nil if nobody has to know.
+	OnRefused func()
 }
 
 // Hub maintains the links of one instance. It is safe for concurrent use.
@@ -81,6 +83,8 @@
 	onLinkLost       func(peer registrar.Member)
 	// frames bounds what received frames hold; nil if nothing does.
 	frames *bounder.Budget
+	// onRefused is called for each frame that found no room; never nil.
+	onRefused func()
 	// topics holds the handler of each topic. It doesn't change after Run is called.
 	topics map[string]topicHandler
 
@@ -109,6 +113,10 @@
 
 // New returns a hub. It keeps no links before Run is called.
 func New(options Options) *Hub {
+	onRefused := options.OnRefused
+	if onRefused == nil {
+		onRefused = func() {}
+	}
 	dialer := &net.Dialer{}
 	scheme := "ws"
 	if options.TLS != nil {
@@ -130,6 +138,7 @@
 		onChange:         options.OnChange,
 		onLinkLost:       options.OnLinkLost,
 		frames:           bounder.NewBudget(options.FrameBytes),
+		onRefused:        onRefused,
 		topics:           map[string]topicHandler{},
 		links:            map[string]*link{},
 		linksByAddress:   map[string]*link{},
--- a/internal/linker/hub_test.go
+++ b/internal/linker/hub_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	address string
 	// lost receives the name of the peer of each link that closes.
 	lost chan string
+	// refused counts the frames that found no room.
+	refused atomic.Int64
 }
 
 // startNode runs a hub with the topic Double, which doubles a number and returns an
@@ -67,6 +70,7 @@
 		OnChange:    func(_ registrar.Member, _, _ linker.Heartbeat) {},
 		OnLinkLost:  func(peer registrar.Member) { started.lost <- peer.Name },
 		FrameBytes:  frameBytes,
+		OnRefused:   func() { started.refused.Add(1) },
 	})
 	double := handler.QueryFunc[int, int](func(_ context.Context, number int) (int, error) {
 		if number < 0 {
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -171,6 +171,9 @@
 		frame, held, err := l.receiveFrame(context.Background())
 		if err != nil {
 			held.release()
+			if errors.Is(err, errNoRoom) {
+				l.hub.onRefused()
+			}
 			return err
 		}
 		l.hub.clock.Observe(frame.Stamp)
--- a/internal/pipeliner/conn.go
+++ b/internal/pipeliner/conn.go
@@ -153,6 +153,7 @@
 	_ = c.netConn.SetDeadline(time.Now().Add(timeout))
 	if err := secured.Handshake(); err != nil {
 		answerPlain(err)
+		c.server.onEvent(RefusedHandshake)
 		return false
 	}
 	_ = c.netConn.SetWriteDeadline(time.Time{})
--- a/internal/pipeliner/evict.go
+++ b/internal/pipeliner/evict.go
@@ -28,6 +28,8 @@
 	RefusedHeader    Event = "RefusedHeader"
 	RefusedSlow      Event = "RefusedSlow"
 	RefusedMalformed Event = "RefusedMalformed"
+	// RefusedHandshake is a connection whose handshake failed or did not end in time.
+	RefusedHandshake Event = "RefusedHandshake"
 	// BrokenOff is an answer that was broken off because the budget was used up.
 	BrokenOff Event = "BrokenOff"
 )
@@ -36,7 +38,7 @@
 func Events() []Event {
 	return []Event{
 		ClosedUnused, ClosedIdle, ClosedReading, ClosedHead,
-		RefusedHeldBytes, RefusedHeader, RefusedSlow, RefusedMalformed, BrokenOff,
+		RefusedHeldBytes, RefusedHeader, RefusedSlow, RefusedMalformed, RefusedHandshake, BrokenOff,
 	}
 }
 
--- a/internal/responder/command.go
+++ b/internal/responder/command.go
@@ -25,11 +25,12 @@
 var errNoRoom = errors.New("commands hold too many bytes; send a smaller one, or send it again later")
 
 // commandHandler decodes the JSON body of a request and executes it as a command. What the body holds
-// is taken from the budget before it is read.
-func commandHandler[C, R any](handle handler.Command[C, R], budget *bounder.Budget) http.Handler {
+// is taken from the budget before it is read; onRefused is called if it does not fit.
+func commandHandler[C, R any](handle handler.Command[C, R], budget *bounder.Budget, onRefused func()) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		cost := commandCost(request.ContentLength)
 		if !budget.TakeAny(cost) {
+			onRefused()
 			w.Header().Set("Retry-After", "1")
 			writeError(w, http.StatusServiceUnavailable, errNoRoom)
 			return
--- a/internal/responder/command_test.go
+++ b/internal/responder/command_test.go
@@ -19,6 +19,7 @@
 func TestCommandsAreBounded(t *testing.T) {
 	const operatorKey = "the-operators-key"
 	executed := 0
+	refused := 0
 	change := func(context.Context, publisher.Change) (publisher.Accepted, error) {
 		executed++
 		return publisher.Accepted{}, nil
@@ -28,6 +29,8 @@
 		KeyHash: declarer.HashKey(operatorKey),
 		Change:  handler.CommandFunc[publisher.Change, publisher.Accepted](change),
 		Changes: budget,
+
+		OnRefused: func() { refused++ },
 	})
 	cases := []struct {
 		name   string
@@ -70,7 +73,7 @@
 			if recorded.Code != c.status {
 				t.Errorf("got status %d, want %d", recorded.Code, c.status)
 			}
-			if refused := recorded.Code == http.StatusServiceUnavailable; refused != (recorded.Header().Get("Retry-After") != "") {
+			if isRefusal := recorded.Code == http.StatusServiceUnavailable; isRefusal != (recorded.Header().Get("Retry-After") != "") {
 				t.Errorf("got the header %v, want Retry-After only with a refusal", recorded.Header())
 			}
 			if held := budget.Held(); held != 0 {
@@ -78,7 +81,7 @@
 			}
 		})
 	}
-	if executed != 2 {
-		t.Errorf("got %d commands executed, want 2", executed)
+	if executed != 2 || refused != 2 {
+		t.Errorf("got %d commands executed and %d refused, want 2 and 2", executed, refused)
 	}
 }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -69,12 +69,14 @@
 	// Changes bounds what the bodies of commands hold together while they are executed; nil if
 	// nothing does.
 	Changes *bounder.Budget
+	// OnRefused is called for each command that found no room.
+	OnRefused func()
 }
 
 // New returns the HTTP handler of the operators' front end.
 func New(options Options) http.Handler {
 	protected := http.NewServeMux()
-	protected.Handle("POST "+PathChange, commandHandler(options.Change, options.Changes))
+	protected.Handle("POST "+PathChange, commandHandler(options.Change, options.Changes, options.OnRefused))
 	protected.Handle("GET "+PathObjects, queryHandler(options.Objects, decodeSelection))
 	protected.Handle("GET "+PathStatus, queryHandler(options.Status, decodeEmpty))
 	protected.Handle("GET "+PathTimeline, queryHandler(options.Timeline, decodeFilter))
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -29,6 +29,8 @@
 		Route:    previewer.New(s.self.Name, admitter.New(s.plans, s.freshness)),
 		Registry: s.registry,
 		Changes:  bounder.NewBudget(fronter.BoundsOf(s.settings).ChangeBytes),
+
+		OnRefused: func() { s.listeners.operators.Count(fronter.RefusedCommand) },
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -184,6 +184,7 @@
 		OnChange:    s.peerChanged,
 		OnLinkLost:  s.peerLost,
 		FrameBytes:  fronter.BoundsOf(s.settings).FrameBytes,
+		OnRefused:   func() { s.listeners.peers.Count(fronter.RefusedFrame) },
 	})
 	s.registerTopics()
 	s.timeliner = timeliner.New(s.hub, s.recorder)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -298,6 +298,7 @@
 		OnChange:    s.peerChanged,
 		OnLinkLost:  s.peerLost,
 		FrameBytes:  fronter.BoundsOf(s.settings).FrameBytes,
+		OnRefused:   func() { s.listeners.peers.Count(fronter.RefusedFrame) },
 	})
 	s.registerDemandHandler()
 	s.registerMoveHandler()
