--- a/internal/pipeliner/head_test.go
+++ b/internal/pipeliner/head_test.go
@@ -18,6 +18,10 @@
 		"\r\nGET / HTTP/1.1\r\n\r\n",
 		"GET / HTTP/1.1\r\nHost: a\r\r\n\r\n",
 		"GET / HTTP/1.1\r\n\t\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nno-colon\r\n: empty\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\na: 1\r2\r\r\nb:\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;e\r\na\r\n0\r\nt: 1\r\n\r\n",
 	} {
 		f.Add([]byte(seed), uint8(1))
 	}
