--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -15,8 +15,8 @@
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/encoder"
+	"github.com/hemlockport/hemlockport/internal/query/sizer"
 	"github.com/hemlockport/hemlockport/internal/server"
-	"github.com/hemlockport/hemlockport/internal/sizer"
 	"github.com/hemlockport/hemlockport/internal/steerer"
 	"github.com/hemlockport/hemlockport/platform"
 )
--- a/internal/commander/try.go
+++ b/internal/commander/try.go
@@ -15,7 +15,7 @@
 	"github.com/hemlockport/hemlockport/internal/configurer"
 	"github.com/hemlockport/hemlockport/internal/launcher"
 	"github.com/hemlockport/hemlockport/internal/loader"
-	"github.com/hemlockport/hemlockport/internal/sizer"
+	"github.com/hemlockport/hemlockport/internal/query/sizer"
 	"github.com/hemlockport/hemlockport/pkg/command/publisher"
 	"github.com/hemlockport/hemlockport/pkg/declarer"
 )
--- a/internal/sizer/sizer_test.go
+++ b/internal/query/sizer/sizer_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/hemlockport/hemlockport/internal/configurer"
-	"github.com/hemlockport/hemlockport/internal/sizer"
+	"github.com/hemlockport/hemlockport/internal/query/sizer"
 )
 
 // TestProcessIsBounded guards against settings without a machine that set no bound, or one that hides
