--- a/internal/configurer/capacity.go
+++ b/internal/configurer/capacity.go
@@ -3,13 +3,12 @@
 import "fmt"
 
 // Capacity states what the machine of the instance offers. Memory and descriptors bound what
-// the instance holds for what its listeners receive (see bounder.Machine.Bounds); if one of them
-// is not stated, Machine says what does.
-// If Cores or LinkMbits is known, the instance states its capacity to the others: look-ups
-// then name the instances of a failure domain to callers in proportion to their capacities,
-// and the instance reports when its processor is used up. Each field is 0 to 1000000; 0, the
-// default, means that it is not stated. The fields are fractional because
-// platforms also write whole numbers as 136.0.
+// the instance holds for what its listeners receive (see bounder.Machine.Bounds); where one of
+// them is not stated, the process's own limits do (see Machine). If Cores or LinkMbits is known,
+// the instance states its capacity to the others: look-ups then name the instances of a failure
+// domain to callers in proportion to their capacities, and the instance reports when its
+// processor is used up. Each field is 0 to 1000000; 0, the default, means that it is not stated.
+// The fields are fractional because platforms also write whole numbers as 136.0.
 type Capacity struct {
 	// Cores is the processor time that the instance may use, in cores. Only
 	// AdapterThimblegate uses it.
