--- a/cmd/hemlockport/process_test.go
+++ b/cmd/hemlockport/process_test.go
@@ -326,6 +326,11 @@
 			arguments: []string{"serve", "--print-settings"},
 			stdout:    "GraceMillis = 1000",
 		},
+		{
+			// What bounds the process is shown with where it comes from.
+			arguments: []string{"serve", "--print-settings"},
+			stdout:    "MemorySource = '",
+		},
 		{
 			arguments: []string{"dance"},
 			code:      2,
