Answer a command that arrives too late with 408

An operator whose command did not arrive within its minute got 413, as if it were too large. TestLateCommandIsNotExecuted failed with 413 before the status told the two apart, and passes.

--- a/internal/responder/command.go
+++ b/internal/responder/command.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -40,7 +41,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(changeTimeout))
 		body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxChangeBytes))
 		if err != nil {
-			writeError(w, http.StatusRequestEntityTooLarge, err)
+			writeError(w, statusOfBody(err), err)
 			return
 		}
 		decoded, err := encoder.JSON[C]{}.Decode(body)
@@ -53,6 +54,15 @@
 	})
 }
 
+// statusOfBody returns the status of a command whose body could not be read.
+func statusOfBody(err error) int {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return http.StatusRequestTimeout
+	}
+	return http.StatusRequestEntityTooLarge
+}
+
 // commandCost returns what a command holds whose body has a length, in bytes; -1 is one of unknown
 // length.
 func commandCost(length int64) int64 {
--- a/internal/responder/command_test.go
+++ b/internal/responder/command_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -85,3 +86,37 @@
 		t.Errorf("got %d commands executed and %d refused, want 2 and 2", executed, refused)
 	}
 }
+
+// lateBody is a body that does not arrive in time.
+type lateBody struct{}
+
+func (lateBody) Read([]byte) (int, error) {
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestLateCommandIsNotExecuted guards against a command that is told to be too large although it came
+// too late, or that holds bytes afterwards.
+func TestLateCommandIsNotExecuted(t *testing.T) {
+	const operatorKey = "the-operators-key"
+	budget := bounder.NewBudget(30_000)
+	change := func(context.Context, publisher.Change) (publisher.Accepted, error) {
+		t.Error("the command was executed")
+		return publisher.Accepted{}, nil
+	}
+	front := responder.New(responder.Options{
+		KeyHash: declarer.HashKey(operatorKey),
+		Change:  handler.CommandFunc[publisher.Change, publisher.Accepted](change),
+		Changes: budget,
+	})
+	request := httptest.NewRequest(http.MethodPost, responder.PathChange, lateBody{})
+	request.ContentLength = 100
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	recorded := httptest.NewRecorder()
+	front.ServeHTTP(recorded, request)
+	if recorded.Code != http.StatusRequestTimeout {
+		t.Errorf("got status %d, want %d", recorded.Code, http.StatusRequestTimeout)
+	}
+	if held := budget.Held(); held != 0 {
+		t.Errorf("got %d bytes held at the end, want 0", held)
+	}
+}
