Leave room for the links of 300 instances at the listener for peers

Instances with the highest addresses accept a link from each other one, and the rest would have been refused.

Peers get an eighth of the descriptors in place of a sixteenth, callers five sixteenths in place of three eighths: their connections are bounded by the memory on all machines of the deployments, where they stay as they were. The buffers of links are those of the other listeners, 8 KB on up to 256 MB. TestLinksFindRoom failed with 196 and 243 connections where 299 are needed, and passes. 64 MB with 600 descriptors give callers 125 connections and 7.0 MB now, and peers 50.

--- a/pkg/command/bounder/bounder.go
+++ b/pkg/command/bounder/bounder.go
@@ -107,9 +107,8 @@
 
 // The sizes of the kernel's buffers, in bytes. The smallest passes a head of 16 KB in two round trips.
 const (
-	minBufferBytes  = 8 * kilobyte
-	maxBufferBytes  = 32 * kilobyte
-	peerBufferBytes = 16 * kilobyte
+	minBufferBytes = 8 * kilobyte
+	maxBufferBytes = 32 * kilobyte
 	// bufferPart is the part of the memory that is the size of a buffer: one in bufferPart.
 	bufferPart = 32 * kilobyte
 )
@@ -129,8 +128,8 @@
 // dials, and for calls to the platform.
 var (
 	callersPart = part{
-		numerator:   3,
-		denominator: 8,
+		numerator:   5,
+		denominator: 16,
 	}
 	inFlightPart = part{
 		numerator:   1,
@@ -150,7 +149,7 @@
 	}
 	peersPart = part{
 		numerator:   1,
-		denominator: 16,
+		denominator: 8,
 	}
 	operatorsPart = part{
 		numerator:   1,
@@ -207,7 +206,7 @@
 		Callers:      m.share(callersPart, callersMemory, buffer, m.Listeners.Callers),
 		Lookups:      m.share(lookupsPart, lookupsMemory, buffer, m.Listeners.Lookups),
 		Readiness:    m.share(readinessPart, readinessMemory, buffer, m.Listeners.Readiness),
-		Peers:        m.share(peersPart, peersMemory, max(buffer, peerBufferBytes), m.Listeners.Peers),
+		Peers:        m.share(peersPart, peersMemory, buffer, m.Listeners.Peers),
 		Operators:    m.share(operatorsPart, operatorsMemory, buffer, m.Listeners.Operators),
 		InFlight:     m.descriptors(inFlightPart),
 		IdleUpstream: m.descriptors(idleUpstreamPart),
--- a/pkg/command/bounder/bounder_test.go
+++ b/pkg/command/bounder/bounder_test.go
@@ -202,6 +202,53 @@
 	}
 }
 
+// TestLinksFindRoom guards against a bound of connections of peers that the links of a fleet exceed: an
+// instance accepts one from each other instance at most.
+func TestLinksFindRoom(t *testing.T) {
+	cases := []struct {
+		name        string
+		memoryMB    int
+		descriptors int
+		instances   int
+	}{
+		{
+			name:        "smallest of a deployment of 102 instances",
+			memoryMB:    136,
+			descriptors: 2870,
+			instances:   102,
+		},
+		{
+			name:        "smallest of a deployment of 195, at 300",
+			memoryMB:    184,
+			descriptors: 4100,
+			instances:   300,
+		},
+		{
+			name:        "usual one, at 300",
+			memoryMB:    284,
+			descriptors: 4100,
+			instances:   300,
+		},
+		{
+			name:        "largest, at 300",
+			memoryMB:    536,
+			descriptors: 8192,
+			instances:   300,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			machine := bounder.Machine{
+				MemoryMB:    c.memoryMB,
+				Descriptors: c.descriptors,
+			}
+			if got := machine.Bounds().Peers.Connections; got < c.instances-1 {
+				t.Errorf("got %d connections of peers, want at least %d", got, c.instances-1)
+			}
+		})
+	}
+}
+
 // TestOneRequestIsServedInCalm guards against a budget that refuses a request which would fit, because
 // it takes more than half.
 func TestOneRequestIsServedInCalm(t *testing.T) {
