--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -41,7 +41,6 @@
 	headerSignature = wire("-", "Response", "Signature")
 	headerLoad      = wire("-", "Server", "Load")
 	headerExpected  = wire("-", "Expected", "Instance")
-	headerNotRun    = wire("-", "Not", "Executed")
 	columnPrefix    = wire("_", "path", "prefix")
 	columnHomes     = wire("_", "allowed", "regions")
 )
