--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -173,10 +173,15 @@
 	return d.store.Write(context.Background(), kind, name, data)
 }
 
-// declare writes the desired state.
+// declare writes the first desired state.
 func (d *deployment) declare() error {
+	return d.declareKeys("00000001", key)
+}
+
+// declareKeys writes a desired state in which the tenant has one key.
+func (d *deployment) declareKeys(version, secret string) error {
 	return d.write("config", "main", map[string]any{
-		"version": "00000001",
+		"version": version,
 		"routes": map[string]any{
 			"columns": []string{"name", "host", columnPrefix, "type", "timeout_ms", "target_latency_ms", "priority",
 				"backends", "max_attempts", "public", "sticky", columnHomes, "service"},
@@ -188,7 +193,7 @@
 		},
 		"tenants": map[string]any{
 			"columns": []string{"name", "api_keys", "priority", "rate_per_s", "burst", columnHomes},
-			"rows":    [][]any{{team, []string{key}, nil, 0, 0, []string{}}},
+			"rows":    [][]any{{team, []string{secret}, nil, 0, 0, []string{}}},
 		},
 		"limits": map[string]any{
 			"max_header_bytes":  16384,
@@ -213,6 +218,11 @@
 	})
 }
 
+// settingsPath returns the path of the instance's settings file.
+func settingsPath(folder string) string {
+	return filepath.Join(folder, "local.toml")
+}
+
 // start starts the instance and waits until it is ready.
 func (d *deployment) start(folder, storeAddress, moreSettings string) error {
 	addresses := make([]any, 0, 6)
@@ -224,7 +234,7 @@
 		addresses = append(addresses, address)
 	}
 	d.address, d.ready = addresses[0].(string), addresses[1].(string)
-	path := filepath.Join(folder, "local.toml")
+	path := settingsPath(folder)
 	text := fmt.Sprintf(settingsText, append(addresses, storeAddress)...)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -31,8 +31,9 @@
 		os.Exit(failure)
 	}
 	cases := map[string]func(*recorder, string, bool) (bool, error){
-		"lost": runLost,
-		"gone": runGone,
+		"lost":  runLost,
+		"gone":  runGone,
+		"moved": runMoved,
 	}
 	run, found := cases[os.Args[1]]
 	if !found {
